Add the operators' record types

A record keeps its author's JSON next to the typed value that its known fields convert to, so unknown fields at any depth are passed on. A map of unknown fields beside each struct was ruled out, since it loses nested ones. Target has two schema versions side by side: 1 names one model and a zone.

--- /dev/null
+++ b/internal/version/record/record.go
@@ -0,0 +1,150 @@
+// Package record holds the operators' records: their types, their JSON form
+// in each schema version, their validation, and the immutable set of them
+// that decisions are made on.
+package record
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"cactusline.dev/cactusline/internal/version/ident"
+)
+
+// Key names one record.
+type Key struct {
+	Kind Kind
+	Name string
+}
+
+// String returns the key as KIND/NAME.
+func (k Key) String() string {
+	return string(k.Kind) + "/" + k.Name
+}
+
+// ParseKey reads a key written KIND/NAME. A name may hold further slashes.
+func ParseKey(text string) (Key, error) {
+	kind, name, found := strings.Cut(text, "/")
+	if !found || kind == "" || name == "" {
+		return Key{}, fmt.Errorf("record key %q is not KIND/NAME", text)
+	}
+	return Key{Kind: Kind(kind), Name: name}, nil
+}
+
+// Record is one record: the JSON as its author wrote it, unknown fields
+// included, and the typed value that its known fields convert to. A record is
+// immutable.
+type Record struct {
+	key     Key
+	header  Header
+	content []byte
+	value   any
+}
+
+// Parse reads one record in JSON. It checks the record by itself and returns
+// a *Faults that lists everything found wrong.
+func Parse(data []byte) (*Record, error) {
+	fields, err := splitFields(data)
+	if err != nil {
+		return nil, &Faults{List: []Fault{{Problem: err.Error()}}}
+	}
+	r := &Record{}
+	var name string
+	faults := decodeHeader(fields, &r.header, &name)
+	r.key = Key{Kind: r.header.Kind, Name: name}
+	if len(faults) > 0 {
+		return nil, newFaults(r.key, faults)
+	}
+	if r.value, faults = decodeValue(r.header, data); len(faults) > 0 {
+		return nil, newFaults(r.key, faults)
+	}
+	if r.content, err = joinFields(fields); err != nil {
+		return nil, newFaults(r.key, []Fault{{Problem: err.Error()}})
+	}
+	return r, nil
+}
+
+// New returns the record of a typed value, a pointer to one of this package's
+// kinds. Kind and SchemaVersion are filled in.
+func New(value any) (*Record, error) {
+	header, err := headerOf(value)
+	if err != nil {
+		return nil, err
+	}
+	header.SchemaVersion = newestSchema[header.Kind]
+	data, err := json.Marshal(value)
+	if err != nil {
+		return nil, fmt.Errorf("encode %s: %w", header.Kind, err)
+	}
+	return Parse(data)
+}
+
+// Key returns the record's kind and name.
+func (r *Record) Key() Key { return r.key }
+
+// Header returns the record's kind, schema version and version.
+func (r *Record) Header() Header { return r.header }
+
+// Version returns the record's version.
+func (r *Record) Version() ident.Version { return r.header.Version }
+
+// JSON returns the record as compact JSON with sorted fields. The caller must
+// not change it.
+func (r *Record) JSON() []byte { return r.content }
+
+// MarshalJSON returns what JSON does.
+func (r *Record) MarshalJSON() ([]byte, error) { return r.content, nil }
+
+// Value returns the typed record in the newest schema version: a *Customer,
+// *Service, *Model, *Route, *Target or *Departure. The caller must not change
+// it.
+func (r *Record) Value() any { return r.value }
+
+// WithVersion returns the record with another version.
+func (r *Record) WithVersion(version ident.Version) (*Record, error) {
+	if version == r.header.Version {
+		return r, nil
+	}
+	fields, err := splitFields(r.content)
+	if err != nil {
+		return nil, err
+	}
+	fields["Version"] = json.RawMessage(fmt.Sprint(uint64(version)))
+	data, err := joinFields(fields)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(data)
+}
+
+// SameContent reports whether two records differ in nothing but their version.
+func (r *Record) SameContent(other *Record) bool {
+	same, err := other.WithVersion(r.header.Version)
+	return err == nil && bytes.Equal(r.content, same.content)
+}
+
+// splitFields reads the fields of a JSON object, each still encoded.
+func splitFields(data []byte) (map[string]json.RawMessage, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(data, &fields); err != nil {
+		return nil, fmt.Errorf("record is no JSON object: %w", err)
+	}
+	if fields == nil {
+		return nil, fmt.Errorf("record is null")
+	}
+	return fields, nil
+}
+
+// joinFields writes fields as compact JSON sorted by name, with a Version
+// field present.
+func joinFields(fields map[string]json.RawMessage) ([]byte, error) {
+	if _, found := fields["Version"]; !found {
+		fields["Version"] = json.RawMessage("0")
+	}
+	data, err := json.Marshal(fields)
+	if err != nil {
+		return nil, fmt.Errorf("encode record: %w", err)
+	}
+	return data, nil
+}
--- /dev/null
+++ b/internal/version/record/schema.go
@@ -0,0 +1,158 @@
+package record
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"cactusline.dev/cactusline/internal/version/ident"
+)
+
+// newestSchema is the newest schema version of each kind that this program
+// writes. A record of a newer one is read by the fields known here.
+var newestSchema = map[Kind]int{
+	KindCustomer:  1,
+	KindService:   1,
+	KindModel:     1,
+	KindRoute:     1,
+	KindTarget:    2,
+	KindDeparture: 1,
+}
+
+// targetV1 is schema version 1 of Target, which named one model and called
+// the failure domain a zone.
+type targetV1 struct {
+	Header
+	Name          ident.TargetName
+	VM            ident.VMName
+	Zone          ident.DomainName
+	Region        ident.RegionName
+	Address       string
+	Model         ident.ModelName
+	Service       ident.ServiceName
+	Capacity      Capacity
+	ChecksFencing bool
+	Leaving       bool
+}
+
+// upgrade converts a target of schema version 1 to the newest.
+func (t *targetV1) upgrade() *Target {
+	out := &Target{
+		Header: t.Header, Name: t.Name, VM: t.VM, Domain: t.Zone, Region: t.Region,
+		Address: t.Address, Service: t.Service, Capacity: t.Capacity,
+		ChecksFencing: t.ChecksFencing, Leaving: t.Leaving,
+	}
+	if t.Model != "" {
+		out.Models = []TargetModel{{Name: t.Model}}
+	}
+	return out
+}
+
+// decodeHeader reads the fields that every record has.
+func decodeHeader(fields map[string]json.RawMessage, header *Header, name *string) []Fault {
+	var faults []Fault
+	into := func(field string, value any, required bool) {
+		data, found := fields[field]
+		if !found {
+			if required {
+				faults = append(faults, Fault{Field: field, Problem: "is missing"})
+			}
+			return
+		}
+		if err := json.Unmarshal(data, value); err != nil {
+			faults = append(faults, Fault{Field: field, Problem: err.Error()})
+		}
+	}
+	into("Kind", &header.Kind, true)
+	into("Name", name, true)
+	into("SchemaVersion", &header.SchemaVersion, true)
+	into("Version", &header.Version, false)
+	if len(faults) > 0 {
+		return faults
+	}
+	if _, known := newestSchema[header.Kind]; !known {
+		faults = append(faults, Fault{Field: "Kind", Problem: fmt.Sprintf("%q is unknown", header.Kind)})
+	}
+	if header.SchemaVersion < 1 {
+		faults = append(faults, Fault{Field: "SchemaVersion", Problem: "must be at least 1"})
+	}
+	return faults
+}
+
+// decodeValue reads the known fields of a record into the newest schema
+// version of its kind and validates them.
+func decodeValue(header Header, data []byte) (any, []Fault) {
+	switch header.Kind {
+	case KindCustomer:
+		return decodeInto(data, &Customer{})
+	case KindService:
+		return decodeInto(data, &Service{})
+	case KindModel:
+		return decodeInto(data, &Model{})
+	case KindRoute:
+		return decodeInto(data, &Route{})
+	case KindDeparture:
+		return decodeInto(data, &Departure{})
+	default:
+		return decodeTarget(header, data)
+	}
+}
+
+// decodeTarget reads a target of any schema version.
+func decodeTarget(header Header, data []byte) (any, []Fault) {
+	if header.SchemaVersion > 1 {
+		return decodeInto(data, &Target{})
+	}
+	old := &targetV1{}
+	if err := json.Unmarshal(data, old); err != nil {
+		return nil, []Fault{decodeFault(err)}
+	}
+	target := old.upgrade()
+	return target, target.validate()
+}
+
+// validator checks one record by itself.
+type validator interface {
+	validate() []Fault
+}
+
+// decodeInto reads a record into its type and validates it.
+func decodeInto(data []byte, value validator) (any, []Fault) {
+	if err := json.Unmarshal(data, value); err != nil {
+		return nil, []Fault{decodeFault(err)}
+	}
+	return value, value.validate()
+}
+
+// decodeFault names the field that JSON decoding stopped at.
+func decodeFault(err error) Fault {
+	var typeErr *json.UnmarshalTypeError
+	if errors.As(err, &typeErr) {
+		return Fault{Field: typeErr.Field, Problem: fmt.Sprintf("is a %s, want %s", typeErr.Value, typeErr.Type)}
+	}
+	return Fault{Problem: err.Error()}
+}
+
+// headerOf returns the header of a typed record with its kind filled in.
+func headerOf(value any) (*Header, error) {
+	var header *Header
+	var kind Kind
+	switch v := value.(type) {
+	case *Customer:
+		header, kind = &v.Header, KindCustomer
+	case *Service:
+		header, kind = &v.Header, KindService
+	case *Model:
+		header, kind = &v.Header, KindModel
+	case *Route:
+		header, kind = &v.Header, KindRoute
+	case *Target:
+		header, kind = &v.Header, KindTarget
+	case *Departure:
+		header, kind = &v.Header, KindDeparture
+	default:
+		return nil, fmt.Errorf("%T is no record", value)
+	}
+	header.Kind = kind
+	return header, nil
+}
