Read files of records, check them and look them up

Submitted records are checked strictly, with all faults of a file in one answer; committed ones are loaded leniently, because a replica that refused what a newer program had committed would diverge. JSON decoding takes field names in any case: a header field that differs in case alone is a fault, as it would give a record two names.

--- a/internal/process/seeds/seeds.go
+++ b/internal/process/seeds/seeds.go
@@ -1,4 +1,4 @@
-// Package seeds gives randomised tests their range of seeds and the command
+// Package seeds gives tests of random cases their range of seeds and the command
 // that repeats a failing one.
 package seeds
 
--- /dev/null
+++ b/internal/version/record/lookup.go
@@ -0,0 +1,132 @@
+package record
+
+import (
+	"slices"
+
+	"cactusline.dev/cactusline/internal/version/ident"
+)
+
+// Customer returns a customer by name.
+func (s *Set) Customer(name ident.CustomerName) (*Customer, bool) {
+	customer, found := s.customers.byName[name]
+	return customer, found
+}
+
+// CustomerByKey returns the customer that owns a bearer key.
+func (s *Set) CustomerByKey(hash KeyHash) (*Customer, bool) {
+	customer, found := s.customers.byKey[hash]
+	return customer, found
+}
+
+// Service returns a service by name.
+func (s *Set) Service(name ident.ServiceName) (*Service, bool) {
+	service, found := s.services[name]
+	return service, found
+}
+
+// Model returns a model by name.
+func (s *Set) Model(name ident.ModelName) (*Model, bool) {
+	model, found := s.models[name]
+	return model, found
+}
+
+// Target returns a target by name.
+func (s *Set) Target(name ident.TargetName) (*Target, bool) {
+	target, found := s.targets.byName[name]
+	return target, found
+}
+
+// Targets returns all targets sorted by name.
+func (s *Set) Targets() []*Target { return s.targets.all }
+
+// TargetsOn returns the targets of a VM sorted by name.
+func (s *Set) TargetsOn(vm ident.VMName) []*Target { return s.targets.byVM[vm] }
+
+// ModelPool returns the targets that serve a model in any version, leaving
+// ones included, sorted by name.
+func (s *Set) ModelPool(model ident.ModelName) []*Target { return s.targets.byModel[model] }
+
+// ServicePool returns the targets of a service, leaving ones included, sorted
+// by name.
+func (s *Set) ServicePool(service ident.ServiceName) []*Target { return s.targets.byService[service] }
+
+// Routes returns all routes sorted by name.
+func (s *Set) Routes() []*Route { return s.routes.all }
+
+// ModelRoute returns the route for a customer's requests for a model: one
+// that names the customer, else one that names none.
+func (s *Set) ModelRoute(customer ident.CustomerName, model ident.ModelName) (*Route, bool) {
+	return pick(s.routes.byModel[model], customer)
+}
+
+// ServiceRoute returns the route for a customer's requests for a service.
+func (s *Set) ServiceRoute(customer ident.CustomerName, service ident.ServiceName) (*Route, bool) {
+	return pick(s.routes.byService[service], customer)
+}
+
+// pick returns the most specific route for a customer.
+func pick(routes []*Route, customer ident.CustomerName) (*Route, bool) {
+	var general *Route
+	for _, route := range routes {
+		if slices.Contains(route.Customers, customer) {
+			return route, true
+		}
+		if general == nil && len(route.Customers) == 0 {
+			general = route
+		}
+	}
+	return general, general != nil
+}
+
+// Candidates returns the targets that a route allows, sorted by name: those
+// of its model version, adapter or service, in its region, and not leaving.
+func (s *Set) Candidates(route *Route) []*Target {
+	pool := s.ServicePool(route.Service)
+	if route.Model != "" {
+		pool = s.ModelPool(route.Model)
+	}
+	var out []*Target
+	for _, target := range pool {
+		if s.allows(route, target) {
+			out = append(out, target)
+		}
+	}
+	return out
+}
+
+// allows reports whether a target of the route's pool may take its requests.
+func (s *Set) allows(route *Route, target *Target) bool {
+	if route.Region != "" && target.Region != route.Region {
+		return false
+	}
+	if route.Model != "" && !target.Runs(route.Model, route.ModelVersion, route.Adapter) {
+		return false
+	}
+	return !s.Leaving(target.Name)
+}
+
+// Runs reports whether the target serves the model in the version and with
+// the adapter, where an empty one means any.
+func (t *Target) Runs(model ident.ModelName, version, adapter string) bool {
+	return slices.ContainsFunc(t.Models, func(m TargetModel) bool {
+		if m.Name != model || (version != "" && m.Version != version) {
+			return false
+		}
+		return adapter == "" || slices.Contains(m.Adapters, adapter)
+	})
+}
+
+// Leaving reports whether a target takes no new work, by its own record or by
+// a departure of it or its VM. An unknown target is leaving.
+func (s *Set) Leaving(name ident.TargetName) bool {
+	target, found := s.targets.byName[name]
+	if !found || target.Leaving || s.leaving.targets[name] != nil {
+		return true
+	}
+	return s.leaving.vms[target.VM] != nil
+}
+
+// VMLeaving reports whether the departure of a VM is planned.
+func (s *Set) VMLeaving(vm ident.VMName) bool {
+	return s.leaving.vms[vm] != nil
+}
--- a/internal/version/record/record.go
+++ b/internal/version/record/record.go
@@ -7,6 +7,8 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 
 	"cactusline.dev/cactusline/internal/version/ident"
@@ -32,6 +34,9 @@
 	return Key{Kind: Kind(kind), Name: name}, nil
 }
 
+// headerFields are the fields that every record has.
+var headerFields = []string{"Kind", "Name", "SchemaVersion", "Version"}
+
 // Record is one record: the JSON as its author wrote it, unknown fields
 // included, and the typed value that its known fields convert to. A record is
 // immutable.
@@ -39,32 +44,68 @@
 	key     Key
 	header  Header
 	content []byte
-	value   any
+	value   typed
 }
 
-// Parse reads one record in JSON. It checks the record by itself and returns
-// a *Faults that lists everything found wrong.
+// Parse reads one record in JSON as an operator submits it. It checks the
+// record by itself and returns a *Faults that lists everything found wrong.
 func Parse(data []byte) (*Record, error) {
+	r, faults := decode(data)
+	if len(faults) == 0 {
+		faults = r.strictFaults()
+	}
+	if len(faults) > 0 {
+		return nil, newFaults(r.key, faults)
+	}
+	return r, nil
+}
+
+// Load reads one record that was committed, perhaps by a newer program. Only
+// the header must be sound: a record of an unknown kind, or whose known fields
+// have other types than here, is kept and passed on with a nil value.
+func Load(data []byte) (*Record, error) {
+	r, faults := decode(data)
+	if len(faults) > 0 {
+		return nil, newFaults(r.key, faults)
+	}
+	return r, nil
+}
+
+// decode reads a record without validating its value.
+func decode(data []byte) (*Record, []Fault) {
+	r := &Record{}
 	fields, err := splitFields(data)
 	if err != nil {
-		return nil, &Faults{List: []Fault{{Problem: err.Error()}}}
+		return r, []Fault{{Problem: err.Error()}}
 	}
-	r := &Record{}
 	var name string
 	faults := decodeHeader(fields, &r.header, &name)
 	r.key = Key{Kind: r.header.Kind, Name: name}
-	if len(faults) > 0 {
-		return nil, newFaults(r.key, faults)
+	if fault, found := foldedField(fields); found {
+		faults = append(faults, fault)
 	}
-	if r.value, faults = decodeValue(r.header, data); len(faults) > 0 {
-		return nil, newFaults(r.key, faults)
+	if len(faults) > 0 {
+		return r, faults
 	}
 	if r.content, err = joinFields(fields); err != nil {
-		return nil, newFaults(r.key, []Fault{{Problem: err.Error()}})
+		return r, []Fault{{Problem: err.Error()}}
 	}
+	r.value, _ = decodeValue(r.header, r.content)
 	return r, nil
 }
 
+// strictFaults returns what is wrong with a submitted record by itself.
+func (r *Record) strictFaults() []Fault {
+	if _, known := newestSchema[r.header.Kind]; !known {
+		return []Fault{{Field: "Kind", Problem: fmt.Sprintf("%q is unknown", r.header.Kind)}}
+	}
+	value, err := decodeValue(r.header, r.content)
+	if err != nil {
+		return []Fault{decodeFault(err)}
+	}
+	return value.validate()
+}
+
 // New returns the record of a typed value, a pointer to one of this package's
 // kinds. Kind and SchemaVersion are filled in.
 func New(value any) (*Record, error) {
@@ -97,9 +138,14 @@
 func (r *Record) MarshalJSON() ([]byte, error) { return r.content, nil }
 
 // Value returns the typed record in the newest schema version: a *Customer,
-// *Service, *Model, *Route, *Target or *Departure. The caller must not change
-// it.
-func (r *Record) Value() any { return r.value }
+// *Service, *Model, *Route, *Target or *Departure, or nil if Load could not
+// read it. The caller must not change it.
+func (r *Record) Value() any {
+	if r.value == nil {
+		return nil
+	}
+	return r.value
+}
 
 // WithVersion returns the record with another version.
 func (r *Record) WithVersion(version ident.Version) (*Record, error) {
@@ -115,7 +161,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return Parse(data)
+	return Load(data)
 }
 
 // SameContent reports whether two records differ in nothing but their version.
@@ -136,6 +182,19 @@
 	return fields, nil
 }
 
+// foldedField returns the fault of the first field whose name differs from a
+// known one in nothing but case, which JSON decoding would take for it.
+func foldedField(fields map[string]json.RawMessage) (Fault, bool) {
+	for _, name := range slices.Sorted(maps.Keys(fields)) {
+		for _, known := range headerFields {
+			if name != known && strings.EqualFold(name, known) {
+				return Fault{Field: name, Problem: "is written " + known}, true
+			}
+		}
+	}
+	return Fault{}, false
+}
+
 // joinFields writes fields as compact JSON sorted by name, with a Version
 // field present.
 func joinFields(fields map[string]json.RawMessage) ([]byte, error) {
--- a/internal/version/record/schema.go
+++ b/internal/version/record/schema.go
@@ -70,8 +70,8 @@
 	if len(faults) > 0 {
 		return faults
 	}
-	if _, known := newestSchema[header.Kind]; !known {
-		faults = append(faults, Fault{Field: "Kind", Problem: fmt.Sprintf("%q is unknown", header.Kind)})
+	if header.Kind == "" || *name == "" {
+		faults = append(faults, Fault{Field: "Kind", Problem: "and Name must not be empty"})
 	}
 	if header.SchemaVersion < 1 {
 		faults = append(faults, Fault{Field: "SchemaVersion", Problem: "must be at least 1"})
@@ -79,9 +79,14 @@
 	return faults
 }
 
+// typed is a typed record.
+type typed interface {
+	validate() []Fault
+}
+
 // decodeValue reads the known fields of a record into the newest schema
-// version of its kind and validates them.
-func decodeValue(header Header, data []byte) (any, []Fault) {
+// version of its kind. It returns nil for an unknown kind.
+func decodeValue(header Header, data []byte) (typed, error) {
 	switch header.Kind {
 	case KindCustomer:
 		return decodeInto(data, &Customer{})
@@ -93,35 +98,30 @@
 		return decodeInto(data, &Route{})
 	case KindDeparture:
 		return decodeInto(data, &Departure{})
-	default:
+	case KindTarget:
 		return decodeTarget(header, data)
 	}
+	return nil, nil
 }
 
 // decodeTarget reads a target of any schema version.
-func decodeTarget(header Header, data []byte) (any, []Fault) {
+func decodeTarget(header Header, data []byte) (typed, error) {
 	if header.SchemaVersion > 1 {
 		return decodeInto(data, &Target{})
 	}
 	old := &targetV1{}
 	if err := json.Unmarshal(data, old); err != nil {
-		return nil, []Fault{decodeFault(err)}
+		return nil, fmt.Errorf("target of schema version 1: %w", err)
 	}
-	target := old.upgrade()
-	return target, target.validate()
-}
-
-// validator checks one record by itself.
-type validator interface {
-	validate() []Fault
+	return old.upgrade(), nil
 }
 
-// decodeInto reads a record into its type and validates it.
-func decodeInto(data []byte, value validator) (any, []Fault) {
+// decodeInto reads a record into its type.
+func decodeInto(data []byte, value typed) (typed, error) {
 	if err := json.Unmarshal(data, value); err != nil {
-		return nil, []Fault{decodeFault(err)}
+		return nil, fmt.Errorf("decode fields: %w", err)
 	}
-	return value, value.validate()
+	return value, nil
 }
 
 // decodeFault names the field that JSON decoding stopped at.
--- a/internal/version/record/types.go
+++ b/internal/version/record/types.go
@@ -133,7 +133,8 @@
 // TargetModel is one model as an engine serves it.
 type TargetModel struct {
 	Name ident.ModelName
-	// Version names the model version; empty means the model's first.
+	// Version names the model version; if it is empty, only routes that name
+	// no version lead here.
 	Version  string   `json:",omitempty"`
 	Adapters []string `json:",omitempty"`
 }
@@ -155,17 +156,6 @@
 	Reason string           `json:",omitempty"`
 }
 
-// Serves reports whether the target serves the model in the version, where an
-// empty version means any.
-func (t *Target) Serves(model ident.ModelName, version string) bool {
-	for _, m := range t.Models {
-		if m.Name == model && (version == "" || m.Version == version) {
-			return true
-		}
-	}
-	return false
-}
-
 // FairWeight returns the customer's weight, at least 1.
 func (c *Customer) FairWeight() uint32 {
 	return max(c.Weight, 1)
