Add the ledger of requests that are not repeatable

A key is claimed by one attempt at one incarnation of a sidecar and is freed only on proof that this attempt never runs: a tombstone or refusal of the same incarnation, or the owner's word before dispatch. A lease that times out was ruled out, since a slow network can deliver the attempt after it.

--- /dev/null
+++ b/internal/request/ledger/answer.go
@@ -0,0 +1,73 @@
+package ledger
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"cactusline.dev/cactusline/internal/version/cmdpb"
+	"cactusline.dev/cactusline/internal/version/ident"
+)
+
+// maxHeaderBytes bounds the recorded header fields of one answer, in bytes.
+const maxHeaderBytes = 4 << 10
+
+// encodeAnswer packs an answer, which may be nil, with at most limit bytes of
+// its body and 4 KiB of its header fields.
+func encodeAnswer(a *Answer, limit ident.Bytes) []byte {
+	if a == nil {
+		a = &Answer{}
+	}
+	out := AnswerProto(a)
+	if ident.Bytes(len(out.GetBody())) > limit {
+		out.Body = out.GetBody()[:limit]
+		out.Truncated = true
+	}
+	size := 0
+	for i, header := range out.GetHeaders() {
+		size += len(header.GetName()) + len(header.GetValue())
+		if size > maxHeaderBytes {
+			out.Headers = out.GetHeaders()[:i]
+			out.Truncated = true
+			break
+		}
+	}
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(out)
+	if err != nil {
+		// Only text that is not UTF-8 fails; the answer goes without its headers.
+		out.Headers, out.Truncated = nil, true
+		data, _ = proto.MarshalOptions{Deterministic: true}.Marshal(out)
+	}
+	return data
+}
+
+// decodeAnswer unpacks what encodeAnswer packed.
+func decodeAnswer(data []byte) *Answer {
+	var in cmdpb.Answer
+	if err := proto.Unmarshal(data, &in); err != nil {
+		return nil
+	}
+	return AnswerOf(&in)
+}
+
+// AnswerProto converts an answer to its message.
+func AnswerProto(a *Answer) *cmdpb.Answer {
+	if a == nil {
+		return nil
+	}
+	out := &cmdpb.Answer{Status: int32(a.Status), Body: a.Body, Truncated: a.Truncated}
+	for _, header := range a.Headers {
+		out.Headers = append(out.Headers, &cmdpb.HeaderField{Name: header.Name, Value: header.Value})
+	}
+	return out
+}
+
+// AnswerOf converts a message, which may be nil, to an answer.
+func AnswerOf(in *cmdpb.Answer) *Answer {
+	if in == nil {
+		return nil
+	}
+	out := &Answer{Status: int(in.GetStatus()), Body: in.GetBody(), Truncated: in.GetTruncated()}
+	for _, header := range in.GetHeaders() {
+		out.Headers = append(out.Headers, Header{Name: header.GetName(), Value: header.GetValue()})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/request/ledger/ledger_test.go
@@ -0,0 +1,204 @@
+package ledger_test
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cactusline.dev/cactusline/internal/process/seeds"
+	"cactusline.dev/cactusline/internal/request/ledger"
+)
+
+const worldSteps = 600
+
+func TestRandomisedKeysRunAtMostOnce(t *testing.T) {
+	seeds.Run(t, seeds.Range{First: 1, Last: 60}, func(t *testing.T, seed uint64) {
+		l := ledger.New(ledger.Config{Shards: 4})
+		w := newWorld(seed, l)
+		for range worldSteps {
+			w.step()
+			assert.Assert(t, w.mostRuns() <= 1)
+			if w.random.IntN(50) == 0 {
+				w.ledger = restored(t, w.ledger)
+			}
+		}
+	})
+}
+
+// TestWithoutProofKeysRunTwice shows that the proofs are what keeps a key from
+// running twice.
+func TestWithoutProofKeysRunTwice(t *testing.T) {
+	twice := 0
+	for seed := range uint64(60) {
+		l := ledger.New(ledger.Config{Shards: 4})
+		l.AcceptAnyProof()
+		w := newWorld(seed+1, l)
+		for range worldSteps {
+			w.step()
+		}
+		if w.mostRuns() > 1 {
+			twice++
+		}
+	}
+	assert.Assert(t, twice > 0)
+	t.Logf("%d of 60 seeds ran a key twice", twice)
+}
+
+func restored(t testing.TB, l *ledger.Ledger) *ledger.Ledger {
+	t.Helper()
+	data, err := l.Snapshot()
+	assert.NilError(t, err)
+	next := ledger.New(ledger.Config{Shards: 4})
+	assert.NilError(t, next.Restore(data))
+	again, err := next.Snapshot()
+	assert.NilError(t, err)
+	assert.Assert(t, bytes.Equal(again, data))
+	return next
+}
+
+func TestStatesOfAKey(t *testing.T) {
+	now := time.Unix(5000, 0)
+	l := ledger.New(ledger.Config{})
+	key := ledger.KeyOf("c", "k")
+	claim := ledger.Claim{Key: key, Fingerprint: 7, Attempt: "a", Target: "t", Incarnation: 3}
+
+	reply, err := l.Claim(now, claim)
+	assert.NilError(t, err)
+	assert.Assert(t, reply.Granted)
+	reply, err = l.Claim(now, claim)
+	assert.NilError(t, err)
+	assert.Assert(t, reply.Granted, "the same claim again")
+
+	other := claim
+	other.Attempt = "b"
+	reply, err = l.Claim(now, other)
+	assert.NilError(t, err)
+	assert.Assert(t, !reply.Granted && reply.State == ledger.StateRunning && reply.RetryAfter > 0)
+	assert.Equal(t, string(reply.Attempt)+string(reply.Target), "at")
+
+	changed := other
+	changed.Fingerprint = 8
+	_, err = l.Claim(now, changed)
+	var mismatch *ledger.MismatchError
+	assert.Assert(t, errors.As(err, &mismatch))
+
+	answer := &ledger.Answer{Status: 201, Headers: []ledger.Header{{Name: "X", Value: "1"}}, Body: []byte("bib 17")}
+	_, err = l.Settle(now, ledger.Settlement{Key: key, Attempt: "b", Answer: answer})
+	var holder *ledger.HolderError
+	assert.Assert(t, errors.As(err, &holder) && holder.Holder == "a")
+	_, err = l.Settle(now, ledger.Settlement{Key: key, Attempt: "a", Unknown: true})
+	assert.NilError(t, err)
+	_, err = l.Settle(now, ledger.Settlement{Key: key, Attempt: "a", Answer: answer})
+	assert.NilError(t, err, "an unknown outcome may become known")
+	_, err = l.Settle(now, ledger.Settlement{Key: key, Attempt: "a", Answer: &ledger.Answer{Status: 500}})
+	assert.NilError(t, err)
+	reply, err = l.Claim(now, other)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, reply.Answer, answer)
+
+	reply, err = l.Claim(now.Add(time.Hour), other)
+	assert.NilError(t, err)
+	assert.Equal(t, reply.State, ledger.StateExpired)
+	l.Advance(now.Add(23 * time.Hour))
+	assert.Equal(t, l.Lookup(key).State, ledger.StateExpired)
+	l.Advance(now.Add(26 * time.Hour))
+	assert.Equal(t, l.Lookup(key).State, ledger.StateFree)
+}
+
+func TestReleaseNeedsProof(t *testing.T) {
+	now := time.Unix(5000, 0)
+	key := ledger.KeyOf("c", "k")
+	claim := ledger.Claim{Key: key, Attempt: "a", Target: "t", Incarnation: 3}
+	for _, test := range []struct {
+		name       string
+		proof      ledger.Proof
+		dispatched bool
+		unknown    bool
+		holds      bool
+	}{
+		{"no proof", ledger.Proof{Attempt: "a", Incarnation: 3}, false, false, false},
+		{"tombstone", ledger.Proof{Kind: ledger.ProofTombstone, Attempt: "a", Incarnation: 3}, true, false, true},
+		{"tombstone of a restarted sidecar", ledger.Proof{Kind: ledger.ProofTombstone, Attempt: "a", Incarnation: 4}, true, false, false},
+		{"tombstone after unknown", ledger.Proof{Kind: ledger.ProofTombstone, Attempt: "a", Incarnation: 3}, true, true, true},
+		{"refusal", ledger.Proof{Kind: ledger.ProofRefused, Attempt: "a", Incarnation: 3}, true, false, true},
+		{"not sent", ledger.Proof{Kind: ledger.ProofNotSent, Attempt: "a"}, false, false, true},
+		{"not sent but dispatched", ledger.Proof{Kind: ledger.ProofNotSent, Attempt: "a"}, true, false, false},
+		{"not sent but unknown", ledger.Proof{Kind: ledger.ProofNotSent, Attempt: "a"}, false, true, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			l := ledger.New(ledger.Config{})
+			_, err := l.Claim(now, claim)
+			assert.NilError(t, err)
+			if test.dispatched {
+				_, err = l.Dispatch(now, key, "a")
+				assert.NilError(t, err)
+			}
+			if test.unknown {
+				_, err = l.Settle(now, ledger.Settlement{Key: key, Attempt: "a", Unknown: true})
+				assert.NilError(t, err)
+			}
+			reply, err := l.Release(now, key, test.proof)
+			var bad *ledger.ProofError
+			assert.Equal(t, errors.As(err, &bad), !test.holds)
+			assert.Equal(t, reply.State == ledger.StateReleased, test.holds)
+		})
+	}
+}
+
+func TestAReleasedAttemptThatRanIsSeen(t *testing.T) {
+	now := time.Unix(5000, 0)
+	l := ledger.New(ledger.Config{})
+	key := ledger.KeyOf("c", "k")
+	claim := ledger.Claim{Key: key, Attempt: "a", Target: "t", Incarnation: 3}
+	_, err := l.Claim(now, claim)
+	assert.NilError(t, err)
+	_, err = l.Release(now, key, ledger.Proof{Kind: ledger.ProofRefused, Attempt: "a", Incarnation: 3})
+	assert.NilError(t, err)
+	_, err = l.Claim(now, claim)
+	var reused *ledger.ReusedError
+	assert.Assert(t, errors.As(err, &reused))
+	claim.Attempt = "b"
+	_, err = l.Claim(now, claim)
+	assert.NilError(t, err)
+	_, err = l.Settle(now, ledger.Settlement{Key: key, Attempt: "a", Answer: &ledger.Answer{Status: 200}})
+	var contradiction *ledger.ContradictionError
+	assert.Assert(t, errors.As(err, &contradiction))
+}
+
+func TestAnswersAreBounded(t *testing.T) {
+	now := time.Unix(5000, 0)
+	l := ledger.New(ledger.Config{Shards: 1, AnswerBytes: 4 << 10, MaxAnswer: 1 << 10})
+	keys := []string{"1", "2", "3", "4", "5"}
+	for _, name := range keys {
+		key := ledger.KeyOf("c", name)
+		_, err := l.Claim(now, ledger.Claim{Key: key, Attempt: "a"})
+		assert.NilError(t, err)
+		answer := &ledger.Answer{Status: 200, Body: make([]byte, 2<<10)}
+		reply, err := l.Settle(now, ledger.Settlement{Key: key, Attempt: "a", Answer: answer})
+		assert.NilError(t, err)
+		assert.Assert(t, reply.Answer.Truncated)
+		assert.Equal(t, len(reply.Answer.Body), 1<<10)
+	}
+	full, compacted := l.Len()
+	assert.Equal(t, full, 3)
+	assert.Equal(t, compacted, 2)
+	assert.Equal(t, l.Lookup(ledger.KeyOf("c", "1")).State, ledger.StateExpired)
+}
+
+func FuzzRestore(f *testing.F) {
+	l := ledger.New(ledger.Config{Shards: 2})
+	_, _ = l.Claim(time.Unix(1, 0), ledger.Claim{Key: ledger.KeyOf("c", "k"), Attempt: "a"})
+	data, err := l.Snapshot()
+	assert.NilError(f, err)
+	f.Add(data)
+	f.Add([]byte{8, 1})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		l := ledger.New(ledger.Config{Shards: 2})
+		if l.Restore(data) == nil {
+			l.Advance(time.Unix(1<<40, 0))
+		}
+	})
+}
