Add the link between processes

Cause: routers, sidecars and control need calls to one another. One yamux stream a call, protobuf messages preceded by their length, two sessions to a peer. Keepalive is off: 700 idle links would spend the whole control budget on it. A caller that waits longer than a second pings its session instead.

Ruled out: one connection a call (a dial on the request path); yamux keepalive.

--- /dev/null
+++ b/internal/conn/link/link.go
@@ -0,0 +1,150 @@
+// Package link carries calls between the system's own processes: yamux
+// sessions over TCP, one stream a call, protobuf messages preceded by their
+// length.
+//
+// An idle session sends nothing. A caller that has waited longer than
+// Config.PatienceInterval for an answer pings the session, so that a link cut
+// without notice is found while somebody is waiting on it and at no other
+// time.
+package link
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+)
+
+// Defaults of Config.
+const (
+	DefaultDialTimeout      = time.Second
+	DefaultPatienceInterval = time.Second
+	DefaultPingTimeout      = 2 * time.Second
+	DefaultSessions         = 2
+
+	// MaxMessageBytes bounds one message; a longer one ends its stream.
+	MaxMessageBytes = 16 << 20
+
+	acceptBacklog    = 4096
+	readBufferBytes  = 16 << 10
+	writeBufferBytes = 4 << 10
+)
+
+// Clock is what the package needs of a clock.
+type Clock interface {
+	Now() time.Time
+	After(d time.Duration) <-chan time.Time
+}
+
+// DialError says that no session to a peer could be had, so that nothing was
+// sent to it.
+type DialError struct {
+	// Address is the peer's host:port.
+	Address string
+	// Err is the cause.
+	Err error
+}
+
+// Error implements error.
+func (e *DialError) Error() string { return fmt.Sprintf("dial %s: %v", e.Address, e.Err) }
+
+// Unwrap returns the cause.
+func (e *DialError) Unwrap() error { return e.Err }
+
+// Stream is one call's two-way sequence of messages. One goroutine may send
+// while another receives.
+type Stream struct {
+	conn    net.Conn
+	session *yamux.Session
+	reader  *bufio.Reader
+	writer  *bufio.Writer
+}
+
+func newStream(conn net.Conn, session *yamux.Session) *Stream {
+	return &Stream{
+		conn:    conn,
+		session: session,
+		reader:  bufio.NewReaderSize(conn, readBufferBytes),
+		writer:  bufio.NewWriterSize(conn, writeBufferBytes),
+	}
+}
+
+// Send writes one message and flushes it.
+func (s *Stream) Send(m proto.Message) error {
+	if _, err := protodelim.MarshalTo(s.writer, m); err != nil {
+		return fmt.Errorf("send %s: %w", m.ProtoReflect().Descriptor().Name(), err)
+	}
+	if err := s.writer.Flush(); err != nil {
+		return fmt.Errorf("flush %s: %w", m.ProtoReflect().Descriptor().Name(), err)
+	}
+	return nil
+}
+
+// Receive reads the next message into m. It returns an error that wraps
+// io.EOF once the peer has closed the stream between two messages.
+func (s *Stream) Receive(m proto.Message) error {
+	options := protodelim.UnmarshalOptions{MaxSize: MaxMessageBytes}
+	if err := options.UnmarshalFrom(s.reader, m); err != nil {
+		return fmt.Errorf("receive %s: %w", m.ProtoReflect().Descriptor().Name(), err)
+	}
+	return nil
+}
+
+// SetDeadline bounds all reads and writes that are under way or to come.
+func (s *Stream) SetDeadline(t time.Time) error {
+	if err := s.conn.SetDeadline(t); err != nil {
+		return fmt.Errorf("set deadline: %w", err)
+	}
+	return nil
+}
+
+// Close ends the stream in both directions.
+func (s *Stream) Close() error {
+	if err := s.conn.Close(); err != nil {
+		return fmt.Errorf("close stream: %w", err)
+	}
+	return nil
+}
+
+// Alive reports whether the session below the stream still stands.
+func (s *Stream) Alive() bool { return !s.session.IsClosed() }
+
+// Peer returns the peer's address.
+func (s *Stream) Peer() net.Addr { return s.session.RemoteAddr() }
+
+// verify pings the session and closes it when no answer comes.
+func (s *Stream) verify() {
+	if _, err := s.session.Ping(); err != nil {
+		_ = s.session.Close()
+	}
+}
+
+// Closed reports whether err is the orderly end of a stream.
+func Closed(err error) bool { return errors.Is(err, io.EOF) }
+
+func sessionConfig(pingTimeout time.Duration) *yamux.Config {
+	cfg := yamux.DefaultConfig()
+	cfg.AcceptBacklog = acceptBacklog
+	cfg.EnableKeepAlive = false
+	cfg.ConnectionWriteTimeout = pingTimeout
+	cfg.StreamOpenTimeout = 0
+	cfg.LogOutput = io.Discard
+	return cfg
+}
+
+func dial(ctx context.Context, address string, secure *tls.Config, timeout time.Duration) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: timeout}
+	if secure == nil {
+		return dialer.DialContext(ctx, "tcp", address)
+	}
+	over := &tls.Dialer{NetDialer: dialer, Config: secure}
+	return over.DialContext(ctx, "tcp", address)
+}
