Abort a guarded stream when its context ends

Cause: closing a yamux stream locally leaves a Read on it waiting for the peer until StreamCloseTimeout (5 min), so Ask outlived its context; the test TestAskEndsWithItsContext took 300 s. Guard now sets a past deadline first, and a half-closed stream is dropped after 10 s.

Measured: the package's tests took 301 s before and under 2 s after.

--- a/internal/conn/link/client.go
+++ b/internal/conn/link/client.go
@@ -110,7 +110,7 @@
 	return nil
 }
 
-// Guard watches a stream that somebody waits on: it closes the stream when
+// Guard watches a stream that somebody waits on: it aborts the stream when
 // ctx ends, and pings the session each PatienceInterval. The function that it
 // returns ends the watch.
 func (c *Client) Guard(ctx context.Context, stream *Stream) (stop func()) {
@@ -121,7 +121,7 @@
 			case <-done:
 				return
 			case <-ctx.Done():
-				_ = stream.Close()
+				stream.Abort()
 				return
 			case <-c.cfg.Clock.After(c.cfg.PatienceInterval):
 				stream.verify()
--- a/internal/conn/link/link.go
+++ b/internal/conn/link/link.go
@@ -33,9 +33,10 @@
 	// MaxMessageBytes bounds one message; a longer one ends its stream.
 	MaxMessageBytes = 16 << 20
 
-	acceptBacklog    = 4096
-	readBufferBytes  = 16 << 10
-	writeBufferBytes = 4 << 10
+	acceptBacklog      = 4096
+	streamCloseTimeout = 10 * time.Second
+	readBufferBytes    = 16 << 10
+	writeBufferBytes   = 4 << 10
 )
 
 // Clock is what the package needs of a clock.
@@ -114,6 +115,13 @@
 	return nil
 }
 
+// Abort ends the stream and fails the reads and writes that wait on it, which
+// Close alone leaves waiting for the peer.
+func (s *Stream) Abort() {
+	_ = s.conn.SetDeadline(time.Unix(1, 0))
+	_ = s.conn.Close()
+}
+
 // Alive reports whether the session below the stream still stands.
 func (s *Stream) Alive() bool { return !s.session.IsClosed() }
 
@@ -136,6 +144,7 @@
 	cfg.EnableKeepAlive = false
 	cfg.ConnectionWriteTimeout = pingTimeout
 	cfg.StreamOpenTimeout = 0
+	cfg.StreamCloseTimeout = streamCloseTimeout
 	cfg.LogOutput = io.Discard
 	return cfg
 }
