Rank targets at the router, admit work at the sidecar

Routers see slivers and disagree, so the choice is split: package rank proposes an order of targets without a lock, package admit is the only writer for its target and holds the bound ceil(1.25 x mean) from a digest whose age lowers the mean. Ruled out: a bound kept by routers, since each sees a part only.

--- /dev/null
+++ b/internal/request/admit/admit_test.go
@@ -0,0 +1,141 @@
+package admit_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cactusline.dev/cactusline/internal/conn/digest"
+	"cactusline.dev/cactusline/internal/request/admit"
+	"cactusline.dev/cactusline/internal/version/ident"
+)
+
+var start = time.Unix(1000, 0)
+
+func newController(t *testing.T, cfg admit.Config) *admit.Controller {
+	t.Helper()
+	cfg.Target = "engine-0"
+	cfg.Assert = func(err error) { t.Fatal(err) }
+	c, err := admit.New(cfg)
+	assert.NilError(t, err)
+	return c
+}
+
+func work(id int, customer ident.CustomerName) admit.Work {
+	return admit.Work{
+		Attempt: ident.AttemptID(fmt.Sprint(id)), Customer: customer,
+		Tokens: 100, Final: true, Deadline: start.Add(time.Minute),
+	}
+}
+
+func TestTargetStaysWithinTheBound(t *testing.T) {
+	c := newController(t, admit.Config{})
+	c.SetDigest(start, digest.Digest{Targets: 10, Requests: 80, At: start, Stamp: 1})
+	for id := range 30 {
+		c.Offer(start, work(id, "club"))
+	}
+	assert.Equal(t, c.Load().Requests, 11)
+	assert.Equal(t, c.Load().Queued, 19)
+	c.SetDigest(start, digest.Digest{Targets: 10, Requests: 96, At: start, Stamp: 2})
+	assert.Equal(t, c.Load().Requests, 13)
+}
+
+func TestOldDigestCountsForLess(t *testing.T) {
+	c := newController(t, admit.Config{})
+	c.SetDigest(start, digest.Digest{Targets: 10, Requests: 80, At: start.Add(-200 * time.Millisecond), Stamp: 1})
+	for id := range 30 {
+		c.Offer(start, work(id, "club"))
+	}
+	assert.Assert(t, c.Load().Requests < 10, "load %d", c.Load().Requests)
+}
+
+func TestQueueIsFairBetweenCustomers(t *testing.T) {
+	c := newController(t, admit.Config{MaxRequests: 4, Headroom: 1, MaxQueue: 8})
+	c.SetDigest(start, digest.Digest{Targets: 1, Requests: 80, At: start, Stamp: 1})
+	for id := range 40 {
+		c.Offer(start, work(id, "surging"))
+	}
+	decision, evicted := c.Offer(start, work(100, "quiet"))
+	assert.Equal(t, decision.Kind, admit.Queued)
+	assert.Equal(t, len(evicted), 1)
+	assert.Equal(t, evicted[0].Work.Customer, ident.CustomerName("surging"))
+	verdicts := c.Done(start, "0")
+	assert.Equal(t, len(verdicts), 1)
+	assert.Equal(t, verdicts[0].Work.Customer, ident.CustomerName("quiet"))
+}
+
+func TestLeavingTargetRefuses(t *testing.T) {
+	c := newController(t, admit.Config{})
+	c.SetDigest(start, digest.Digest{Targets: 1, Requests: 1, At: start, Stamp: 1})
+	first, _ := c.Offer(start, work(0, "club"))
+	assert.Equal(t, first.Kind, admit.Admitted)
+	for id := range 5 {
+		c.Offer(start, work(id+1, "club"))
+	}
+	queued := c.Load().Queued
+	verdicts := c.SetLeaving(start, true)
+	assert.Equal(t, len(verdicts), queued)
+	refused, _ := c.Offer(start, work(9, "club"))
+	assert.Equal(t, refused.Reason, admit.Leaving)
+	assert.Assert(t, c.Load().Requests > 0)
+}
+
+func TestRefusalNamesWhereTheChatIs(t *testing.T) {
+	c := newController(t, admit.Config{})
+	c.Note(start, 7, admit.Forward{Target: "engine-1", Tokens: 4000})
+	w := work(0, "club")
+	w.Chat, w.Final = 7, false
+	refused, _ := c.Offer(start, w)
+	assert.Equal(t, refused.Reason, admit.Moved)
+	assert.Equal(t, refused.Forward.Target, ident.TargetName("engine-1"))
+	w.Warm = 4000
+	admitted, _ := c.Offer(start, w)
+	assert.Equal(t, admitted.Kind, admit.Admitted)
+}
+
+// TestRandomisedQueueSettlesEverything offers, ends, cancels and expires work
+// at random and checks that each attempt gets exactly one answer in time.
+func TestRandomisedQueueSettlesEverything(t *testing.T) {
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		c := newController(t, admit.Config{Rand: rng, MaxRequests: 6, MaxQueue: 5})
+		now, open, running := start, map[ident.AttemptID]time.Time{}, []ident.AttemptID{}
+		settle := func(verdicts []admit.Verdict) {
+			for _, v := range verdicts {
+				since, ok := open[v.Work.Attempt]
+				assert.Assert(t, ok, "seed %d: settled twice: %s", seed, v.Work.Attempt)
+				assert.Assert(t, now.Sub(since) <= 2100*time.Millisecond, "seed %d: waited %s", seed, now.Sub(since))
+				delete(open, v.Work.Attempt)
+				if v.Decision.Kind == admit.Admitted {
+					running = append(running, v.Work.Attempt)
+				}
+			}
+		}
+		for id := range 3000 {
+			now = now.Add(time.Duration(rng.IntN(100)) * time.Millisecond)
+			settle(c.Tick(now))
+			w := work(id, ident.CustomerName(fmt.Sprint("customer-", rng.IntN(4))))
+			w.Deadline = now.Add(time.Duration(rng.IntN(3000)) * time.Millisecond)
+			d, evicted := c.Offer(now, w)
+			switch d.Kind {
+			case admit.Queued:
+				open[w.Attempt] = now
+			case admit.Admitted:
+				running = append(running, w.Attempt)
+			}
+			settle(evicted)
+			if len(running) > 0 && rng.IntN(5) > 0 {
+				i := rng.IntN(len(running))
+				settle(c.Done(now, running[i]))
+				running = append(running[:i], running[i+1:]...)
+			}
+			news := digest.Digest{Targets: 3, Requests: rng.IntN(30), At: now, Stamp: uint64(id + 1)}
+			settle(c.SetDigest(now, news))
+			assert.Equal(t, c.Load().Requests, len(running), "seed %d", seed)
+			assert.Equal(t, c.Load().Queued, len(open), "seed %d", seed)
+		}
+	}
+}
--- /dev/null
+++ b/internal/request/admit/error.go
@@ -0,0 +1,22 @@
+package admit
+
+import (
+	"fmt"
+
+	"cactusline.dev/cactusline/internal/version/ident"
+)
+
+// BrokenError tells of work that was admitted against the rules, a fault of
+// the program.
+type BrokenError struct {
+	Target ident.TargetName
+	// Load and Limit count requests.
+	Load, Limit int
+	Leaving     bool
+}
+
+// Error describes the broken rule.
+func (e *BrokenError) Error() string {
+	return fmt.Sprintf("target %s admitted work against the bound: load %d, limit %d, leaving %t",
+		e.Target, e.Load, e.Limit, e.Leaving)
+}
--- /dev/null
+++ b/internal/request/rank/choose.go
@@ -0,0 +1,211 @@
+package rank
+
+import (
+	"time"
+)
+
+// scored is a target with its rendezvous score for a chat.
+type scored struct {
+	score uint64
+	index int
+}
+
+// ranking holds the best targets of a choice, best first.
+type ranking struct {
+	best [maxLimit]scored
+	size int
+}
+
+// Choose appends to dst the candidates for a request, best first, and
+// returns the extended slice. It appends none when no target may be used.
+func (p *Pool) Choose(dst []Candidate, q Query) []Candidate {
+	s := p.state.Load()
+	if len(s.targets) == 0 {
+		return dst
+	}
+	c := choice{pool: p, state: s, query: q, dst: dst, first: len(dst), capacity: p.capacity()}
+	if q.Chat == 0 {
+		c.chooseNearest()
+		return c.dst
+	}
+	c.chooseWarm()
+	return c.dst
+}
+
+// choice is one call of Choose.
+type choice struct {
+	pool     *Pool
+	state    *snapshot
+	query    Query
+	dst      []Candidate
+	first    int
+	capacity int
+}
+
+// chooseWarm proposes the target that served the chat last, then the home
+// target, then the next ones by rendezvous hashing. Targets believed to be
+// at their bound come last.
+func (c *choice) chooseWarm() {
+	r := c.rendezvous()
+	if i, ok := c.state.byName[c.query.Forward]; ok && c.usable(i) {
+		c.add(i, Forwarded)
+	}
+	for n := range r.size {
+		i := r.best[n].index
+		if c.usable(i) && !c.full(i) {
+			c.add(i, reasonOf(n))
+		}
+	}
+	c.addProbe()
+	for n := range r.size {
+		if i := r.best[n].index; c.usable(i) {
+			c.add(i, Overloaded)
+		}
+	}
+}
+
+func reasonOf(rank int) Reason {
+	if rank == 0 {
+		return Home
+	}
+	return Spill
+}
+
+// rendezvous returns the targets that score highest for the chat.
+func (c *choice) rendezvous() ranking {
+	var r ranking
+	limit := c.pool.cfg.Limit
+	key := mix(uint64(c.query.Chat))
+	floor := uint64(0)
+	for i, seed := range c.state.seeds {
+		score := (key ^ seed) * mixer
+		score ^= score >> 29
+		score *= mixer
+		if score <= floor || seed == 0 {
+			continue
+		}
+		if c.state.joining && c.held(i, score) {
+			continue
+		}
+		r.insert(scored{score: score, index: i}, limit)
+		if r.size == limit {
+			floor = r.best[limit-1].score
+		}
+	}
+	return r
+}
+
+// insert places x among the best limit entries.
+func (r *ranking) insert(x scored, limit int) {
+	if r.size < limit {
+		r.size++
+	}
+	n := r.size - 1
+	for n > 0 && r.best[n-1].score < x.score {
+		r.best[n] = r.best[n-1]
+		n--
+	}
+	r.best[n] = x
+}
+
+// held reports whether the slow start of target i keeps the chat from it. A
+// chat once let through stays let through as the target's share rises.
+func (c *choice) held(i int, score uint64) bool {
+	joined := c.state.targets[i].Joined
+	if joined.IsZero() {
+		return false
+	}
+	span := c.pool.cfg.SlowStart
+	since := c.query.Now.Sub(joined)
+	if since >= span {
+		return false
+	}
+	return float64(mix(score)>>11)/(1<<53) > float64(max(since, 0))/float64(span)
+}
+
+// chooseNearest proposes the less loaded of two targets in the router's
+// failure domain, then targets drawn from the whole pool.
+func (c *choice) chooseNearest() {
+	if near := c.state.near; len(near) > 0 {
+		a, b := near[c.draw(len(near))], near[c.draw(len(near))]
+		c.addLighter(a, b, Nearest)
+		c.addLighter(b, a, Nearest)
+	}
+	for range c.pool.cfg.Limit {
+		c.addProbe()
+	}
+	start := c.draw(len(c.state.targets))
+	for n := range c.state.targets {
+		i := (start + n) % len(c.state.targets)
+		if len(c.dst)-c.first >= c.pool.cfg.Limit {
+			return
+		}
+		if c.usable(i) {
+			c.add(i, Probe)
+		}
+	}
+}
+
+// addProbe adds the less loaded of two targets drawn at random.
+func (c *choice) addProbe() {
+	n := len(c.state.targets)
+	c.addLighter(c.draw(n), c.draw(n), Probe)
+}
+
+func (c *choice) addLighter(a, b int, reason Reason) {
+	if !c.usable(a) || (c.usable(b) && c.cost(b) < c.cost(a)) {
+		a = b
+	}
+	if c.usable(a) && !c.full(a) {
+		c.add(a, reason)
+	}
+}
+
+// cost orders targets by believed load; a domain's delay breaks ties.
+func (c *choice) cost(i int) time.Duration {
+	load, known := c.state.beliefs[i].believed(c.query.Now, c.pool.cfg.Belief)
+	if !known {
+		load = c.capacity / 2
+	}
+	return time.Duration(load)*time.Second + c.state.delays[i]
+}
+
+// full reports whether target i is believed to be at its bound.
+func (c *choice) full(i int) bool {
+	load, known := c.state.beliefs[i].believed(c.query.Now, c.pool.cfg.Belief)
+	return known && load >= c.capacity
+}
+
+func (c *choice) usable(i int) bool {
+	return c.state.open(i, c.query.Now) && c.state.targets[i].Name != c.query.Avoid
+}
+
+// add appends target i unless it is there or the list is full.
+func (c *choice) add(i int, reason Reason) {
+	chosen := c.dst[c.first:]
+	if len(chosen) >= c.pool.cfg.Limit {
+		return
+	}
+	for n := range chosen {
+		if chosen[n].Index == i {
+			return
+		}
+	}
+	c.dst = append(c.dst, Candidate{Target: c.state.targets[i].Name, Reason: reason, Index: i})
+}
+
+// draw returns a number below n.
+func (c *choice) draw(n int) int {
+	return int(mix(c.pool.cfg.Seed+c.pool.draws.Add(1)) % uint64(n))
+}
+
+const mixer = 0x9e3779b97f4a7c15
+
+// mix spreads the bits of x, as the finalizer of a hash does.
+func mix(x uint64) uint64 {
+	x ^= x >> 32
+	x *= mixer
+	x ^= x >> 29
+	x *= mixer
+	return x ^ x>>32
+}
--- /dev/null
+++ b/internal/request/rank/rank.go
@@ -0,0 +1,151 @@
+// Package rank orders the targets of one pool for a request: the router's
+// side of the choice of target.
+//
+// A router proposes and the target's sidecar decides, so that a stale view
+// costs a hop and never an invariant. A chat goes to the target that
+// rendezvous hashing gives it, unless that target is believed to be at its
+// bound or the chat is known to have been served elsewhere.
+package rank
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cactusline.dev/cactusline/internal/conn/digest"
+	"cactusline.dev/cactusline/internal/version/ident"
+)
+
+// Defaults of Config.
+const (
+	DefaultBound     = 1.25
+	DefaultLimit     = 4
+	DefaultSlowStart = 10 * time.Second
+	DefaultBelief    = time.Second
+)
+
+// maxLimit bounds the candidates of one choice.
+const maxLimit = 8
+
+// Config sets how a pool ranks its targets.
+type Config struct {
+	// Domain is the failure domain of the router.
+	Domain ident.DomainName
+	// Delays gives the one-way delay to failure domains; the others are far.
+	Delays []DomainDelay
+	// Bound is the multiple of the mean load that a target may carry.
+	Bound float64
+	// Limit is how many candidates a choice returns, at most 8.
+	Limit int
+	// SlowStart is how long a joining target takes to get its whole share.
+	SlowStart time.Duration
+	// Belief is how long a reported load is believed.
+	Belief time.Duration
+	// Seed differs between routers, so that their probes differ.
+	Seed uint64
+}
+
+// DomainDelay is the one-way delay from the router to a failure domain.
+type DomainDelay struct {
+	Domain ident.DomainName
+	Delay  time.Duration
+}
+
+// Target describes one target of the pool.
+type Target struct {
+	Name   ident.TargetName
+	Domain ident.DomainName
+	// Joined is when the target became ready; zero for one of old.
+	Joined time.Time
+	// Leaving excludes a target that departs or is retired.
+	Leaving bool
+}
+
+// Query describes the request for which a target is sought.
+type Query struct {
+	Now time.Time
+	// Chat is zero for work that gains nothing from returning.
+	Chat ident.ChatKey
+	// Forward names the target that served the chat last, if that is known.
+	Forward ident.TargetName
+	// Avoid names a target that has refused or failed the request.
+	Avoid ident.TargetName
+}
+
+// Candidate is one proposed target.
+type Candidate struct {
+	Target ident.TargetName
+	Reason Reason
+	// Index is the target's place in the list given to Update.
+	Index int
+}
+
+// Pool ranks the targets of one pool. It is safe for concurrent use: a
+// choice takes no lock.
+type Pool struct {
+	cfg   Config
+	mu    sync.Mutex
+	state atomic.Pointer[snapshot]
+	draws atomic.Uint64
+	mean  atomic.Uint64
+}
+
+// New returns an empty pool.
+func New(cfg Config) *Pool {
+	if cfg.Bound == 0 {
+		cfg.Bound = DefaultBound
+	}
+	if cfg.Limit <= 0 {
+		cfg.Limit = DefaultLimit
+	}
+	cfg.Limit = min(cfg.Limit, maxLimit)
+	if cfg.SlowStart == 0 {
+		cfg.SlowStart = DefaultSlowStart
+	}
+	if cfg.Belief == 0 {
+		cfg.Belief = DefaultBelief
+	}
+	p := &Pool{cfg: cfg}
+	p.state.Store(newSnapshot(cfg, nil, nil))
+	return p
+}
+
+// Update replaces the targets of the pool. What is believed of the load of
+// targets that stay is kept.
+func (p *Pool) Update(targets []Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state.Store(newSnapshot(p.cfg, targets, p.state.Load()))
+}
+
+// SetDigest takes the pool's mean load from a digest.
+func (p *Pool) SetDigest(d digest.Digest) {
+	p.mean.Store(math.Float64bits(d.Mean()))
+}
+
+// Observe takes the load that a target reported in a reply or a refusal.
+func (p *Pool) Observe(now time.Time, name ident.TargetName, load digest.Load) {
+	s := p.state.Load()
+	if i, ok := s.byName[name]; ok {
+		s.beliefs[i].load.Store(packLoad(now, load))
+	}
+}
+
+// Eject keeps a target out of the choice until the given time, as after
+// failures to reach it.
+func (p *Pool) Eject(name ident.TargetName, until time.Time) {
+	s := p.state.Load()
+	if i, ok := s.byName[name]; ok {
+		s.beliefs[i].ejectedUntil.Store(until.UnixNano())
+	}
+}
+
+// Len returns how many targets the pool holds, the leaving ones too.
+func (p *Pool) Len() int { return len(p.state.Load().targets) }
+
+// capacity returns the requests that a target may carry as far as is known.
+func (p *Pool) capacity() int {
+	mean := math.Float64frombits(p.mean.Load())
+	return max(1, int(math.Ceil(p.cfg.Bound*mean)))
+}
