--- /dev/null
+++ b/internal/request/relay/exchange.go
@@ -0,0 +1,179 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/request/tries"
+	"cactusline.dev/cactusline/internal/version/ident"
+)
+
+const eventBacklog = 16
+
+// Request is one request and where it may go.
+type Request struct {
+	// Tries describes the request to the state machine.
+	Tries tries.Config
+	// Candidates are the targets in order of preference.
+	Candidates []tries.Candidate
+	// Submit is the template of what the sidecars get.
+	Submit *wire.Submit
+	// TraceParent is the W3C trace context of the request's span.
+	TraceParent string
+	// Revision is the one under which the candidates were chosen.
+	Revision func() ident.Revision
+	// Fingerprint is that of the content.
+	Fingerprint ident.Fingerprint
+}
+
+// exchange is one request under way. Only the goroutine in Run touches it,
+// but for the channel of events.
+type exchange struct {
+	cfg     Config
+	request Request
+	caller  Caller
+	machine *tries.Machine
+	streams []*attemptStream
+	events  chan event
+	done    chan struct{}
+
+	answer Answer
+	held   *Answer
+	result Result
+}
+
+// event is an event for the state machine with what it refers to.
+type event struct {
+	tries.Event
+	head *wire.Head
+	data []byte
+	held Held
+}
+
+// Run carries the request out and returns once it has ended. When ctx ends
+// the caller has gone.
+func Run(ctx context.Context, cfg Config, request Request, caller Caller) Result {
+	x := &exchange{
+		cfg:     cfg,
+		request: request,
+		caller:  caller,
+		machine: tries.New(request.Tries),
+		events:  make(chan event, eventBacklog),
+		done:    make(chan struct{}),
+	}
+	defer close(x.done)
+	// The calls outlive the caller: what is not idempotent is seen through.
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	x.learnIncarnations(work)
+	x.step(work, event{Event: tries.Event{Kind: tries.EventStart, Candidates: x.request.Candidates}})
+	x.loop(ctx, work)
+	x.closeStreams()
+	x.result.Record = x.machine.Record()
+	return x.result
+}
+
+// loop feeds events to the machine until it is done.
+func (x *exchange) loop(ctx, work context.Context) {
+	gone := ctx.Done()
+	var wake time.Time
+	var alarm <-chan time.Time
+	for !x.machine.Done() {
+		if next := x.machine.Wake(); !next.Equal(wake) {
+			wake = next
+			alarm = x.alarm(wake)
+		}
+		select {
+		case e := <-x.events:
+			x.step(work, e)
+		case <-gone:
+			gone = nil
+			x.step(work, event{Event: tries.Event{Kind: tries.EventCallerGone}})
+		case <-alarm:
+			wake = time.Time{}
+			x.step(work, event{Event: tries.Event{Kind: tries.EventTimeout}})
+		}
+	}
+}
+
+func (x *exchange) alarm(at time.Time) <-chan time.Time {
+	if at.IsZero() {
+		return nil
+	}
+	return x.cfg.Clock.After(at.Sub(x.cfg.Clock.Now()))
+}
+
+func (x *exchange) step(ctx context.Context, e event) {
+	if e.held.Conflict {
+		x.result.Conflict = true
+	}
+	if e.held.Answer != nil {
+		x.held = e.held.Answer
+	}
+	for _, action := range x.machine.Step(x.cfg.Clock.Now(), e.Event) {
+		x.do(ctx, &action, &e)
+	}
+}
+
+// do carries out one action.
+func (x *exchange) do(ctx context.Context, action *tries.Action, e *event) {
+	switch action.Kind {
+	case tries.ActionSend:
+		x.send(ctx, action)
+	case tries.ActionHead:
+		x.head(e.head)
+	case tries.ActionDeliver:
+		x.deliver(e.data)
+	case tries.ActionCancel:
+		x.cancel(action)
+	case tries.ActionClaimLedger:
+		x.claim(ctx, action)
+	case tries.ActionReleaseLedger:
+		x.release(ctx, action)
+	case tries.ActionSettleLedger:
+		x.settle(ctx, action)
+	case tries.ActionBury:
+		x.bury(ctx, action)
+	case tries.ActionRecorded:
+		x.recorded()
+	case tries.ActionFinish:
+		x.result.Outcome = action.Outcome
+		x.result.Status = action.Status
+		x.result.RetryAfter = action.RetryAfter
+		x.result.Truncated = action.Truncated
+	}
+}
+
+// post hands an event to the loop, unless the request has ended.
+func (x *exchange) post(e event) {
+	select {
+	case x.events <- e:
+	case <-x.done:
+	}
+}
+
+func (x *exchange) head(head *wire.Head) {
+	x.result.Started = true
+	x.result.WarmTokens = ident.Tokens(head.GetWarmTokens())
+	x.answer.Status = int(head.GetStatus())
+	x.answer.Headers = head.GetHeaders()
+	x.caller.Head(x.answer.Status, x.answer.Headers)
+}
+
+func (x *exchange) deliver(data []byte) {
+	if x.request.Tries.Once && ident.Bytes(len(x.answer.Body)+len(data)) <= x.cfg.MaxRecordedBytes {
+		x.answer.Body = append(x.answer.Body, data...)
+	}
+	// A caller that can't be written to ends the context, which the loop sees.
+	_ = x.caller.Data(data)
+}
+
+func (x *exchange) recorded() {
+	if x.held == nil {
+		return
+	}
+	x.result.Started = true
+	x.caller.Head(x.held.Status, x.held.Headers)
+	_ = x.caller.Data(x.held.Body)
+}
--- /dev/null
+++ b/internal/request/relay/ledger.go
@@ -0,0 +1,79 @@
+package relay
+
+import (
+	"context"
+
+	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/request/tries"
+	"cactusline.dev/cactusline/internal/version/ident"
+)
+
+func (x *exchange) key() Key {
+	return Key{Customer: x.request.Tries.Customer, Name: x.request.Tries.LedgerKey}
+}
+
+func (x *exchange) claim(ctx context.Context, action *tries.Action) {
+	claim := Claim{
+		Key:         x.key(),
+		Request:     x.request.Tries.Request,
+		Attempt:     action.Attempt,
+		Target:      action.Target,
+		Incarnation: action.Incarnation,
+		Replaces:    action.Replaces,
+		Fingerprint: x.request.Fingerprint,
+	}
+	go func() { x.postHeld(x.cfg.Ledger.Claim(ctx, claim)) }()
+}
+
+func (x *exchange) release(ctx context.Context, action *tries.Action) {
+	attempt := action.Attempt
+	go func() { x.postHeld(x.cfg.Ledger.Release(ctx, x.key(), attempt)) }()
+}
+
+func (x *exchange) postHeld(held Held) {
+	x.post(event{Event: held.Event, held: held})
+}
+
+// settle waits for the ledger: the caller is told that its request ran once
+// the ledger has it. A settlement that fails leaves the claim, and a resend
+// is answered by the sidecar that ran it.
+func (x *exchange) settle(ctx context.Context, action *tries.Action) {
+	var answer *Answer
+	if action.Outcome == wire.Outcome_OUTCOME_RAN {
+		answer = &x.answer
+	}
+	x.cfg.Ledger.Settle(ctx, x.key(), action.Attempt, action.Outcome, answer)
+}
+
+// bury asks the sidecar of an attempt to refuse it for ever.
+func (x *exchange) bury(ctx context.Context, action *tries.Action) {
+	attempt, target, incarnation := action.Attempt, action.Target, action.Incarnation
+	go func() {
+		kind := x.askBury(ctx, attempt, target, incarnation)
+		x.post(event{Event: tries.Event{Kind: kind, Attempt: attempt, Target: target}})
+	}()
+}
+
+func (x *exchange) askBury(ctx context.Context, attempt ident.AttemptID, target ident.TargetName, incarnation ident.Incarnation) tries.EventKind {
+	address, ok := x.cfg.Directory.Address(target)
+	if !ok {
+		return tries.EventBuryUnknown
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	call := &wire.Call{Body: &wire.Call_Tombstone{Tombstone: &wire.Tombstone{
+		Attempt:     string(attempt),
+		Incarnation: uint64(incarnation),
+	}}}
+	reply := new(wire.TombstoneReply)
+	if err := x.cfg.Links.Ask(ctx, address, call, reply); err != nil {
+		return tries.EventBuryUnknown
+	}
+	if reply.GetIncarnation() != uint64(incarnation) {
+		return tries.EventBuryUnknown
+	}
+	if reply.GetBuried() {
+		return tries.EventBuried
+	}
+	return tries.EventSeen
+}
