Add the attempt state machine of a request

The router needs one place that decides where a request goes, when it is resumed, run again or given up, and whether the caller hears ran, not-run or unknown.

--- /dev/null
+++ b/internal/request/tries/config.go
@@ -0,0 +1,88 @@
+// Package tries is the attempt state machine of one request at a router. It
+// decides where the request is sent, when it is resumed, run again or given
+// up, and what the caller is told: that it ran, that it was not run, or that
+// this is not known. It does no I/O: events go in, actions come out.
+package tries
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"cactusline.dev/cactusline/internal/version/ident"
+)
+
+// Defaults of Config.
+const (
+	DefaultMaxTries       = 4
+	DefaultMaxCrashes     = 2
+	DefaultMaxResumes     = 3
+	DefaultRetryAfter     = time.Second
+	DefaultAttemptTimeout = 30 * time.Second
+	DefaultTimeout        = 10 * time.Minute
+	DefaultMaxTakeovers   = 3
+)
+
+// Limits of Config.
+const (
+	// LimitTries bounds MaxTries.
+	LimitTries = 8
+)
+
+// RetryBudget limits the retries of a router.
+type RetryBudget interface {
+	// Spend reports whether the customer may retry now, and charges for it.
+	Spend(now time.Time, customer ident.CustomerName) bool
+}
+
+// Config describes one request.
+type Config struct {
+	// Request must be unique over all routers and their restarts: the names of
+	// the attempts derive from it.
+	Request  ident.RequestID
+	Customer ident.CustomerName
+	// Once marks a request that is not idempotent.
+	Once bool
+	// LedgerKey is the caller's idempotency key, or empty.
+	LedgerKey string
+	// Deadline is when the caller must have its answer; zero means
+	// DefaultTimeout after the start.
+	Deadline time.Time
+	// AttemptTimeout is how long an idempotent attempt may be silent.
+	AttemptTimeout time.Duration
+	// MaxTries bounds the targets that the request is sent to.
+	MaxTries int
+	// MaxCrashes is the number of targets that may crash under the request
+	// before it is given up.
+	MaxCrashes int
+	// MaxResumes bounds how often broken streams are joined again.
+	MaxResumes int
+	// MaxTakeovers bounds how many claims of other routers are looked into.
+	MaxTakeovers int
+	// HedgeAfter is the wait for the first byte after which an idempotent
+	// request is sent to a second target as well; zero means never.
+	HedgeAfter time.Duration
+	// RetryAfter is told to the caller when no target gave a time.
+	RetryAfter time.Duration
+	// Retries may be nil: no limit.
+	Retries RetryBudget
+	// Random jitters RetryAfter; nil means no jitter.
+	Random *rand.Rand
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.AttemptTimeout, DefaultAttemptTimeout)
+	setDefault(&c.MaxTries, DefaultMaxTries)
+	setDefault(&c.MaxCrashes, DefaultMaxCrashes)
+	setDefault(&c.MaxResumes, DefaultMaxResumes)
+	setDefault(&c.MaxTakeovers, DefaultMaxTakeovers)
+	setDefault(&c.RetryAfter, DefaultRetryAfter)
+	c.MaxTries = min(c.MaxTries, LimitTries)
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
