Add a stand-in model engine

The router and the sidecar need something that behaves as the platform's engines do: continuous batching by steps, priorities, a bounded prefix cache that reports its hits, late cache events with gaps, cache export and import, fenced orders, resume, cancel, crash on a marker. An answer follows from the request alone and starts with a hash of it, so that a crossed answer shows, and each event carries one token, so that a resume repeats no byte. Ruled out: joining tokens that are ready into one event, which makes the offset of a resume depend on timing. A crash breaks connections in the handler; the listener itself stays open, so a client sees a broken connection and not a refused one.

--- /dev/null
+++ b/internal/process/engine/orders.go
@@ -0,0 +1,151 @@
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+
+	"cactusline.dev/cactusline/internal/version/ident"
+)
+
+// bodyLimit bounds the JSON of an order or a cache transfer, in bytes.
+const bodyLimit = 16 << 20
+
+// OrderKind says what an order changes.
+type OrderKind string
+
+// Kinds of orders.
+const (
+	OrderLoadModel   OrderKind = "LoadModel"
+	OrderUnloadModel OrderKind = "UnloadModel"
+	OrderLoadAdapter OrderKind = "LoadAdapter"
+	OrderSetRole     OrderKind = "SetRole"
+)
+
+// Role is the part of the work that an engine takes.
+type Role string
+
+// Roles of an engine.
+const (
+	RoleMixed   Role = "Mixed"
+	RolePrefill Role = "Prefill"
+	RoleDecode  Role = "Decode"
+)
+
+// Order is the body of POST /orders.
+type Order struct {
+	Kind OrderKind
+	// Fence is the fencing number; an engine that checks refuses lower ones
+	// than the highest it has seen.
+	Fence ident.Fence
+	Model ident.ModelName `json:",omitempty"`
+	// Version of the model's weights.
+	Version string `json:",omitempty"`
+	Adapter string `json:",omitempty"`
+	Role    Role   `json:",omitempty"`
+}
+
+// Deployment answers an order: what the engine runs.
+type Deployment struct {
+	Fence    ident.Fence
+	Role     Role
+	Models   []LoadedModel
+	Adapters []string
+}
+
+// LoadedModel is a model that the engine serves.
+type LoadedModel struct {
+	Name    ident.ModelName
+	Version string
+}
+
+// deployment is what orders have made of the engine. The engine's lock guards
+// it.
+type deployment struct {
+	fence    ident.Fence
+	role     Role
+	models   map[ident.ModelName]string
+	adapters map[string]bool
+}
+
+func newDeployment(models []ident.ModelName) deployment {
+	d := deployment{
+		role:     RoleMixed,
+		models:   make(map[ident.ModelName]string),
+		adapters: make(map[string]bool),
+	}
+	for _, name := range models {
+		d.models[name] = ""
+	}
+	return d
+}
+
+func (d *deployment) apply(o Order) error {
+	switch o.Kind {
+	case OrderLoadModel:
+		d.models[o.Model] = o.Version
+	case OrderUnloadModel:
+		delete(d.models, o.Model)
+	case OrderLoadAdapter:
+		d.adapters[o.Adapter] = true
+	case OrderSetRole:
+		d.role = o.Role
+	default:
+		return fmt.Errorf("unknown order %q", o.Kind)
+	}
+	d.fence = max(d.fence, o.Fence)
+	return nil
+}
+
+func (d *deployment) describe() Deployment {
+	out := Deployment{Fence: d.fence, Role: d.role}
+	for _, name := range slices.Sorted(maps.Keys(d.models)) {
+		out.Models = append(out.Models, LoadedModel{Name: name, Version: d.models[name]})
+	}
+	out.Adapters = slices.Sorted(maps.Keys(d.adapters))
+	return out
+}
+
+func (e *Engine) serves(model ident.ModelName) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_, found := e.deploy.models[model]
+	return found
+}
+
+func (e *Engine) models() []ident.ModelName {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Sorted(maps.Keys(e.deploy.models))
+}
+
+// Deployment returns what the engine runs.
+func (e *Engine) Deployment() Deployment {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.deploy.describe()
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var order Order
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, bodyLimit)).Decode(&order); err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	if err := e.cfg.Clock.Sleep(r.Context(), e.cfg.OrderTime); err != nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cfg.CheckFence && order.Fence < e.deploy.fence {
+		writeJSON(w, http.StatusConflict, Error{Message: "older fencing number", Fence: e.deploy.fence})
+		return
+	}
+	if err := e.deploy.apply(order); err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	writeJSON(w, http.StatusOK, e.deploy.describe())
+}
--- /dev/null
+++ b/internal/process/engine/serve.go
@@ -0,0 +1,140 @@
+package engine
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"cactusline.dev/cactusline/internal/request/chat"
+	"cactusline.dev/cactusline/internal/version/ident"
+)
+
+// Headers that the engine reads or writes.
+const (
+	// RequestHeader names the request; the answer's id repeats it.
+	RequestHeader = "X-Request-Id"
+	// PriorityHeader carries a whole number; higher ones start first.
+	PriorityHeader = "X-Priority"
+	// ResumeHeader carries the count of answer tokens that the caller has
+	// already. The stream goes on from there.
+	ResumeHeader = "X-Resume-Token-Offset"
+	// CachedHeader carries the prompt tokens found in the cache.
+	CachedHeader = "X-Cached-Tokens"
+	// TotalHeader carries the tokens that the whole answer will have.
+	TotalHeader = "X-Answer-Tokens"
+)
+
+// Error answers a request that the engine refuses.
+type Error struct {
+	Message string
+	// Fence is the highest fencing number seen, where that was the reason.
+	Fence ident.Fence `json:",omitempty"`
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func refuse(w http.ResponseWriter, status int, message string) {
+	writeJSON(w, status, Error{Message: message})
+}
+
+// intHeader reads a whole number from a header; absent is zero.
+func intHeader(r *http.Request, name string) (int64, error) {
+	text := r.Header.Get(name)
+	if text == "" {
+		return 0, nil
+	}
+	return strconv.ParseInt(text, 10, 32)
+}
+
+func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
+	req, err := chat.Decode(r.Body, 0)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	if !e.serves(req.Model) {
+		refuse(w, http.StatusNotFound, "model "+string(req.Model)+" is not loaded")
+		return
+	}
+	if e.crashes(req) {
+		e.Crash()
+		panic(http.ErrAbortHandler)
+	}
+	a, err := e.newAnswer(w, r, req)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	e.submit(a.seq)
+	defer e.cancel(a.seq)
+	a.serve()
+}
+
+func (e *Engine) crashes(req *chat.Request) bool {
+	if e.cfg.CrashMarker == "" {
+		return false
+	}
+	for _, m := range req.Messages {
+		if strings.Contains(m.Content.Text, e.cfg.CrashMarker) {
+			return true
+		}
+	}
+	return false
+}
+
+// newAnswer prepares the sequence of one request.
+func (e *Engine) newAnswer(w http.ResponseWriter, r *http.Request, req *chat.Request) (*answer, error) {
+	priority, err := intHeader(r, PriorityHeader)
+	if err != nil {
+		return nil, errors.New(PriorityHeader + " is no whole number")
+	}
+	total := e.cfg.AnswerTokens
+	if limit := req.OutputLimit(); limit > 0 {
+		total = min(limit, maxAnswerTokens)
+	}
+	offset, err := intHeader(r, ResumeHeader)
+	if err != nil || offset < 0 || ident.Tokens(offset) > total {
+		return nil, errors.New(ResumeHeader + " is out of range")
+	}
+	id := r.Header.Get(RequestHeader)
+	if id == "" {
+		id = Mark(req)
+	}
+	return &answer{
+		engine: e, w: w, r: r, req: req, total: total,
+		id: "chatcmpl-" + id, mark: Mark(req), created: e.cfg.Clock.Now().Unix(),
+		sent: ident.Tokens(offset), over: e.ended(),
+		seq: &sequence{
+			req: req, priority: int(priority),
+			prompt: req.PromptTokens(), made: ident.Tokens(offset), total: total,
+			progress: make(chan struct{}, 1),
+		},
+	}, nil
+}
+
+func (e *Engine) serveModels(w http.ResponseWriter, _ *http.Request) {
+	list := chat.ModelList{Object: "list", Data: []chat.Model{}}
+	for _, name := range e.models() {
+		list.Data = append(list.Data, chat.Model{ID: name, Object: "model"})
+	}
+	writeJSON(w, http.StatusOK, list)
+}
+
+func (e *Engine) serveEvents(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "after is no number")
+		return
+	}
+	now := e.cfg.Clock.Now()
+	e.mu.Lock()
+	list := EventList{Events: e.events.after(now, after)}
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, list)
+}
