--- /dev/null
+++ b/internal/request/replay/table.go
@@ -0,0 +1,327 @@
+// Package replay is a sidecar's table of the attempts that it has seen. An
+// attempt runs once: a duplicate joins it, and one that was buried before it
+// came is refused. Answers are kept for a while, so that a router whose link
+// broke can read on from any offset.
+package replay
+
+import (
+	"cmp"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/version/ident"
+)
+
+// Verdict says what to do with an attempt.
+type Verdict uint8
+
+// Verdicts of Begin.
+const (
+	// VerdictRun means that the caller, and nobody else, runs the attempt.
+	VerdictRun Verdict = iota + 1
+	// VerdictJoin means that the attempt was begun before; read its answer.
+	VerdictJoin
+	// VerdictBuried means that the attempt is refused and never runs.
+	VerdictBuried
+	// VerdictFull means that the table has no room to remember the attempt,
+	// which therefore must not run.
+	VerdictFull
+)
+
+// Defaults of Config.
+const (
+	DefaultShards         = 16
+	DefaultKeepMark       = time.Hour
+	DefaultKeepAnswer     = 2 * time.Minute
+	DefaultMaxMarks       = 1 << 17
+	DefaultMaxAnswerBytes = 256 << 10
+	DefaultMaxBytes       = 8 << 20
+)
+
+// Config bounds a Table.
+type Config struct {
+	Shards int
+	// KeepMark is how long an ended or buried attempt is remembered. It must
+	// exceed the longest time for which a Submit can be on its way.
+	KeepMark time.Duration
+	// KeepAnswer is how long an answer stays readable after its end.
+	KeepAnswer time.Duration
+	// MaxMarks bounds the attempts that are remembered.
+	MaxMarks int
+	// MaxAnswerBytes bounds what is kept of one answer; its oldest bytes go
+	// first.
+	MaxAnswerBytes int
+	// MaxBytes bounds what is kept of all answers.
+	MaxBytes int
+}
+
+// Table remembers attempts for one incarnation of a sidecar. It is safe for
+// concurrent use.
+type Table struct {
+	cfg    Config
+	shards []shard
+}
+
+type shard struct {
+	mu      sync.Mutex
+	entries map[ident.AttemptID]*entry
+	// marks are the ended and buried attempts, oldest first.
+	marks queue
+	// answers are the ended attempts whose answers are kept, oldest first.
+	answers  queue
+	maxMarks int
+	maxBytes int
+	bytes    int
+}
+
+type phase uint8
+
+const (
+	phaseRunning phase = iota
+	phaseEnded
+	phaseBuried
+)
+
+type entry struct {
+	phase  phase
+	ring   ring
+	head   *wire.Head
+	end    *wire.End
+	notify chan struct{}
+}
+
+// New returns an empty table.
+func New(cfg Config) *Table {
+	cfg.Shards = cmp.Or(cfg.Shards, DefaultShards)
+	cfg.KeepMark = cmp.Or(cfg.KeepMark, DefaultKeepMark)
+	cfg.KeepAnswer = cmp.Or(cfg.KeepAnswer, DefaultKeepAnswer)
+	cfg.MaxMarks = cmp.Or(cfg.MaxMarks, DefaultMaxMarks)
+	cfg.MaxAnswerBytes = cmp.Or(cfg.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	cfg.MaxBytes = cmp.Or(cfg.MaxBytes, DefaultMaxBytes)
+	t := &Table{cfg: cfg, shards: make([]shard, cfg.Shards)}
+	for i := range t.shards {
+		t.shards[i].entries = make(map[ident.AttemptID]*entry)
+		t.shards[i].maxMarks = max(1, cfg.MaxMarks/cfg.Shards)
+		t.shards[i].maxBytes = max(1, cfg.MaxBytes/cfg.Shards)
+	}
+	return t
+}
+
+func (t *Table) shard(id ident.AttemptID) *shard {
+	return &t.shards[xxhash.Sum64String(string(id))%uint64(len(t.shards))]
+}
+
+// Begin says what to do with an attempt that has come. Of all calls of Begin
+// and Bury for one attempt, exactly one gets VerdictRun or buries it.
+func (t *Table) Begin(now time.Time, id ident.AttemptID) Verdict {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t.expire(now, s)
+	if e, ok := s.entries[id]; ok {
+		if e.phase == phaseBuried {
+			return VerdictBuried
+		}
+		return VerdictJoin
+	}
+	if len(s.entries) >= s.maxMarks {
+		return VerdictFull
+	}
+	s.entries[id] = &entry{}
+	return VerdictRun
+}
+
+// Bury makes sure that an attempt never runs, and reports whether it could:
+// it can't if the attempt was begun, or if there is no room to remember it.
+func (t *Table) Bury(now time.Time, id ident.AttemptID) bool {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t.expire(now, s)
+	if e, ok := s.entries[id]; ok {
+		return e.phase == phaseBuried
+	}
+	if len(s.entries) >= s.maxMarks {
+		return false
+	}
+	s.entries[id] = &entry{phase: phaseBuried}
+	s.marks.push(now, id)
+	return true
+}
+
+// Withdraw buries an attempt that was begun but did not reach the target, and
+// reports whether it could. Readers of its answer get a GoneError.
+func (t *Table) Withdraw(now time.Time, id ident.AttemptID) bool {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.entries[id]
+	if !ok || e.phase != phaseRunning || e.ring.end() > 0 {
+		return false
+	}
+	e.phase = phaseBuried
+	s.marks.push(now, id)
+	e.wake()
+	return true
+}
+
+// SetHead keeps the head of an answer. The frame must not change afterwards.
+func (t *Table) SetHead(id ident.AttemptID, head *wire.Head) {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e, ok := s.entries[id]; ok && e.phase == phaseRunning {
+		e.head = head
+		e.wake()
+	}
+}
+
+// Append keeps the next bytes of an answer, which it copies.
+func (t *Table) Append(id ident.AttemptID, data []byte) {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.entries[id]
+	if !ok || e.phase != phaseRunning {
+		return
+	}
+	s.reserve(e, len(data), t.cfg.MaxAnswerBytes)
+	e.ring.write(data)
+	e.wake()
+}
+
+// Finish ends an attempt. The frame must not change afterwards.
+func (t *Table) Finish(now time.Time, id ident.AttemptID, end *wire.End) {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.entries[id]
+	if !ok || e.phase != phaseRunning {
+		return
+	}
+	e.phase = phaseEnded
+	e.end = end
+	s.marks.push(now, id)
+	s.answers.push(now, id)
+	e.wake()
+}
+
+// Read is what was found at an offset of an answer.
+type Read struct {
+	// Head is nil until the answer has begun.
+	Head *wire.Head
+	// Size counts the bytes that were copied.
+	Size int
+	// End is set once the reader has all bytes of an answer that has ended.
+	End *wire.End
+	// Notify is set when there is nothing to read yet; it is closed when there
+	// may be.
+	Notify <-chan struct{}
+}
+
+// ReadFrom copies the answer from offset on into buf. It never begins an
+// attempt. It returns an UnseenError for an attempt that was not begun, and a
+// GoneError when the bytes are no longer kept.
+func (t *Table) ReadFrom(id ident.AttemptID, offset uint64, buf []byte) (Read, error) {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.entries[id]
+	if !ok {
+		return Read{}, &UnseenError{Attempt: id}
+	}
+	if e.phase == phaseBuried || offset < e.ring.start() || offset > e.ring.end() {
+		return Read{}, &GoneError{Attempt: id, Offset: offset}
+	}
+	read := Read{Head: e.head, Size: e.ring.readAt(offset, buf)}
+	if e.phase == phaseEnded && offset+uint64(read.Size) == e.ring.end() {
+		read.End = e.end
+		return read, nil
+	}
+	if read.Size == 0 {
+		read.Notify = e.wait()
+	}
+	return read, nil
+}
+
+// Expire forgets what was kept for long enough. Begin and Bury do so as well
+// for the shard that they touch.
+func (t *Table) Expire(now time.Time) {
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		t.expire(now, s)
+		s.mu.Unlock()
+	}
+}
+
+// Stats counts what a table holds.
+type Stats struct {
+	Attempts int
+	Bytes    ident.Bytes
+}
+
+// Stats returns what the table holds.
+func (t *Table) Stats() Stats {
+	var stats Stats
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		stats.Attempts += len(s.entries)
+		stats.Bytes += ident.Bytes(s.bytes)
+		s.mu.Unlock()
+	}
+	return stats
+}
+
+func (t *Table) expire(now time.Time, s *shard) {
+	for s.answers.due(now, t.cfg.KeepAnswer) {
+		s.dropAnswer(s.answers.pop())
+	}
+	for s.marks.due(now, t.cfg.KeepMark) {
+		id := s.marks.pop()
+		s.dropAnswer(id)
+		delete(s.entries, id)
+	}
+}
+
+// dropAnswer frees the bytes of an ended answer but remembers the attempt.
+func (s *shard) dropAnswer(id ident.AttemptID) {
+	e, ok := s.entries[id]
+	if !ok {
+		return
+	}
+	s.bytes -= e.ring.size()
+	e.ring.drop()
+}
+
+// reserve makes room for size more bytes of an answer, at the cost of older
+// answers that have ended and at last of the oldest bytes of this one.
+func (s *shard) reserve(e *entry, size, maxAnswer int) {
+	want := e.ring.sizeFor(size, maxAnswer)
+	for s.bytes-e.ring.size()+want > s.maxBytes && s.answers.len() > 0 {
+		s.dropAnswer(s.answers.pop())
+	}
+	if s.bytes-e.ring.size()+want > s.maxBytes {
+		want = max(e.ring.size(), minRing)
+	}
+	s.bytes += want - e.ring.size()
+	e.ring.resize(want)
+}
+
+func (e *entry) wait() <-chan struct{} {
+	if e.notify == nil {
+		e.notify = make(chan struct{})
+	}
+	return e.notify
+}
+
+func (e *entry) wake() {
+	if e.notify != nil {
+		close(e.notify)
+		e.notify = nil
+	}
+}
--- a/internal/request/tries/config.go
+++ b/internal/request/tries/config.go
@@ -5,6 +5,7 @@
 package tries
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -70,19 +71,12 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.AttemptTimeout, DefaultAttemptTimeout)
-	setDefault(&c.MaxTries, DefaultMaxTries)
-	setDefault(&c.MaxCrashes, DefaultMaxCrashes)
-	setDefault(&c.MaxResumes, DefaultMaxResumes)
-	setDefault(&c.MaxTakeovers, DefaultMaxTakeovers)
-	setDefault(&c.RetryAfter, DefaultRetryAfter)
+	c.AttemptTimeout = cmp.Or(c.AttemptTimeout, DefaultAttemptTimeout)
+	c.MaxTries = cmp.Or(c.MaxTries, DefaultMaxTries)
+	c.MaxCrashes = cmp.Or(c.MaxCrashes, DefaultMaxCrashes)
+	c.MaxResumes = cmp.Or(c.MaxResumes, DefaultMaxResumes)
+	c.MaxTakeovers = cmp.Or(c.MaxTakeovers, DefaultMaxTakeovers)
+	c.RetryAfter = cmp.Or(c.RetryAfter, DefaultRetryAfter)
 	c.MaxTries = min(c.MaxTries, LimitTries)
 	return c
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/request/tries/machine.go
+++ b/internal/request/tries/machine.go
@@ -322,7 +322,7 @@
 	for i := range m.attempts {
 		if i != keep && m.attempts[i].live {
 			m.doubt = true
-			m.cancel(now, i, ResultCancelled, stop)
+			m.cancel(now, i, ResultCanceled, stop)
 		}
 	}
 }
