Add the follower of records

Cause: routers and sidecars need the newest records, from any control process or any peer that is ahead, and must know whether a quorum vouches for them. The lease counts from the moment at which the follower sent the report that control echoes, so a delayed or frozen answer never lengthens it. Ruled out: control sending the lease's length, which a delay stretches.

Not measured yet.

--- /dev/null
+++ b/internal/conn/watch/follow.go
@@ -0,0 +1,217 @@
+package watch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"cactusline.dev/cactusline/internal/conn/link"
+	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/version/record"
+)
+
+// Defaults of Config.
+const (
+	DefaultReportInterval = time.Second
+	DefaultLease          = 3 * time.Second
+	DefaultSilence        = 3 * time.Second
+	reconnectInterval     = 200 * time.Millisecond
+)
+
+// Clock is what the package needs of a clock.
+type Clock interface {
+	Now() time.Time
+	After(d time.Duration) <-chan time.Time
+	Sleep(ctx context.Context, d time.Duration) error
+}
+
+// Config makes a Follower.
+type Config struct {
+	// Addresses are the control processes' host:port, in the order in which
+	// this process tries them.
+	Addresses []string
+	Link      *link.Client
+	Clock     Clock
+	Logger    log.Logger
+	// Process and Role name this process.
+	Process string
+	Role    string
+	// Target is a sidecar's, empty elsewhere.
+	Target string
+	// Load returns a sidecar's load, nil elsewhere.
+	Load func() *wire.Load
+	// ReportInterval is the time between two reports to control.
+	ReportInterval time.Duration
+	// Lease is how long the set counts as fresh once a quorum has confirmed
+	// it.
+	Lease time.Duration
+	// Silence is how long a control process may send nothing before this
+	// process turns to another one.
+	Silence time.Duration
+	// OnUpdate is called with each update once its records are in force.
+	OnUpdate func(update *wire.Update, set *record.Set)
+}
+
+// Follower keeps a Holder at the newest revision.
+type Follower struct {
+	Holder
+
+	cfg Config
+	// started is where stamps count from, so that they follow the monotonic
+	// clock.
+	started time.Time
+	// confirmed is the stamp of the newest report that came before a quorum
+	// confirmed the set.
+	confirmed atomic.Int64
+}
+
+// NewFollower returns a follower; Run starts it.
+func NewFollower(cfg Config) *Follower {
+	if cfg.ReportInterval == 0 {
+		cfg.ReportInterval = DefaultReportInterval
+	}
+	if cfg.Lease == 0 {
+		cfg.Lease = DefaultLease
+	}
+	if cfg.Silence == 0 {
+		cfg.Silence = DefaultSilence
+	}
+	return &Follower{cfg: cfg, started: cfg.Clock.Now().Add(-1)}
+}
+
+// Leased reports whether a quorum has confirmed lately that the set is the
+// newest.
+func (f *Follower) Leased() bool {
+	confirmed := f.confirmed.Load()
+	return confirmed != 0 && time.Duration(f.stamp()-confirmed) < f.cfg.Lease
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	for turn := 0; ctx.Err() == nil; turn++ {
+		address := f.cfg.Addresses[turn%len(f.cfg.Addresses)]
+		err := f.follow(ctx, address)
+		if ctx.Err() != nil {
+			return
+		}
+		_ = level.Warn(f.cfg.Logger).Log("msg", "control lost", "address", address, "err", err)
+		_ = f.cfg.Clock.Sleep(ctx, reconnectInterval)
+	}
+}
+
+// Pull fetches once from a process that stands at a higher revision.
+func (f *Follower) Pull(ctx context.Context, address string) error {
+	call := &wire.Call{
+		Revision: uint64(f.Set().Revision()),
+		Body:     &wire.Call_Watch{Watch: &wire.Watch{Process: f.cfg.Process, Role: f.cfg.Role, Once: true}},
+	}
+	update := new(wire.Update)
+	if err := f.cfg.Link.Ask(ctx, address, call, update); err != nil {
+		return fmt.Errorf("pull records: %w", err)
+	}
+	// A peer's word moves the set but never the lease.
+	update.Echo = 0
+	return f.take(update)
+}
+
+// follow takes updates from one control process until it falls silent.
+func (f *Follower) follow(ctx context.Context, address string) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stream, err := f.cfg.Link.Open(ctx, address, &wire.Call{
+		Revision: uint64(f.Set().Revision()),
+		Body:     &wire.Call_Watch{Watch: f.report()},
+	})
+	if err != nil {
+		return fmt.Errorf("watch %s: %w", address, err)
+	}
+	defer func() { _ = stream.Close() }()
+	context.AfterFunc(ctx, stream.Abort)
+	heard := make(chan struct{}, 1)
+	go f.expectNews(ctx, cancel, heard)
+	go f.reportChanges(ctx, stream)
+	for {
+		update := new(wire.Update)
+		if err := stream.Receive(update); err != nil {
+			return fmt.Errorf("watch %s: %w", address, errors.Join(err, context.Cause(ctx)))
+		}
+		select {
+		case heard <- struct{}{}:
+		default:
+		}
+		if err := f.take(update); err != nil {
+			return err
+		}
+	}
+}
+
+// take brings an update into force.
+func (f *Follower) take(update *wire.Update) error {
+	if _, err := f.Apply(update); err != nil {
+		return err
+	}
+	if echo := update.GetEcho(); echo > f.confirmed.Load() {
+		f.confirmed.Store(echo)
+	}
+	if f.cfg.OnUpdate != nil {
+		f.cfg.OnUpdate(update, f.Set())
+	}
+	return nil
+}
+
+// errSilent ends a watch whose control process sends nothing.
+var errSilent = errors.New("control sends nothing")
+
+func (f *Follower) expectNews(ctx context.Context, cancel context.CancelCauseFunc, heard <-chan struct{}) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-heard:
+		case <-f.cfg.Clock.After(f.cfg.Silence):
+			cancel(errSilent)
+			return
+		}
+	}
+}
+
+// reportChanges tells control which revision is in force, as it rises and at
+// each interval.
+func (f *Follower) reportChanges(ctx context.Context, stream *link.Stream) {
+	for {
+		changed := f.Changed()
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-f.cfg.Clock.After(f.cfg.ReportInterval):
+		}
+		if stream.Send(f.report()) != nil {
+			return
+		}
+	}
+}
+
+func (f *Follower) report() *wire.Watch {
+	report := &wire.Watch{
+		Process: f.cfg.Process,
+		Role:    f.cfg.Role,
+		InForce: uint64(f.Set().Revision()),
+		Target:  f.cfg.Target,
+		Stamp:   f.stamp(),
+	}
+	if f.cfg.Load != nil {
+		report.Load = f.cfg.Load()
+	}
+	return report
+}
+
+// stamp returns the nanoseconds since the follower was made.
+func (f *Follower) stamp() int64 {
+	return int64(f.cfg.Clock.Now().Sub(f.started))
+}
--- /dev/null
+++ b/internal/conn/watch/holder.go
@@ -0,0 +1,82 @@
+package watch
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+
+	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/version/ident"
+	"cactusline.dev/cactusline/internal/version/record"
+)
+
+// Holder holds the newest set of records that this process has seen. Its
+// zero value holds the empty set. It is safe for use by several goroutines.
+type Holder struct {
+	set atomic.Pointer[record.Set]
+
+	mu      sync.Mutex
+	changed chan struct{}
+}
+
+// Set returns the set in force.
+func (h *Holder) Set() *record.Set {
+	if set := h.set.Load(); set != nil {
+		return set
+	}
+	return new(record.Set)
+}
+
+// Apply brings the set to the update's revision. An update to a lower
+// revision changes nothing. It reports whether the set changed.
+func (h *Holder) Apply(update *wire.Update) (bool, error) {
+	if update.GetRevision() <= uint64(h.Set().Revision()) {
+		return false, nil
+	}
+	delta, err := Decode(update)
+	if err != nil {
+		return false, err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	before := h.Set()
+	after, err := before.Apply(delta)
+	if err != nil {
+		return false, fmt.Errorf("apply update: %w", err)
+	}
+	if after.Revision() <= before.Revision() {
+		return false, nil
+	}
+	h.set.Store(after)
+	if h.changed != nil {
+		close(h.changed)
+		h.changed = nil
+	}
+	return true, nil
+}
+
+// Changed returns a channel that is closed once the set changes.
+func (h *Holder) Changed() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.changed == nil {
+		h.changed = make(chan struct{})
+	}
+	return h.changed
+}
+
+// Await returns once the set stands at revision or above, or ctx ends.
+func (h *Holder) Await(ctx context.Context, revision ident.Revision) error {
+	for {
+		changed := h.Changed()
+		if h.Set().Revision() >= revision {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("await revision %d: %w", revision, ctx.Err())
+		case <-changed:
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/router/answer.go
@@ -0,0 +1,117 @@
+package router
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/request/relay"
+)
+
+// Header fields of answers to callers.
+const (
+	headerRequest = "Cactusline-Request"
+	headerOutcome = "Cactusline-Outcome"
+	headerTarget  = "Cactusline-Target"
+)
+
+// streamed passes an answer on as it comes. The outcome is only known at the
+// end, so it follows as a trailer.
+type streamed struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+}
+
+func newStreamed(w http.ResponseWriter) *streamed {
+	return &streamed{w: w, control: http.NewResponseController(w)}
+}
+
+// Head implements relay.Caller.
+func (s *streamed) Head(status int, headers []*wire.Header) {
+	copyHeaders(s.w.Header(), headers)
+	s.w.Header().Del("Content-Length")
+	s.w.Header().Set("Trailer", headerOutcome)
+	s.w.WriteHeader(status)
+}
+
+// Data implements relay.Caller.
+func (s *streamed) Data(data []byte) error {
+	if _, err := s.w.Write(data); err != nil {
+		return err
+	}
+	return s.control.Flush()
+}
+
+// finish ends the answer. One that is cut is ended by an error event and a
+// broken connection, so that no caller takes it for whole.
+func (s *streamed) finish(result relay.Result) {
+	s.w.Header().Set(headerOutcome, outcomeName(result.Outcome))
+	if !result.Truncated {
+		return
+	}
+	event, err := json.Marshal(errorBody{Error: errorDetail{
+		Code:    "AnswerCut",
+		Message: "the answer ended before it was whole",
+		Outcome: outcomeName(result.Outcome),
+	}})
+	if err == nil {
+		_, _ = s.w.Write([]byte("data: " + string(event) + "\n\n"))
+		_ = s.control.Flush()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// buffered keeps an answer until it is whole, so that its outcome can head it
+// and a broken attempt can be run again unseen.
+type buffered struct {
+	status  int
+	headers []*wire.Header
+	body    []byte
+}
+
+// Head implements relay.Caller.
+func (b *buffered) Head(status int, headers []*wire.Header) {
+	b.status = status
+	b.headers = headers
+}
+
+// Data implements relay.Caller.
+func (b *buffered) Data(data []byte) error {
+	b.body = append(b.body, data...)
+	return nil
+}
+
+func (b *buffered) finish(w http.ResponseWriter, result relay.Result) {
+	copyHeaders(w.Header(), b.headers)
+	w.Header().Set(headerOutcome, outcomeName(result.Outcome))
+	w.Header().Set("Content-Length", strconv.Itoa(len(b.body)))
+	w.WriteHeader(b.status)
+	_, _ = w.Write(b.body)
+}
+
+// hopHeaders belong to one connection and are never passed on.
+var hopHeaders = [...]string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+func copyHeaders(to http.Header, from []*wire.Header) {
+	for _, h := range from {
+		to.Add(h.GetName(), h.GetValue())
+	}
+	for _, name := range hopHeaders {
+		to.Del(name)
+	}
+}
+
+func outcomeName(outcome wire.Outcome) string {
+	switch outcome {
+	case wire.Outcome_OUTCOME_RAN:
+		return "ran"
+	case wire.Outcome_OUTCOME_NOT_RUN:
+		return "not-run"
+	default:
+		return "unknown"
+	}
+}
