Add the sidecar's runs and the router's handlers

Cause: the whole path needs the sidecar to admit, run and keep attempts, and the router to read, rank and answer callers' requests. An attempt runs for itself, not for the stream that asked: routers read its answer from the table of attempts, so a broken link is joined again at its offset.

--- a/internal/conn/watch/follow.go
+++ b/internal/conn/watch/follow.go
@@ -116,7 +116,7 @@
 	}
 	// A peer's word moves the set but never the lease.
 	update.Echo = 0
-	return f.take(update)
+	return f.Take(update)
 }
 
 // follow takes updates from one control process until it falls silent.
@@ -144,14 +144,14 @@
 		case heard <- struct{}{}:
 		default:
 		}
-		if err := f.take(update); err != nil {
+		if err := f.Take(update); err != nil {
 			return err
 		}
 	}
 }
 
-// take brings an update into force.
-func (f *Follower) take(update *wire.Update) error {
+// Take brings an update into force.
+func (f *Follower) Take(update *wire.Update) error {
 	if _, err := f.Apply(update); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/process/router/chat.go
@@ -0,0 +1,185 @@
+package router
+
+import (
+	"net/http"
+
+	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/request/chat"
+	"cactusline.dev/cactusline/internal/request/rank"
+	"cactusline.dev/cactusline/internal/request/relay"
+	"cactusline.dev/cactusline/internal/request/tries"
+	"cactusline.dev/cactusline/internal/version/ident"
+	"cactusline.dev/cactusline/internal/version/record"
+)
+
+const chatPath = "/v1/chat/completions"
+
+// serveChat answers a chat completion.
+func (r *Router) serveChat(w http.ResponseWriter, req *http.Request) {
+	id := r.requests.next()
+	w.Header().Set(headerRequest, string(id))
+	call, err := r.readChat(w, req, id)
+	if err != nil {
+		err.write(w, id)
+		return
+	}
+	r.answer(w, req, call)
+}
+
+// call is a caller's request as read and routed, before it runs.
+type call struct {
+	id       ident.RequestID
+	customer *record.Customer
+	pool     *pool
+	submit   *wire.Submit
+	tries    tries.Config
+	query    rank.Query
+	stream   bool
+	traceID  string
+}
+
+// readChat checks a chat completion and finds its pool.
+func (r *Router) readChat(w http.ResponseWriter, req *http.Request, id ident.RequestID) (*call, *callerError) {
+	set := r.view.set()
+	customer, failed := authenticate(set, req)
+	if failed != nil {
+		return nil, failed
+	}
+	body, failed := r.readBody(w, req, customer)
+	if failed != nil {
+		return nil, failed
+	}
+	asked, err := chat.Parse(body)
+	if err != nil {
+		return nil, refusal(http.StatusBadRequest, codeInvalid, err.Error())
+	}
+	route, ok := set.ModelRoute(customer.Name, asked.Model)
+	if !ok {
+		return nil, refusal(http.StatusNotFound, codeNoModel, "no route for model "+string(asked.Model))
+	}
+	key := asked.Key(customer.Name, req.Header.Get(chat.KeyHeader))
+	c := r.newCall(id, customer, route)
+	c.stream = asked.Stream
+	c.query.Chat = key
+	c.submit.Model = string(asked.Model)
+	c.submit.Chat = uint64(key)
+	c.submit.Method = http.MethodPost
+	c.submit.Path = chatPath
+	c.submit.Headers = []*wire.Header{{Name: "Content-Type", Value: "application/json"}}
+	c.submit.Body = body
+	c.submit.Stream = asked.Stream
+	c.submit.PromptTokens = uint32(asked.PromptTokens())
+	c.submit.OutputTokens = uint32(asked.OutputLimit())
+	c.submit.Fingerprint = uint64(asked.Fingerprint(customer.Name))
+	return c, nil
+}
+
+// newCall fills in what all requests of a route share.
+func (r *Router) newCall(id ident.RequestID, customer *record.Customer, route *record.Route) *call {
+	now := r.cfg.Clock.Now()
+	timeout := route.Timeout.Duration
+	if timeout == 0 {
+		timeout = DefaultRequestTimeout
+	}
+	return &call{
+		id:       id,
+		customer: customer,
+		pool:     r.view.pool(route),
+		query:    rank.Query{Now: now},
+		submit: &wire.Submit{
+			Request:   string(id),
+			Customer:  string(customer.Name),
+			Priority:  customer.Priority,
+			Weight:    customer.FairWeight(),
+			TimeoutMs: uint32(timeout.Milliseconds()),
+		},
+		tries: tries.Config{
+			Request:  id,
+			Customer: customer.Name,
+			Deadline: now.Add(timeout),
+			Retries:  r.budget,
+			Random:   r.random.fork(),
+		},
+	}
+}
+
+// answer runs a request and writes how it ended.
+func (r *Router) answer(w http.ResponseWriter, req *http.Request, c *call) {
+	if r.poisoned.Blocked(ident.Fingerprint(c.submit.GetFingerprint())) {
+		blocked := refusal(http.StatusForbidden, codeQuarantined, "this request crashed the targets that ran it")
+		blocked.write(w, c.id)
+		return
+	}
+	r.budget.Request(c.query.Now, c.customer.Name)
+	request := relay.Request{
+		Tries:       c.tries,
+		Candidates:  r.candidates(c),
+		Submit:      c.submit,
+		Revision:    func() ident.Revision { return r.view.set().Revision() },
+		Fingerprint: ident.Fingerprint(c.submit.GetFingerprint()),
+	}
+	if c.stream {
+		r.stream(w, req, request)
+		return
+	}
+	whole := new(buffered)
+	result := relay.Run(req.Context(), r.relay, request, whole)
+	if !result.Started || result.Truncated {
+		errorOf(result).write(w, c.id)
+		return
+	}
+	whole.finish(w, result)
+}
+
+func (r *Router) stream(w http.ResponseWriter, req *http.Request, request relay.Request) {
+	live := newStreamed(w)
+	result := relay.Run(req.Context(), r.relay, request, live)
+	if !result.Started {
+		errorOf(result).write(w, request.Tries.Request)
+		return
+	}
+	live.finish(result)
+}
+
+// candidates ranks the targets of the request's pool.
+func (r *Router) candidates(c *call) []tries.Candidate {
+	if c.pool == nil {
+		return nil
+	}
+	var ranked [maxCandidates]rank.Candidate
+	chosen := c.pool.ranking.Choose(ranked[:0], c.query)
+	candidates := make([]tries.Candidate, 0, len(chosen))
+	for _, candidate := range chosen {
+		candidates = append(candidates, tries.Candidate{Target: candidate.Target, Reason: candidate.Reason.String()})
+	}
+	if home, ok := c.pool.ranking.Home(c.query); ok {
+		c.submit.Home = string(home.Target)
+	}
+	return candidates
+}
+
+const maxCandidates = 8
+
+// errorOf words the end of a request that has no answer.
+func errorOf(result relay.Result) *callerError {
+	e := &callerError{
+		status:     result.Status,
+		code:       codeOverloaded,
+		message:    "no target can run the request now",
+		outcome:    result.Outcome,
+		retryAfter: result.RetryAfter,
+	}
+	if result.Conflict {
+		e.code = codeKeyConflict
+		e.message = "the idempotency key was used with another request"
+		e.status = http.StatusUnprocessableEntity
+		e.retryAfter = 0
+	} else if result.Outcome != wire.Outcome_OUTCOME_NOT_RUN {
+		e.code = codeOutcomeUnknown
+		e.message = "it is not known whether the request ran"
+	}
+	if e.status == 0 {
+		e.status = http.StatusServiceUnavailable
+	}
+	return e
+}
--- /dev/null
+++ b/internal/process/router/router.go
@@ -0,0 +1,191 @@
+// Package router is the router role: it takes the callers' requests, chooses
+// where each one runs and relays the answer.
+package router
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"cactusline.dev/cactusline/internal/conn/digest"
+	"cactusline.dev/cactusline/internal/conn/link"
+	"cactusline.dev/cactusline/internal/conn/remote"
+	"cactusline.dev/cactusline/internal/conn/watch"
+	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/request/budget"
+	"cactusline.dev/cactusline/internal/request/poison"
+	"cactusline.dev/cactusline/internal/request/relay"
+	"cactusline.dev/cactusline/internal/version/ident"
+	"cactusline.dev/cactusline/internal/version/record"
+)
+
+// Defaults of Config.
+const (
+	DefaultBodyLimit      ident.Bytes = 8 << 20
+	DefaultRecordedLimit  ident.Bytes = 256 << 10
+	DefaultRequestTimeout             = 10 * time.Minute
+
+	headerTimeout   = 10 * time.Second
+	headerLimit     = 64 << 10
+	idleConnTimeout = 2 * time.Minute
+)
+
+// Clock is what the package needs of a clock.
+type Clock interface {
+	Now() time.Time
+	After(d time.Duration) <-chan time.Time
+	Sleep(ctx context.Context, d time.Duration) error
+}
+
+// Config makes a Router.
+type Config struct {
+	// Process names this router, unique in the fleet and over restarts, since
+	// the ids of its requests start with it.
+	Process string
+	// Domain is this router's failure domain.
+	Domain ident.DomainName
+	// Listener takes callers.
+	Listener net.Listener
+	// Clock and Logger are required.
+	Clock  Clock
+	Logger log.Logger
+	// Link carries the calls to sidecars and control.
+	Link *link.Client
+	// Control asks the control processes.
+	Control *remote.Client
+	// Follower holds the records.
+	Follower *watch.Follower
+	// Seed draws jitter and probes.
+	Seed uint64
+	// BodyLimit bounds a request's body.
+	BodyLimit ident.Bytes
+}
+
+// Router serves callers.
+type Router struct {
+	cfg      Config
+	view     *view
+	budget   *budget.Budget
+	poisoned poison.Set
+	relay    relay.Config
+	requests requestNames
+	random   lockedRand
+}
+
+// New returns a router. Run starts it; Update must be called with what the
+// follower takes.
+func New(cfg Config) *Router {
+	if cfg.BodyLimit == 0 {
+		cfg.BodyLimit = DefaultBodyLimit
+	}
+	r := &Router{
+		cfg:    cfg,
+		view:   newView(cfg),
+		budget: budget.New(budget.Config{}),
+		random: lockedRand{source: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Clock.Now().UnixNano())))},
+	}
+	r.requests.prefix = cfg.Process
+	r.relay = relay.Config{
+		Clock:            cfg.Clock,
+		Links:            cfg.Link,
+		Directory:        r.view,
+		Ledger:           &ledger{control: cfg.Control, clock: cfg.Clock},
+		MaxRecordedBytes: DefaultRecordedLimit,
+	}
+	return r
+}
+
+// Update takes news from control.
+func (r *Router) Update(update *wire.Update, set *record.Set) {
+	r.view.rebuild(set)
+	for _, d := range update.GetDigests() {
+		r.view.setDigest(digestOf(r.cfg.Clock.Now(), d))
+	}
+	if update.GetVerdictsSet() {
+		r.poisoned.Replace(verdictsOf(update.GetVerdicts()))
+	}
+}
+
+// Handler returns the callers' interface.
+func (r *Router) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", r.serveChat)
+	mux.HandleFunc("GET /v1/models", r.serveModels)
+	mux.HandleFunc("/services/{service}/{path...}", r.serveService)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", r.serveReady)
+	return mux
+}
+
+// Run serves callers until ctx ends, then lets the requests in flight finish.
+func (r *Router) Run(ctx context.Context) error {
+	server := &http.Server{
+		Handler:           r.Handler(),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleConnTimeout,
+		MaxHeaderBytes:    headerLimit,
+	}
+	finished := make(chan error, 1)
+	stop := context.AfterFunc(ctx, func() { finished <- server.Shutdown(context.WithoutCancel(ctx)) })
+	defer stop()
+	_ = level.Info(r.cfg.Logger).Log("msg", "router serves", "address", r.cfg.Listener.Addr())
+	if err := server.Serve(r.cfg.Listener); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve callers: %w", err)
+	}
+	if err := <-finished; err != nil {
+		return fmt.Errorf("finish requests: %w", err)
+	}
+	return nil
+}
+
+// serveReady tells the balancer whether this router may get callers.
+func (r *Router) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !r.cfg.Follower.Leased() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func digestOf(now time.Time, d *wire.LoadDigest) digest.Digest {
+	return digest.Digest{
+		Pool:     digest.PoolName(d.GetPool()),
+		Targets:  int(d.GetTargets()),
+		Requests: int(d.GetRequests()),
+		Tokens:   ident.Tokens(d.GetTokens()),
+		At:       now.Add(-time.Duration(d.GetAgeMs()) * time.Millisecond),
+		Stamp:    d.GetStamp(),
+	}
+}
+
+func verdictsOf(verdicts []*wire.CrashVerdict) []poison.Change {
+	changes := make([]poison.Change, 0, len(verdicts))
+	for _, v := range verdicts {
+		changes = append(changes, poison.Change{
+			Fingerprint: ident.Fingerprint(v.GetFingerprint()),
+			Verdict:     poison.Verdict(v.GetVerdict()),
+		})
+	}
+	return changes
+}
+
+// lockedRand draws numbers for several goroutines.
+type lockedRand struct {
+	mu     sync.Mutex
+	source *rand.Rand
+}
+
+// fork returns a generator for one request.
+func (l *lockedRand) fork() *rand.Rand {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return rand.New(rand.NewPCG(l.source.Uint64(), l.source.Uint64()))
+}
--- /dev/null
+++ b/internal/process/router/service.go
@@ -0,0 +1,141 @@
+package router
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/version/ident"
+	"cactusline.dev/cactusline/internal/version/record"
+)
+
+// Header fields of callers' requests.
+const (
+	headerKey  = "Idempotency-Key"
+	headerOnce = "Cactusline-Once"
+)
+
+// serveModels lists the models that the customer has routes for.
+func (r *Router) serveModels(w http.ResponseWriter, req *http.Request) {
+	set := r.view.set()
+	customer, failed := authenticate(set, req)
+	if failed != nil {
+		failed.write(w, r.requests.next())
+		return
+	}
+	writeModels(w, set, customer)
+}
+
+// serveService answers a call of a plain service.
+func (r *Router) serveService(w http.ResponseWriter, req *http.Request) {
+	id := r.requests.next()
+	w.Header().Set(headerRequest, string(id))
+	c, failed := r.readService(w, req, id)
+	if failed != nil {
+		failed.write(w, id)
+		return
+	}
+	r.answer(w, req, c)
+}
+
+// readService checks a call of a plain service and finds its pool.
+func (r *Router) readService(w http.ResponseWriter, req *http.Request, id ident.RequestID) (*call, *callerError) {
+	set := r.view.set()
+	customer, failed := authenticate(set, req)
+	if failed != nil {
+		return nil, failed
+	}
+	name := ident.ServiceName(req.PathValue("service"))
+	service, ok := set.Service(name)
+	if !ok {
+		return nil, refusal(http.StatusNotFound, codeNoService, "no service "+string(name))
+	}
+	route, ok := set.ServiceRoute(customer.Name, name)
+	if !ok {
+		return nil, refusal(http.StatusNotFound, codeNoService, "no route for service "+string(name))
+	}
+	body, failed := r.readBody(w, req, customer)
+	if failed != nil {
+		return nil, failed
+	}
+	c := r.newCall(id, customer, route)
+	path := "/" + req.PathValue("path")
+	c.submit.Service = string(name)
+	c.submit.Method = req.Method
+	c.submit.Path = path
+	c.submit.Query = req.URL.RawQuery
+	c.submit.Headers = passedHeaders(req.Header)
+	c.submit.Body = body
+	c.submit.Fingerprint = fingerprint(c.submit)
+	c.submit.Once = service.RunsOnce(req.Method, path) || req.Header.Get(headerOnce) == "true"
+	c.submit.LedgerKey = req.Header.Get(headerKey)
+	c.tries.Once = c.submit.GetOnce()
+	c.tries.LedgerKey = c.submit.GetLedgerKey()
+	return c, nil
+}
+
+// authenticate finds the customer that owns the request's bearer key.
+func authenticate(set *record.Set, req *http.Request) (*record.Customer, *callerError) {
+	bearer, ok := strings.CutPrefix(req.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return nil, refusal(http.StatusUnauthorized, codeUnauthorized, "a bearer key is needed")
+	}
+	customer, ok := set.CustomerByKey(record.HashKey(bearer))
+	if !ok {
+		return nil, refusal(http.StatusUnauthorized, codeUnauthorized, "the bearer key is not known")
+	}
+	return customer, nil
+}
+
+// readBody reads the body within the bounds of the router and the customer.
+func (r *Router) readBody(w http.ResponseWriter, req *http.Request, customer *record.Customer) ([]byte, *callerError) {
+	limit := r.cfg.BodyLimit
+	if customer.Limits.Body > 0 {
+		limit = min(limit, customer.Limits.Body)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, int64(limit)))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, refusal(http.StatusRequestEntityTooLarge, codeTooLarge, "the body is longer than allowed")
+	}
+	if err != nil {
+		return nil, refusal(http.StatusBadRequest, codeInvalid, "the body ended early")
+	}
+	return body, nil
+}
+
+// ownHeaders are read by the router and not passed on.
+var ownHeaders = [...]string{"Authorization", "Content-Length", "Traceparent", "Tracestate", headerOnce}
+
+// passedHeaders returns the header fields that go to the service.
+func passedHeaders(header http.Header) []*wire.Header {
+	header = header.Clone()
+	for _, name := range hopHeaders {
+		header.Del(name)
+	}
+	for _, name := range ownHeaders {
+		header.Del(name)
+	}
+	var passed []*wire.Header
+	for name, values := range header {
+		for _, value := range values {
+			passed = append(passed, &wire.Header{Name: name, Value: value})
+		}
+	}
+	return passed
+}
+
+// fingerprint hashes what a service call asks for.
+func fingerprint(submit *wire.Submit) uint64 {
+	digest := xxhash.New()
+	for _, part := range []string{submit.GetCustomer(), submit.GetService(), submit.GetMethod(), submit.GetPath(), submit.GetQuery()} {
+		_, _ = digest.WriteString(part)
+		_, _ = digest.Write([]byte{0})
+	}
+	_, _ = digest.Write(submit.GetBody())
+	return digest.Sum64()
+}
--- /dev/null
+++ b/internal/process/router/view.go
@@ -0,0 +1,187 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cactusline.dev/cactusline/internal/conn/digest"
+	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/request/rank"
+	"cactusline.dev/cactusline/internal/version/ident"
+	"cactusline.dev/cactusline/internal/version/record"
+)
+
+const (
+	// ejectInterval is how long a sidecar that did not answer is passed over.
+	ejectInterval = time.Second
+	nodeShards    = 16
+)
+
+// pool is what a route chooses from.
+type pool struct {
+	ranking *rank.Pool
+	digest  digest.PoolName
+	targets []*record.Target
+}
+
+// view is what the router knows of the targets: their records, and what their
+// replies said.
+type view struct {
+	cfg     Config
+	current atomic.Pointer[snapshot]
+	nodes   nodes
+
+	mu sync.Mutex // serialises rebuild
+}
+
+// snapshot is the view at one revision. It does not change.
+type snapshot struct {
+	set    *record.Set
+	routes map[string]*pool
+	// holding lists, by target, the pools that hold it.
+	holding map[ident.TargetName][]*pool
+}
+
+func newView(cfg Config) *view {
+	v := &view{cfg: cfg}
+	v.current.Store(&snapshot{set: new(record.Set)})
+	return v
+}
+
+// rebuild takes a new set of records.
+func (v *view) rebuild(set *record.Set) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	old := v.current.Load()
+	if set.Revision() <= old.set.Revision() {
+		return
+	}
+	next := &snapshot{
+		set:     set,
+		routes:  make(map[string]*pool, len(set.Routes())),
+		holding: make(map[ident.TargetName][]*pool),
+	}
+	for _, route := range set.Routes() {
+		p := v.poolOf(old, set, route)
+		next.routes[route.Name] = p
+		for _, target := range p.targets {
+			next.holding[target.Name] = append(next.holding[target.Name], p)
+		}
+	}
+	v.current.Store(next)
+}
+
+// poolOf returns the pool of a route. What the old one believed is kept.
+func (v *view) poolOf(old *snapshot, set *record.Set, route *record.Route) *pool {
+	p := &pool{targets: set.Candidates(route), digest: poolName(route)}
+	if before, ok := old.routes[route.Name]; ok {
+		p.ranking = before.ranking
+	} else {
+		p.ranking = rank.New(rank.Config{Domain: v.cfg.Domain, Bound: route.LoadBound, Seed: v.cfg.Seed})
+	}
+	targets := make([]rank.Target, 0, len(p.targets))
+	for _, target := range p.targets {
+		targets = append(targets, rank.Target{Name: target.Name, Domain: target.Domain})
+	}
+	p.ranking.Update(targets)
+	return p
+}
+
+// poolName names the pool over which the load of a route's targets is
+// averaged.
+func poolName(route *record.Route) digest.PoolName {
+	if route.Model != "" {
+		return digest.PoolName("model/" + route.Model)
+	}
+	return digest.PoolName("service/" + route.Service)
+}
+
+// setDigest takes the load of a pool.
+func (v *view) setDigest(d digest.Digest) {
+	for _, p := range v.current.Load().routes {
+		if p.digest == d.Pool {
+			p.ranking.SetDigest(d)
+		}
+	}
+}
+
+// set returns the records in force.
+func (v *view) set() *record.Set { return v.current.Load().set }
+
+// pool returns what a route chooses from.
+func (v *view) pool(route *record.Route) *pool { return v.current.Load().routes[route.Name] }
+
+// Address implements relay.Directory.
+func (v *view) Address(target ident.TargetName) (string, bool) {
+	t, ok := v.set().Target(target)
+	if !ok {
+		return "", false
+	}
+	return t.Address, true
+}
+
+// Incarnation implements relay.Directory.
+func (v *view) Incarnation(target ident.TargetName) ident.Incarnation {
+	return ident.Incarnation(v.nodes.get(target).incarnation.Load())
+}
+
+// Observe implements relay.Directory.
+func (v *view) Observe(target ident.TargetName, load *wire.Load, revision ident.Revision) {
+	if load == nil {
+		return
+	}
+	if load.GetIncarnation() != 0 {
+		v.nodes.get(target).incarnation.Store(load.GetIncarnation())
+	}
+	now := v.cfg.Clock.Now()
+	for _, p := range v.current.Load().holding[target] {
+		p.ranking.Observe(now, target, digest.Load{
+			Requests: int(load.GetRequests()),
+			Tokens:   ident.Tokens(load.GetTokens()),
+			Queued:   int(load.GetQueued()),
+		})
+	}
+	if revision > v.set().Revision() {
+		v.pullFrom(target)
+	}
+}
+
+// Failed implements relay.Directory.
+func (v *view) Failed(target ident.TargetName) {
+	until := v.cfg.Clock.Now().Add(ejectInterval)
+	for _, p := range v.current.Load().holding[target] {
+		p.ranking.Eject(target, until)
+	}
+}
+
+// CatchUp implements relay.Directory.
+func (v *view) CatchUp(ctx context.Context, target ident.TargetName, revision ident.Revision) {
+	v.pullFrom(target)
+	_ = v.cfg.Follower.Await(ctx, revision)
+}
+
+// pullFrom fetches the records from a sidecar that is ahead, one fetch at a
+// time for each sidecar.
+func (v *view) pullFrom(target ident.TargetName) {
+	address, ok := v.Address(target)
+	n := v.nodes.get(target)
+	if !ok || !n.pulling.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer n.pulling.Store(false)
+		ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
+		defer cancel()
+		_ = v.cfg.Follower.Pull(ctx, address)
+	}()
+}
+
+const pullTimeout = 2 * time.Second
+
+// node is what replies said of one sidecar.
+type node struct {
+	incarnation atomic.Uint64
+	pulling     atomic.Bool
+}
--- /dev/null
+++ b/internal/process/side/run.go
@@ -0,0 +1,254 @@
+package side
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/version/ident"
+)
+
+const (
+	answerChunkBytes = 32 << 10
+	// windowBytes is how far an answer may run ahead of its reader.
+	windowBytes = 128 << 10
+	// orphanTimeout is how long an idempotent attempt goes on when the link
+	// to its router has broken.
+	orphanTimeout = 5 * time.Second
+)
+
+type flag = atomic.Bool
+
+// run is one attempt at the target.
+type run struct {
+	id          ident.AttemptID
+	fingerprint ident.Fingerprint
+	once        bool
+	ctx         context.Context
+	cancel      context.CancelFunc
+
+	mu      sync.Mutex
+	readers int
+	// read is how far the newest reader has come; moved is closed when it
+	// goes on.
+	read  uint64
+	moved chan struct{}
+}
+
+// start runs an admitted attempt in the background.
+func (s *Sidecar) start(call *wire.Call, submit *wire.Submit) {
+	ctx, cancel := context.WithCancel(s.life)
+	r := &run{
+		id:          ident.AttemptID(submit.GetAttempt()),
+		fingerprint: ident.Fingerprint(submit.GetFingerprint()),
+		once:        submit.GetOnce(),
+		ctx:         ctx,
+		cancel:      cancel,
+		moved:       make(chan struct{}),
+	}
+	s.runs.add(r)
+	go func() {
+		defer cancel()
+		end := s.perform(ctx, call, submit, r)
+		s.runs.remove(r)
+		now := s.cfg.Clock.Now()
+		if end == nil {
+			s.attempts.Withdraw(now, r.id)
+		} else {
+			s.attempts.Finish(now, r.id, end)
+		}
+		s.settle(s.admitted.Done(now, r.id))
+	}()
+}
+
+// perform sends the attempt to the target and keeps the answer. It returns
+// nil if the target never saw the attempt.
+func (s *Sidecar) perform(ctx context.Context, call *wire.Call, submit *wire.Submit, r *run) *wire.End {
+	resp, err := s.target.do(ctx, submit, call.GetTraceParent())
+	if notSent(err) {
+		s.targetDown()
+		return nil
+	}
+	if err != nil {
+		return s.failed(ctx, 0, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	s.attempts.SetHead(r.id, s.headOf(resp))
+	return s.keep(ctx, resp.Body, r)
+}
+
+// keep copies the answer into the table of attempts.
+func (s *Sidecar) keep(ctx context.Context, body io.Reader, r *run) *wire.End {
+	buffer := make([]byte, answerChunkBytes)
+	var length uint64
+	for {
+		n, err := body.Read(buffer)
+		if n > 0 {
+			s.attempts.Append(r.id, buffer[:n])
+			length += uint64(n)
+			r.await(ctx, length)
+		}
+		if errors.Is(err, io.EOF) {
+			return &wire.End{Outcome: wire.Outcome_OUTCOME_RAN, Length: length}
+		}
+		if err != nil {
+			return s.failed(ctx, length, err)
+		}
+	}
+}
+
+// failed words the end of an attempt whose answer is not whole.
+func (s *Sidecar) failed(ctx context.Context, length uint64, err error) *wire.End {
+	end := &wire.End{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Length: length, Error: err.Error()}
+	if ctx.Err() == nil && !s.target.answers() {
+		end.TargetCrashed = true
+		s.targetDown()
+	}
+	return end
+}
+
+func (s *Sidecar) headOf(resp *http.Response) *wire.Head {
+	head := &wire.Head{
+		Status:      int32(resp.StatusCode),
+		Load:        s.Load(),
+		Incarnation: uint64(s.cfg.Incarnation),
+	}
+	for name, values := range resp.Header {
+		for _, value := range values {
+			head.Headers = append(head.Headers, &wire.Header{Name: name, Value: value})
+		}
+	}
+	return head
+}
+
+// await holds the run back while its reader is far behind.
+func (r *run) await(ctx context.Context, length uint64) {
+	for {
+		r.mu.Lock()
+		moved := r.moved
+		free := r.readers == 0 || length <= r.read+windowBytes
+		r.mu.Unlock()
+		if free {
+			return
+		}
+		select {
+		case <-moved:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// wake tells the run that its readers changed. The caller holds mu.
+func (r *run) wake() {
+	close(r.moved)
+	r.moved = make(chan struct{})
+}
+
+// runs holds the attempts that are at the target now. Its zero value is
+// empty.
+type runs struct {
+	mu   sync.Mutex
+	byID map[ident.AttemptID]*run
+}
+
+func (s *runs) add(r *run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.byID == nil {
+		s.byID = make(map[ident.AttemptID]*run)
+	}
+	s.byID[r.id] = r
+}
+
+func (s *runs) remove(r *run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.byID, r.id)
+}
+
+// inFlight returns the fingerprints of what is at the target.
+func (s *runs) inFlight() []ident.Fingerprint {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fingerprints := make([]ident.Fingerprint, 0, len(s.byID))
+	for _, r := range s.byID {
+		fingerprints = append(fingerprints, r.fingerprint)
+	}
+	return fingerprints
+}
+
+// reader is one router's place in an answer.
+type reader struct{ run *run }
+
+// at notes how far the reader has come.
+func (r *reader) at(offset uint64) {
+	if r.run == nil {
+		return
+	}
+	r.run.mu.Lock()
+	defer r.run.mu.Unlock()
+	if offset > r.run.read {
+		r.run.read = offset
+		r.run.wake()
+	}
+}
+
+// attach adds a reader to a run. A run that has ended needs none.
+func (s *runs) attach(id ident.AttemptID) *reader {
+	s.mu.Lock()
+	r := s.byID[id]
+	s.mu.Unlock()
+	if r == nil {
+		return &reader{}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.readers++
+	return &reader{run: r}
+}
+
+// detach takes a reader away. An idempotent run that nobody reads ends: at
+// once if its caller has gone, else when no router comes back in time.
+func (s *Sidecar) detach(reader *reader, cancelled bool) {
+	r := reader.run
+	if r == nil || !r.leave() || r.once {
+		return
+	}
+	if cancelled {
+		r.cancel()
+		return
+	}
+	go func() {
+		if s.cfg.Clock.Sleep(r.ctx, orphanTimeout) == nil && r.orphaned() {
+			r.cancel()
+		}
+	}()
+}
+
+// leave takes one reader away and reports whether it was the last.
+func (r *run) leave() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.readers--
+	r.wake()
+	return r.readers == 0
+}
+
+func (r *run) orphaned() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.readers == 0
+}
+
+// count returns how many attempts are at the target.
+func (s *runs) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.byID)
+}
--- a/internal/process/side/side.go
+++ b/internal/process/side/side.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/url"
 	"sync/atomic"
@@ -15,9 +16,16 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"cactusline.dev/cactusline/internal/conn/digest"
 	"cactusline.dev/cactusline/internal/conn/link"
+	"cactusline.dev/cactusline/internal/conn/remote"
+	"cactusline.dev/cactusline/internal/conn/watch"
 	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/request/admit"
+	"cactusline.dev/cactusline/internal/request/poison"
+	"cactusline.dev/cactusline/internal/request/replay"
 	"cactusline.dev/cactusline/internal/version/ident"
+	"cactusline.dev/cactusline/internal/version/record"
 )
 
 // Clock is what the package needs of a clock.
@@ -39,31 +47,67 @@
 	Clock Clock
 	// Logger is required.
 	Logger log.Logger
+	// Control asks the control processes.
+	Control *remote.Client
 	// Incarnation is this start's number, unique for the target.
 	Incarnation ident.Incarnation
+	// Seed draws jitter.
+	Seed uint64
 }
 
 // Sidecar serves the calls for one target.
 type Sidecar struct {
-	cfg     Config
-	server  *link.Server
-	target  *targetClient
-	running atomic.Int64
+	cfg      Config
+	server   *link.Server
+	target   *targetClient
+	admitted *admit.Controller
+	attempts *replay.Table
+	poisoned poison.Set
+	waiting  waiting
+	runs     runs
+	follower atomic.Pointer[watch.Follower]
+	leaving  atomic.Bool
+	down     atomic.Bool
+	stopping atomic.Bool
+	// life ends, by end, when the process has nothing left to do.
+	life context.Context
+	end  context.CancelFunc
 }
 
 // New returns a sidecar; Run starts it.
-func New(cfg Config) *Sidecar {
-	s := &Sidecar{cfg: cfg, target: newTargetClient(cfg.Target)}
+func New(cfg Config) (*Sidecar, error) {
+	s := &Sidecar{
+		cfg:      cfg,
+		target:   newTargetClient(cfg.Target),
+		attempts: replay.New(replay.Config{}),
+	}
+	s.life, s.end = context.WithCancel(context.Background())
+	controller, err := admit.New(admit.Config{
+		Target: cfg.Name,
+		Rand:   rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Incarnation))),
+		Assert: s.broken,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("make admission: %w", err)
+	}
+	s.admitted = controller
 	s.server = link.NewServer(s)
-	return s
+	return s, nil
 }
 
-// Run serves until ctx ends.
+// Follow makes the sidecar act on the records of f, whose updates must come
+// to Update.
+func (s *Sidecar) Follow(f *watch.Follower) { s.follower.Store(f) }
+
+// Run serves until ctx ends. Then it refuses new work, lets what runs finish,
+// and returns.
 func (s *Sidecar) Run(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = s.cfg.Listener.Close() })
+	defer s.end()
+	stop := context.AfterFunc(ctx, s.shutDown)
 	defer stop()
+	go s.tick(s.life)
 	_ = level.Info(s.cfg.Logger).Log("msg", "sidecar serves", "target", s.cfg.Name, "address", s.cfg.Listener.Addr())
-	if err := s.server.Serve(ctx, s.cfg.Listener); err != nil {
+	if err := s.server.Serve(s.life, s.cfg.Listener); err != nil {
 		return fmt.Errorf("serve calls: %w", err)
 	}
 	if err := s.server.Close(); err != nil {
@@ -72,19 +116,129 @@
 	return nil
 }
 
+// shutDown lets the runs finish and then closes the listener. Routers may
+// read the answers until the last run has ended and a moment longer.
+func (s *Sidecar) shutDown() {
+	s.stopping.Store(true)
+	s.setLeaving(s.cfg.Clock.Now(), true)
+	_ = level.Info(s.cfg.Logger).Log("msg", "sidecar finishes its runs", "runs", s.runs.count())
+	for s.runs.count() > 0 {
+		if s.cfg.Clock.Sleep(s.life, tickInterval) != nil {
+			break
+		}
+	}
+	_ = s.cfg.Clock.Sleep(s.life, lingerTime)
+	_ = s.cfg.Listener.Close()
+	s.end()
+}
+
+// lingerTime is how long a stopping sidecar serves after its last run.
+const lingerTime = 200 * time.Millisecond
+
+// Update takes news from control.
+func (s *Sidecar) Update(update *wire.Update, set *record.Set) {
+	now := s.cfg.Clock.Now()
+	for _, d := range update.GetDigests() {
+		s.settle(s.admitted.SetDigest(now, digest.Digest{
+			Pool:     digest.PoolName(d.GetPool()),
+			Targets:  int(d.GetTargets()),
+			Requests: int(d.GetRequests()),
+			Tokens:   ident.Tokens(d.GetTokens()),
+			At:       now.Add(-time.Duration(d.GetAgeMs()) * time.Millisecond),
+			Stamp:    d.GetStamp(),
+		}))
+	}
+	if update.GetVerdictsSet() {
+		s.poisoned.Replace(verdictsOf(update.GetVerdicts()))
+	}
+	if set.Revision() > 0 {
+		s.setLeaving(now, set.Leaving(s.cfg.Name))
+	}
+}
+
+func (s *Sidecar) setLeaving(now time.Time, leaving bool) {
+	leaving = leaving || s.stopping.Load()
+	s.leaving.Store(leaving)
+	s.settle(s.admitted.SetLeaving(now, leaving))
+}
+
 // ServeCall implements link.Handler.
 func (s *Sidecar) ServeCall(ctx context.Context, call *wire.Call, stream *link.Stream) {
 	switch body := call.GetBody().(type) {
 	case *wire.Call_Submit:
-		s.serveSubmit(ctx, call, body.Submit, stream)
+		s.serveSubmit(call, body.Submit, stream)
+	case *wire.Call_Tombstone:
+		_ = stream.Send(s.bury(body.Tombstone))
 	case *wire.Call_Probe:
-		_ = stream.Send(&wire.ProbeReply{Load: s.load(), Target: string(s.cfg.Name)})
+		_ = stream.Send(&wire.ProbeReply{Load: s.Load(), Target: string(s.cfg.Name), Revision: uint64(s.revision())})
+	case *wire.Call_Drain:
+		s.setLeaving(s.cfg.Clock.Now(), body.Drain.GetLeaving())
+		_ = stream.Send(&wire.DrainReply{Load: s.Load()})
+	case *wire.Call_Watch:
+		s.serveRecords(call, stream)
+	case *wire.Call_Push:
+		s.takePush(body.Push, stream)
 	}
+	_ = ctx
 }
 
-func (s *Sidecar) load() *wire.Load {
+// bury answers whether an attempt will never run.
+func (s *Sidecar) bury(tombstone *wire.Tombstone) *wire.TombstoneReply {
+	reply := &wire.TombstoneReply{Incarnation: uint64(s.cfg.Incarnation)}
+	if tombstone.GetIncarnation() == reply.Incarnation {
+		reply.Buried = s.attempts.Bury(s.cfg.Clock.Now(), ident.AttemptID(tombstone.GetAttempt()))
+	}
+	return reply
+}
+
+// serveRecords sends a router that is behind what it lacks.
+func (s *Sidecar) serveRecords(call *wire.Call, stream *link.Stream) {
+	if f := s.follower.Load(); f != nil && uint64(f.Set().Revision()) > call.GetRevision() {
+		_ = stream.Send(watch.Encode(f.Set().Full()))
+		return
+	}
+	_ = stream.Send(new(wire.Update))
+}
+
+// takePush takes records from a router that is ahead.
+func (s *Sidecar) takePush(update *wire.Update, stream *link.Stream) {
+	if f := s.follower.Load(); f != nil {
+		_ = f.Take(update)
+	}
+	_ = stream.Send(&wire.PushReply{Revision: uint64(s.revision())})
+}
+
+func (s *Sidecar) revision() ident.Revision {
+	if f := s.follower.Load(); f != nil {
+		return f.Set().Revision()
+	}
+	return 0
+}
+
+// Load returns the target's load for replies and reports.
+func (s *Sidecar) Load() *wire.Load {
+	load := s.admitted.Load()
 	return &wire.Load{
-		Requests:    uint32(s.running.Load()),
+		Requests:    uint32(load.Requests),
+		Tokens:      uint64(load.Tokens),
+		Queued:      uint32(load.Queued),
 		Incarnation: uint64(s.cfg.Incarnation),
+		Leaving:     s.leaving.Load(),
+	}
+}
+
+// broken notes an invariant that does not hold.
+func (s *Sidecar) broken(err error) {
+	_ = level.Error(s.cfg.Logger).Log("msg", "invariant broken", "target", s.cfg.Name, "err", err)
+}
+
+func verdictsOf(verdicts []*wire.CrashVerdict) []poison.Change {
+	changes := make([]poison.Change, 0, len(verdicts))
+	for _, v := range verdicts {
+		changes = append(changes, poison.Change{
+			Fingerprint: ident.Fingerprint(v.GetFingerprint()),
+			Verdict:     poison.Verdict(v.GetVerdict()),
+		})
 	}
+	return changes
 }
--- a/internal/process/side/submit.go
+++ b/internal/process/side/submit.go
@@ -4,89 +4,184 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"net/http"
+	"time"
 
 	"cactusline.dev/cactusline/internal/conn/link"
 	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/request/admit"
+	"cactusline.dev/cactusline/internal/request/replay"
+	"cactusline.dev/cactusline/internal/version/ident"
 )
 
-const answerChunkBytes = 32 << 10
-
-// serveSubmit runs one attempt at the target and relays its answer.
-func (s *Sidecar) serveSubmit(ctx context.Context, call *wire.Call, submit *wire.Submit, stream *link.Stream) {
-	s.running.Add(1)
-	defer s.running.Add(-1)
-	ctx, cancel := context.WithCancel(ctx)
+// serveSubmit runs an attempt, or joins one that runs already, and relays its
+// answer.
+func (s *Sidecar) serveSubmit(call *wire.Call, submit *wire.Submit, stream *link.Stream) {
+	out := &answer{stream: stream, attempt: submit.GetAttempt(), offset: submit.GetResumeOffset(), revision: s.revision}
+	ctx, cancel := context.WithCancel(s.life)
 	defer cancel()
-	go awaitCancel(stream, cancel)
-	answer := &answer{stream: stream, attempt: submit.GetAttempt()}
-	resp, err := s.target.do(ctx, submit, call.GetTraceParent())
-	if notSent(err) {
-		_ = answer.refuse(&wire.Refusal{
-			Reason: wire.RefusalReason_REFUSAL_REASON_TARGET_DOWN,
-			Detail: err.Error(),
-			Load:   s.load(),
-		})
+	watcher := &callerWatch{stream: stream, cancel: cancel}
+	go watcher.wait()
+	if refusal := s.unfit(call, submit); refusal != nil {
+		_ = out.refuse(refusal)
 		return
 	}
-	if err != nil {
-		_ = answer.end(&wire.End{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Error: err.Error(), TargetCrashed: crashed(ctx, err)})
+	if submit.GetJoin() {
+		s.join(ctx, submit, out, watcher)
 		return
 	}
-	defer func() { _ = resp.Body.Close() }()
-	s.relay(ctx, resp, answer)
+	id := ident.AttemptID(submit.GetAttempt())
+	switch s.attempts.Begin(s.cfg.Clock.Now(), id) {
+	case replay.VerdictRun:
+		s.begin(ctx, call, submit, out, watcher)
+	case replay.VerdictJoin:
+		s.join(ctx, submit, out, watcher)
+	case replay.VerdictBuried:
+		_ = out.refuse(&wire.Refusal{Reason: wire.RefusalReason_REFUSAL_REASON_TOMBSTONED, Load: s.Load()})
+	default:
+		_ = out.refuse(&wire.Refusal{Reason: wire.RefusalReason_REFUSAL_REASON_OVERLOADED, Load: s.Load()})
+	}
+}
+
+// unfit returns why an attempt may not even be looked at, nil if it may.
+func (s *Sidecar) unfit(call *wire.Call, submit *wire.Submit) *wire.Refusal {
+	reason := wire.RefusalReason_REFUSAL_REASON_UNSPECIFIED
+	incarnation := submit.GetIncarnation()
+	switch {
+	case submit.GetOnce() && submit.GetLedgerKey() != "" && incarnation != uint64(s.cfg.Incarnation),
+		submit.GetJoin() && incarnation != 0 && incarnation != uint64(s.cfg.Incarnation):
+		reason = wire.RefusalReason_REFUSAL_REASON_INCARNATION
+	case submit.GetJoin():
+		return nil
+	case call.GetRevision() < uint64(s.revision()):
+		reason = wire.RefusalReason_REFUSAL_REASON_STALE_REVISION
+	case s.poisoned.Blocked(ident.Fingerprint(submit.GetFingerprint())):
+		reason = wire.RefusalReason_REFUSAL_REASON_QUARANTINED
+	default:
+		return nil
+	}
+	return &wire.Refusal{Reason: reason, Load: s.Load()}
 }
 
-// relay copies the target's answer to the router.
-func (s *Sidecar) relay(ctx context.Context, resp *http.Response, answer *answer) {
-	if err := answer.head(resp, s.load()); err != nil {
+// begin admits an attempt and starts it.
+func (s *Sidecar) begin(ctx context.Context, call *wire.Call, submit *wire.Submit, out *answer, watcher *callerWatch) {
+	id := ident.AttemptID(submit.GetAttempt())
+	decision := s.offer(ctx, s.work(submit))
+	if decision.Kind != admit.Admitted {
+		s.attempts.Withdraw(s.cfg.Clock.Now(), id)
+		_ = out.refuse(s.refusalOf(decision))
 		return
 	}
+	s.start(call, submit)
+	s.join(ctx, submit, out, watcher)
+}
+
+// work is what admission sees of an attempt.
+func (s *Sidecar) work(submit *wire.Submit) admit.Work {
+	work := admit.Work{
+		Attempt:  ident.AttemptID(submit.GetAttempt()),
+		Customer: ident.CustomerName(submit.GetCustomer()),
+		Chat:     ident.ChatKey(submit.GetChat()),
+		Tokens:   ident.Tokens(submit.GetPromptTokens()) + ident.Tokens(submit.GetOutputTokens()),
+		Moved:    submit.GetMoved(),
+		Weight:   submit.GetWeight(),
+		Priority: submit.GetPriority(),
+		Final:    submit.GetFinal(),
+	}
+	if submit.GetTimeoutMs() > 0 {
+		work.Deadline = s.cfg.Clock.Now().Add(time.Duration(submit.GetTimeoutMs()) * time.Millisecond)
+	}
+	return work
+}
+
+// reasons maps admission's reasons to those of the frames.
+var reasons = [...]wire.RefusalReason{
+	admit.Overloaded: wire.RefusalReason_REFUSAL_REASON_OVERLOADED,
+	admit.Leaving:    wire.RefusalReason_REFUSAL_REASON_LEAVING,
+	admit.Moved:      wire.RefusalReason_REFUSAL_REASON_MOVED,
+	admit.Deadline:   wire.RefusalReason_REFUSAL_REASON_DEADLINE,
+	admit.Down:       wire.RefusalReason_REFUSAL_REASON_TARGET_DOWN,
+	admit.Invalid:    wire.RefusalReason_REFUSAL_REASON_INVALID,
+}
+
+func (s *Sidecar) refusalOf(decision admit.Decision) *wire.Refusal {
+	refusal := &wire.Refusal{
+		RetryAfterMs:  uint32(decision.RetryAfter.Milliseconds()),
+		Load:          s.Load(),
+		Forward:       string(decision.Forward.Target),
+		ForwardTokens: uint32(decision.Forward.Tokens),
+	}
+	if int(decision.Reason) < len(reasons) {
+		refusal.Reason = reasons[decision.Reason]
+	}
+	return refusal
+}
+
+// join relays the answer of an attempt that was begun, from an offset on.
+func (s *Sidecar) join(ctx context.Context, submit *wire.Submit, out *answer, watcher *callerWatch) {
+	id := ident.AttemptID(submit.GetAttempt())
+	reader := s.runs.attach(id)
+	defer func() { s.detach(reader, watcher.cancelled.Load()) }()
 	buffer := make([]byte, answerChunkBytes)
+	headSent := false
 	for {
-		n, err := resp.Body.Read(buffer)
-		if n > 0 {
-			if sendErr := answer.data(buffer[:n]); sendErr != nil {
+		read, err := s.attempts.ReadFrom(id, out.offset, buffer)
+		if err != nil {
+			s.relayGone(id, out, err)
+			return
+		}
+		if read.Head != nil && !headSent {
+			headSent = true
+			if out.head(read.Head) != nil {
 				return
 			}
 		}
-		if errors.Is(err, io.EOF) {
-			_ = answer.end(&wire.End{Outcome: wire.Outcome_OUTCOME_RAN, Load: s.load()})
+		if read.Size > 0 && out.data(buffer[:read.Size]) != nil {
 			return
 		}
-		if err != nil {
-			_ = answer.end(&wire.End{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Error: err.Error(), TargetCrashed: crashed(ctx, err)})
+		reader.at(out.offset)
+		if read.End != nil {
+			_ = out.end(read.End, s.Load())
+			return
+		}
+		if read.Notify == nil {
+			continue
+		}
+		select {
+		case <-read.Notify:
+		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// awaitCancel ends the attempt once the router says that its caller has gone
-// or the link breaks.
-func awaitCancel(stream *link.Stream, cancel context.CancelFunc) {
-	_ = stream.Receive(new(wire.Cancel))
-	cancel()
+// callerWatch reads what the router sends after its call: a Cancel, or the
+// end of the link.
+type callerWatch struct {
+	stream    *link.Stream
+	cancel    context.CancelFunc
+	cancelled flag
+}
+
+func (c *callerWatch) wait() {
+	if c.stream.Receive(new(wire.Cancel)) == nil {
+		c.cancelled.Store(true)
+	}
+	c.cancel()
 }
 
 // answer writes the replies of one attempt in order.
 type answer struct {
-	stream  *link.Stream
-	attempt string
-	offset  uint64
+	stream   *link.Stream
+	attempt  string
+	offset   uint64
+	revision func() ident.Revision
 }
 
 func (a *answer) refuse(refusal *wire.Refusal) error {
 	return a.send(&wire.Reply{Body: &wire.Reply_Refusal{Refusal: refusal}})
 }
 
-func (a *answer) head(resp *http.Response, load *wire.Load) error {
-	head := &wire.Head{Status: int32(resp.StatusCode), Load: load}
-	for name, values := range resp.Header {
-		for _, value := range values {
-			head.Headers = append(head.Headers, &wire.Header{Name: name, Value: value})
-		}
-	}
+func (a *answer) head(head *wire.Head) error {
 	return a.send(&wire.Reply{Body: &wire.Reply_Head{Head: head}})
 }
 
@@ -98,14 +193,39 @@
 	return nil
 }
 
-func (a *answer) end(end *wire.End) error {
-	end.Length = a.offset
-	return a.send(&wire.Reply{Body: &wire.Reply_End{End: end}})
+func (a *answer) end(end *wire.End, load *wire.Load) error {
+	return a.send(&wire.Reply{Body: &wire.Reply_End{End: &wire.End{
+		Length:        end.GetLength(),
+		Outcome:       end.GetOutcome(),
+		Error:         end.GetError(),
+		TargetCrashed: end.GetTargetCrashed(),
+		Load:          load,
+	}}})
+}
+
+// relayGone ends the relay of an answer that is not there. An attempt that
+// was withdrawn, or was never seen here, did not run; one whose bytes are no
+// longer kept did.
+func (s *Sidecar) relayGone(id ident.AttemptID, out *answer, err error) {
+	refusal := &wire.Refusal{Detail: err.Error(), Load: s.Load()}
+	var unseen *replay.UnseenError
+	switch {
+	case errors.As(err, &unseen):
+		refusal.Reason = wire.RefusalReason_REFUSAL_REASON_INCARNATION
+	case s.attempts.Bury(s.cfg.Clock.Now(), id):
+		refusal.Reason = wire.RefusalReason_REFUSAL_REASON_TARGET_DOWN
+	default:
+		end := &wire.End{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Error: err.Error(), Length: out.offset}
+		_ = out.end(end, s.Load())
+		return
+	}
+	_ = out.refuse(refusal)
 }
 
 func (a *answer) send(reply *wire.Reply) error {
 	reply.Attempt = a.attempt
 	reply.Offset = a.offset
+	reply.Revision = uint64(a.revision())
 	if err := a.stream.Send(reply); err != nil {
 		return fmt.Errorf("answer attempt %s: %w", a.attempt, err)
 	}
--- a/internal/process/side/target.go
+++ b/internal/process/side/target.go
@@ -83,7 +83,12 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
-// crashed reports whether err shows that the target broke off.
-func crashed(ctx context.Context, err error) bool {
-	return err != nil && ctx.Err() == nil && !notSent(err)
+// answers reports whether the target takes connections.
+func (t *targetClient) answers() bool {
+	conn, err := net.DialTimeout("tcp", t.base.Host, targetDialTimeout)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
 }
--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -38,6 +38,11 @@
 	events  chan event
 	done    chan struct{}
 
+	// sent counts the attempts that were not joins.
+	sent int
+	// forwarded is the target that the last refusal named, if any.
+	forwarded ident.TargetName
+
 	answer Answer
 	held   *Answer
 	result Result
@@ -105,6 +110,9 @@
 }
 
 func (x *exchange) step(ctx context.Context, e event) {
+	if e.Kind == tries.EventRefused {
+		x.forwarded = e.Forward
+	}
 	if e.held.Conflict {
 		x.result.Conflict = true
 	}
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -48,6 +48,11 @@
 	submit.Incarnation = uint64(action.Incarnation)
 	submit.ResumeOffset = action.Offset
 	submit.Join = action.Join
+	submit.Final = x.sent >= x.lastTry()
+	submit.Moved = action.Target == x.forwarded
+	if !action.Join {
+		x.sent++
+	}
 	return &wire.Call{
 		TraceParent: x.request.TraceParent,
 		Revision:    uint64(x.request.Revision()),
@@ -55,6 +60,15 @@
 	}
 }
 
+// lastTry returns how many attempts precede the last one.
+func (x *exchange) lastTry() int {
+	limit := x.request.Tries.MaxTries
+	if limit == 0 {
+		limit = tries.DefaultMaxTries
+	}
+	return min(limit, len(x.request.Candidates)) - 1
+}
+
 // cancel closes a stream. With Stop the sidecar is told that nobody wants the
 // answer; without, it sees a broken link.
 func (x *exchange) cancel(action *tries.Action) {
