Add the control shell, its hub and the start of the command line

Cause: the whole path needs control to take commands, vouch for the newest revision and feed the processes that watch it. The hub sends a follower's own stamp back only once a quorum barrier that began after the report has passed.

--- /dev/null
+++ b/internal/process/cmds/cmds.go
@@ -0,0 +1,95 @@
+// Package cmds is the command line: the roles of the fleet and the operator's
+// verbs, with their settings in flags and environment variables.
+package cmds
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kong"
+)
+
+// Exit codes.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1
+	ExitUsage    = 2
+	ExitNotFound = 3
+	ExitConflict = 4
+	ExitRefused  = 5
+)
+
+// commands is the whole command line.
+type commands struct {
+	LogLevel string `help:"Least level that is logged." enum:"debug,info,warn,error" default:"info"`
+
+	Router  RouterCommand  `cmd:"" help:"Take callers' requests and route them to targets."`
+	Sidecar SidecarCommand `cmd:"" help:"Guard one target: admit, run and account for its work."`
+	Control ControlCommand `cmd:"" help:"Replicate records, claims and orders."`
+	Dev     DevCommand     `cmd:"" help:"Run a whole small fleet with stand-in targets in one process."`
+	Engine  EngineCommand  `cmd:"" help:"Run a stand-in model engine, for trials."`
+	Service ServiceCommand `cmd:"" help:"Run a stand-in plain service, for trials."`
+	Version VersionCommand `cmd:"" help:"Print the program's version."`
+}
+
+// scope is what commands get to work with.
+type scope struct {
+	ctx    context.Context
+	stdout io.Writer
+	stderr io.Writer
+	level  string
+}
+
+// Main runs the command line and returns the exit code.
+func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	cli := new(commands)
+	exited := -1
+	parser, err := kong.New(cli,
+		kong.Name("cactusline"),
+		kong.Description("A router fleet for returning chats."),
+		kong.DefaultEnvars("CACTUSLINE"),
+		kong.Writers(stdout, stderr),
+		kong.Exit(func(code int) { exited = code }),
+		kong.UsageOnError(),
+	)
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, "cactusline:", err)
+		return ExitFailed
+	}
+	parsed, err := parser.Parse(args)
+	if exited >= 0 {
+		return exited
+	}
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, "cactusline:", err)
+		return ExitUsage
+	}
+	err = parsed.Run(&scope{ctx: ctx, stdout: stdout, stderr: stderr, level: cli.LogLevel})
+	return exitCode(err, stderr)
+}
+
+// codedError is an error with an exit code of its own.
+type codedError struct {
+	code int
+	err  error
+}
+
+// Error implements error.
+func (e *codedError) Error() string { return e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *codedError) Unwrap() error { return e.err }
+
+func exitCode(err error, stderr io.Writer) int {
+	if err == nil {
+		return ExitOK
+	}
+	_, _ = fmt.Fprintln(stderr, "cactusline:", err)
+	var coded *codedError
+	if errors.As(err, &coded) {
+		return coded.code
+	}
+	return ExitFailed
+}
--- /dev/null
+++ b/internal/process/ctrl/ctrl.go
@@ -0,0 +1,197 @@
+// Package ctrl is the control role: it takes the changes of operators and the
+// claims of routers to the replicated store, and tells every other process
+// what is in force.
+package ctrl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"google.golang.org/protobuf/proto"
+
+	"cactusline.dev/cactusline/internal/conn/link"
+	"cactusline.dev/cactusline/internal/conn/watch"
+	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/version/cmdpb"
+	"cactusline.dev/cactusline/internal/version/ident"
+	"cactusline.dev/cactusline/internal/version/record"
+)
+
+// Clock is what the package needs of a clock.
+type Clock interface {
+	Now() time.Time
+	After(d time.Duration) <-chan time.Time
+	Sleep(ctx context.Context, d time.Duration) error
+}
+
+// Log replicates entries over the control processes.
+type Log interface {
+	// Propose returns the result of entry once it is committed and applied.
+	Propose(ctx context.Context, entry []byte) ([]byte, error)
+	// Barrier returns once this process has applied all that was committed
+	// before the call.
+	Barrier(ctx context.Context) (uint64, error)
+}
+
+// Store is the replicated state.
+type Store interface {
+	// Since returns what changed above a revision.
+	Since(revision ident.Revision) record.Delta
+	// Set returns the records in force.
+	Set() *record.Set
+	// Changed returns a channel that is closed at the next change of the
+	// records or the verdicts.
+	Changed() <-chan struct{}
+	// Verdicts returns the requests that crash targets, and a number that
+	// rises when they change.
+	Verdicts() ([]*wire.CrashVerdict, uint64)
+}
+
+// Config makes a Control.
+type Config struct {
+	// VM is this process's.
+	VM ident.VMName
+	// Listener takes calls of other processes of the system.
+	Listener net.Listener
+	Clock    Clock
+	Logger   log.Logger
+	Log      Log
+	Store    Store
+	// Receive takes messages of the replicated log.
+	Receive func(from string, message []byte)
+	// Query answers questions other than those of this package.
+	Query func(ctx context.Context, query *wire.Query) *wire.QueryReply
+}
+
+// Control serves the other processes.
+type Control struct {
+	cfg    Config
+	hub    *hub
+	server *link.Server
+}
+
+// New returns a control process; Run starts it.
+func New(cfg Config) *Control {
+	c := &Control{cfg: cfg, hub: newHub(cfg)}
+	c.server = link.NewServer(c)
+	return c
+}
+
+// Run serves until ctx ends.
+func (c *Control) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = c.cfg.Listener.Close() })
+	defer stop()
+	go c.hub.confirm(ctx)
+	go c.hub.loads.run(ctx, c.cfg.Store.Set)
+	_ = level.Info(c.cfg.Logger).Log("msg", "control serves", "vm", c.cfg.VM, "address", c.cfg.Listener.Addr())
+	if err := c.server.Serve(ctx, c.cfg.Listener); err != nil {
+		return fmt.Errorf("serve calls: %w", err)
+	}
+	if err := c.server.Close(); err != nil {
+		return fmt.Errorf("close calls: %w", err)
+	}
+	return nil
+}
+
+// ServeCall implements link.Handler.
+func (c *Control) ServeCall(ctx context.Context, call *wire.Call, stream *link.Stream) {
+	switch body := call.GetBody().(type) {
+	case *wire.Call_Command:
+		_ = stream.Send(c.command(ctx, body.Command))
+	case *wire.Call_Watch:
+		c.serveWatch(ctx, call, body.Watch, stream)
+	case *wire.Call_Query:
+		_ = stream.Send(c.cfg.Query(ctx, body.Query))
+	case *wire.Call_Peer:
+		c.servePeer(body.Peer, stream)
+	case *wire.Call_Probe:
+		_ = stream.Send(&wire.ProbeReply{Revision: uint64(c.cfg.Store.Set().Revision())})
+	}
+}
+
+// command stamps a command with the time and proposes it.
+func (c *Control) command(ctx context.Context, command *wire.Command) *wire.CommandReply {
+	entry, err := Stamp(c.cfg.Clock.Now(), command.GetEntry())
+	if err != nil {
+		return &wire.CommandReply{Error: err.Error()}
+	}
+	result, err := c.cfg.Log.Propose(ctx, entry)
+	if err == nil {
+		return &wire.CommandReply{Result: result}
+	}
+	return failure(err)
+}
+
+// Leader is an error that says where the leader is.
+type Leader interface {
+	error
+	// LeaderAddress returns the leader's host:port, empty if unknown.
+	LeaderAddress() string
+}
+
+// failure words an entry that was not committed, as far as is known.
+func failure(err error) *wire.CommandReply {
+	reply := &wire.CommandReply{Error: err.Error()}
+	var elsewhere Leader
+	if errors.As(err, &elsewhere) {
+		reply.Leader = elsewhere.LeaderAddress()
+		reply.Retry = true
+		return reply
+	}
+	reply.Unknown = true
+	return reply
+}
+
+// Stamp sets the time of an encoded command, so that every replica applies it
+// at the same time.
+func Stamp(now time.Time, entry []byte) ([]byte, error) {
+	command := new(cmdpb.Command)
+	if err := proto.Unmarshal(entry, command); err != nil {
+		return nil, fmt.Errorf("decode command: %w", err)
+	}
+	command.Time = now.UnixNano()
+	stamped, err := proto.Marshal(command)
+	if err != nil {
+		return nil, fmt.Errorf("encode command: %w", err)
+	}
+	return stamped, nil
+}
+
+// servePeer passes on the messages of another control process.
+func (c *Control) servePeer(peer *wire.Peer, stream *link.Stream) {
+	for {
+		message := new(wire.PeerMessage)
+		if stream.Receive(message) != nil {
+			return
+		}
+		c.cfg.Receive(peer.GetFrom(), message.GetData())
+	}
+}
+
+// serveWatch keeps one process at the newest revision.
+func (c *Control) serveWatch(ctx context.Context, call *wire.Call, first *wire.Watch, stream *link.Stream) {
+	if first.GetOnce() {
+		_ = stream.Send(watch.Encode(c.cfg.Store.Since(ident.Revision(call.GetRevision()))))
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w := c.hub.join(first, ident.Revision(call.GetRevision()))
+	defer c.hub.leave(w)
+	go func() {
+		defer cancel()
+		for {
+			report := new(wire.Watch)
+			if stream.Receive(report) != nil {
+				return
+			}
+			c.hub.take(w, report)
+		}
+	}()
+	c.hub.feed(ctx, w, stream)
+}
--- /dev/null
+++ b/internal/process/ctrl/hub.go
@@ -0,0 +1,211 @@
+package ctrl
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"cactusline.dev/cactusline/internal/conn/link"
+	"cactusline.dev/cactusline/internal/conn/watch"
+	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/version/ident"
+)
+
+const (
+	// confirmInterval is how often a quorum confirms the newest revision.
+	confirmInterval = 500 * time.Millisecond
+	confirmTimeout  = time.Second
+	// maxStamps bounds the reports of one watcher that wait for a quorum.
+	maxStamps = 8
+)
+
+// hub feeds the processes that watch this one.
+type hub struct {
+	cfg   Config
+	loads *loads
+
+	mu       sync.Mutex
+	watchers map[*watcher]struct{}
+	// confirmed is closed when a quorum has confirmed the newest revision.
+	confirmed chan struct{}
+	// since is when the last confirmed barrier began.
+	since time.Time
+}
+
+// watcher is one process that watches.
+type watcher struct {
+	mu       sync.Mutex
+	report   *wire.Watch
+	sent     ident.Revision
+	verdicts uint64
+	// stamps are reports that no barrier has followed yet, oldest first.
+	stamps []stamp
+	echoed int64
+	digest uint64
+}
+
+type stamp struct {
+	value    int64
+	received time.Time
+}
+
+func newHub(cfg Config) *hub {
+	return &hub{
+		cfg:       cfg,
+		loads:     newLoads(cfg.Clock),
+		watchers:  make(map[*watcher]struct{}),
+		confirmed: make(chan struct{}),
+	}
+}
+
+func (h *hub) join(first *wire.Watch, revision ident.Revision) *watcher {
+	w := &watcher{sent: revision}
+	h.take(w, first)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.watchers[w] = struct{}{}
+	return w
+}
+
+func (h *hub) leave(w *watcher) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.watchers, w)
+}
+
+// take notes what a watcher reports.
+func (h *hub) take(w *watcher, report *wire.Watch) {
+	now := h.cfg.Clock.Now()
+	if report.GetTarget() != "" {
+		h.loads.set(ident.TargetName(report.GetTarget()), report.GetLoad())
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.report = report
+	if len(w.stamps) < maxStamps {
+		w.stamps = append(w.stamps, stamp{value: report.GetStamp(), received: now})
+	}
+}
+
+// echo returns the newest stamp that came before since, 0 if there is no new
+// one.
+func (w *watcher) echo(since time.Time) int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	kept := w.stamps[:0]
+	var newest int64
+	for _, s := range w.stamps {
+		if s.received.Before(since) {
+			newest = s.value
+			continue
+		}
+		kept = append(kept, s)
+	}
+	w.stamps = kept
+	return newest
+}
+
+// confirm asks a quorum at each interval whether the records are the newest.
+func (h *hub) confirm(ctx context.Context) {
+	for ctx.Err() == nil {
+		began := h.cfg.Clock.Now()
+		if h.barrier(ctx) == nil {
+			h.mu.Lock()
+			h.since = began
+			close(h.confirmed)
+			h.confirmed = make(chan struct{})
+			h.mu.Unlock()
+		}
+		_ = h.cfg.Clock.Sleep(ctx, confirmInterval)
+	}
+}
+
+func (h *hub) barrier(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	_, err := h.cfg.Log.Barrier(ctx)
+	return err
+}
+
+func (h *hub) confirmation() (time.Time, <-chan struct{}) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.since, h.confirmed
+}
+
+// feed sends a watcher what is new until ctx ends.
+func (h *hub) feed(ctx context.Context, w *watcher, stream *link.Stream) {
+	for {
+		changed := h.cfg.Store.Changed()
+		since, confirmed := h.confirmation()
+		digests := h.loads.changed()
+		if update := h.news(w, since); update != nil {
+			if stream.Send(update) != nil {
+				return
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-confirmed:
+		case <-digests:
+		}
+	}
+}
+
+// news returns what a watcher has not been sent yet, nil if there is nothing.
+// The confirmation is read before the records, so that it never vouches for
+// older ones than it confirmed.
+func (h *hub) news(w *watcher, since time.Time) *wire.Update {
+	update := new(wire.Update)
+	some := false
+	if h.cfg.Store.Set().Revision() > w.sent {
+		update = watch.Encode(h.cfg.Store.Since(w.sent))
+		w.sent = ident.Revision(update.GetRevision())
+		some = true
+	}
+	if verdicts, number := h.cfg.Store.Verdicts(); number != w.verdicts {
+		update.Verdicts = verdicts
+		update.VerdictsSet = true
+		w.verdicts = number
+		some = true
+	}
+	if echo := w.echo(since); echo != 0 {
+		update.Echo = echo
+		some = true
+	}
+	if digests, number := h.loads.digests(); number != w.digest {
+		update.Digests = h.wanted(w, digests)
+		w.digest = number
+		some = some || len(update.GetDigests()) > 0
+	}
+	if !some {
+		return nil
+	}
+	return update
+}
+
+// wanted returns the digests that matter to a watcher: a sidecar's own pools,
+// or all of them.
+func (h *hub) wanted(w *watcher, digests []*wire.LoadDigest) []*wire.LoadDigest {
+	w.mu.Lock()
+	name := ident.TargetName(w.report.GetTarget())
+	w.mu.Unlock()
+	if name == "" {
+		return digests
+	}
+	target, ok := h.cfg.Store.Set().Target(name)
+	if !ok {
+		return nil
+	}
+	var own []*wire.LoadDigest
+	for _, pool := range poolsOf(target) {
+		for _, d := range digests {
+			if d.GetPool() == pool {
+				own = append(own, d)
+			}
+		}
+	}
+	return own
+}
--- a/internal/process/router/chat.go
+++ b/internal/process/router/chat.go
@@ -152,9 +152,6 @@
 	for _, candidate := range chosen {
 		candidates = append(candidates, tries.Candidate{Target: candidate.Target, Reason: candidate.Reason.String()})
 	}
-	if home, ok := c.pool.ranking.Home(c.query); ok {
-		c.submit.Home = string(home.Target)
-	}
 	return candidates
 }
 
--- /dev/null
+++ b/internal/process/router/ledger.go
@@ -0,0 +1,148 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"cactusline.dev/cactusline/internal/conn/remote"
+	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/request/relay"
+	"cactusline.dev/cactusline/internal/request/tries"
+	"cactusline.dev/cactusline/internal/version/cmdpb"
+	"cactusline.dev/cactusline/internal/version/ident"
+)
+
+// ledgerTimeout bounds one step of the ledger.
+const ledgerTimeout = 3 * time.Second
+
+// commandFormat is the format of the commands that this program writes.
+const commandFormat = 1
+
+// ledger asks control to claim, release and settle keys. It implements
+// relay.Ledger.
+type ledger struct {
+	control *remote.Client
+	process string
+}
+
+// Claim implements relay.Ledger.
+func (l *ledger) Claim(ctx context.Context, claim relay.Claim) relay.Held {
+	body := &cmdpb.Claim{
+		Customer:    string(claim.Key.Customer),
+		Key:         claim.Key.Name,
+		Fingerprint: uint64(claim.Fingerprint),
+		Request:     string(claim.Request),
+		Attempt:     string(claim.Attempt),
+		Target:      string(claim.Target),
+		Incarnation: uint64(claim.Incarnation),
+	}
+	if claim.Replaces != "" {
+		body.Replaces = &cmdpb.Proof{
+			Kind:        cmdpb.ProofKind_PROOF_KIND_TOMBSTONE,
+			Attempt:     string(claim.Replaces),
+			Incarnation: uint64(claim.ReplacesIncarnation),
+		}
+	}
+	result, err := l.command(ctx, &cmdpb.Command{Body: &cmdpb.Command_Claim{Claim: body}})
+	if err != nil {
+		return relay.Held{Event: tries.Event{Kind: tries.EventLedgerUnknown}}
+	}
+	return heldOf(result)
+}
+
+// Release implements relay.Ledger.
+func (l *ledger) Release(ctx context.Context, key relay.Key, attempt ident.AttemptID, incarnation ident.Incarnation) relay.Held {
+	result, err := l.command(ctx, &cmdpb.Command{Body: &cmdpb.Command_Release{Release: &cmdpb.Release{
+		Customer: string(key.Customer),
+		Key:      key.Name,
+		Proof: &cmdpb.Proof{
+			Kind:        cmdpb.ProofKind_PROOF_KIND_REFUSED,
+			Attempt:     string(attempt),
+			Incarnation: uint64(incarnation),
+		},
+	}}})
+	if err != nil || result.GetStatus() != cmdpb.Status_STATUS_OK {
+		return relay.Held{Event: tries.Event{Kind: tries.EventLedgerUnknown}}
+	}
+	return relay.Held{Event: tries.Event{Kind: tries.EventLedgerReleased, Attempt: attempt}}
+}
+
+// Settle implements relay.Ledger.
+func (l *ledger) Settle(ctx context.Context, key relay.Key, attempt ident.AttemptID, outcome wire.Outcome, answer *relay.Answer) {
+	body := &cmdpb.Settle{
+		Customer: string(key.Customer),
+		Key:      key.Name,
+		Attempt:  string(attempt),
+		Unknown:  outcome != wire.Outcome_OUTCOME_RAN,
+	}
+	if answer != nil {
+		body.Answer = &cmdpb.Answer{Status: int32(answer.Status), Body: answer.Body}
+		for _, h := range answer.Headers {
+			body.Answer.Headers = append(body.Answer.Headers, &cmdpb.HeaderField{Name: h.GetName(), Value: h.GetValue()})
+		}
+	}
+	_, _ = l.command(ctx, &cmdpb.Command{Body: &cmdpb.Command_Settle{Settle: body}})
+}
+
+// command proposes one command and returns its result.
+func (l *ledger) command(ctx context.Context, command *cmdpb.Command) (*cmdpb.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
+	defer cancel()
+	command.Format = commandFormat
+	command.Actor = l.process
+	entry, err := proto.Marshal(command)
+	if err != nil {
+		return nil, fmt.Errorf("encode command: %w", err)
+	}
+	reply, err := l.control.Command(ctx, entry, "")
+	if err != nil {
+		return nil, fmt.Errorf("command: %w", err)
+	}
+	result := new(cmdpb.Result)
+	if err := proto.Unmarshal(reply, result); err != nil {
+		return nil, fmt.Errorf("decode result: %w", err)
+	}
+	return result, nil
+}
+
+// heldOf turns what the ledger says of a key into an event.
+func heldOf(result *cmdpb.Result) relay.Held {
+	entry := result.GetEntry()
+	event := tries.Event{
+		Attempt:     ident.AttemptID(entry.GetAttempt()),
+		Target:      ident.TargetName(entry.GetTarget()),
+		Incarnation: ident.Incarnation(entry.GetIncarnation()),
+	}
+	switch entry.GetState() {
+	case cmdpb.EntryState_ENTRY_STATE_GRANTED:
+		event.Kind = tries.EventLedgerClaimed
+	case cmdpb.EntryState_ENTRY_STATE_RUNNING:
+		event.Kind = tries.EventLedgerHeld
+	case cmdpb.EntryState_ENTRY_STATE_SETTLED:
+		return recordedOf(event, entry.GetAnswer())
+	case cmdpb.EntryState_ENTRY_STATE_UNKNOWN, cmdpb.EntryState_ENTRY_STATE_EXPIRED:
+		event.Kind = tries.EventLedgerAnswer
+		event.Outcome = wire.Outcome_OUTCOME_UNKNOWN
+	case cmdpb.EntryState_ENTRY_STATE_MISMATCH:
+		event.Kind = tries.EventLedgerUnknown
+		return relay.Held{Event: event, Conflict: true}
+	default:
+		event.Kind = tries.EventLedgerUnknown
+	}
+	return relay.Held{Event: event}
+}
+
+// recordedOf returns the answer that the ledger kept.
+func recordedOf(event tries.Event, kept *cmdpb.Answer) relay.Held {
+	event.Kind = tries.EventLedgerAnswer
+	event.Outcome = wire.Outcome_OUTCOME_RAN
+	event.Status = int(kept.GetStatus())
+	answer := &relay.Answer{Status: int(kept.GetStatus()), Body: kept.GetBody()}
+	for _, h := range kept.GetHeaders() {
+		answer.Headers = append(answer.Headers, &wire.Header{Name: h.GetName(), Value: h.GetValue()})
+	}
+	return relay.Held{Event: event, Answer: answer}
+}
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -97,7 +97,7 @@
 		Clock:            cfg.Clock,
 		Links:            cfg.Link,
 		Directory:        r.view,
-		Ledger:           &ledger{control: cfg.Control, clock: cfg.Clock},
+		Ledger:           &ledger{control: cfg.Control, process: cfg.Process},
 		MaxRecordedBytes: DefaultRecordedLimit,
 	}
 	return r
--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -38,6 +38,8 @@
 	events  chan event
 	done    chan struct{}
 
+	// incarnations are those under which attempts were claimed or buried.
+	incarnations map[ident.AttemptID]ident.Incarnation
 	// sent counts the attempts that were not joins.
 	sent int
 	// forwarded is the target that the last refusal named, if any.
@@ -66,6 +68,8 @@
 		machine: tries.New(request.Tries),
 		events:  make(chan event, eventBacklog),
 		done:    make(chan struct{}),
+
+		incarnations: make(map[ident.AttemptID]ident.Incarnation),
 	}
 	defer close(x.done)
 	// The calls outlive the caller: what is not idempotent is seen through.
--- a/internal/request/relay/ledger.go
+++ b/internal/request/relay/ledger.go
@@ -13,21 +13,24 @@
 }
 
 func (x *exchange) claim(ctx context.Context, action *tries.Action) {
+	x.incarnations[action.Attempt] = action.Incarnation
 	claim := Claim{
-		Key:         x.key(),
-		Request:     x.request.Tries.Request,
-		Attempt:     action.Attempt,
-		Target:      action.Target,
-		Incarnation: action.Incarnation,
-		Replaces:    action.Replaces,
-		Fingerprint: x.request.Fingerprint,
+		Key:                 x.key(),
+		Request:             x.request.Tries.Request,
+		Attempt:             action.Attempt,
+		Target:              action.Target,
+		Incarnation:         action.Incarnation,
+		Replaces:            action.Replaces,
+		ReplacesIncarnation: x.incarnations[action.Replaces],
+		Fingerprint:         x.request.Fingerprint,
 	}
 	go func() { x.postHeld(x.cfg.Ledger.Claim(ctx, claim)) }()
 }
 
 func (x *exchange) release(ctx context.Context, action *tries.Action) {
 	attempt := action.Attempt
-	go func() { x.postHeld(x.cfg.Ledger.Release(ctx, x.key(), attempt)) }()
+	incarnation := x.incarnations[attempt]
+	go func() { x.postHeld(x.cfg.Ledger.Release(ctx, x.key(), attempt, incarnation)) }()
 }
 
 func (x *exchange) postHeld(held Held) {
@@ -48,6 +51,7 @@
 // bury asks the sidecar of an attempt to refuse it for ever.
 func (x *exchange) bury(ctx context.Context, action *tries.Action) {
 	attempt, target, incarnation := action.Attempt, action.Target, action.Incarnation
+	x.incarnations[attempt] = incarnation
 	go func() {
 		kind := x.askBury(ctx, attempt, target, incarnation)
 		x.post(event{Event: tries.Event{Kind: kind, Attempt: attempt, Target: target}})
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -45,7 +45,7 @@
 // Ledger holds the claims of requests that are not idempotent.
 type Ledger interface {
 	Claim(ctx context.Context, claim Claim) Held
-	Release(ctx context.Context, key Key, attempt ident.AttemptID) Held
+	Release(ctx context.Context, key Key, attempt ident.AttemptID, incarnation ident.Incarnation) Held
 	Settle(ctx context.Context, key Key, attempt ident.AttemptID, outcome wire.Outcome, answer *Answer)
 }
 
@@ -62,9 +62,11 @@
 	Attempt     ident.AttemptID
 	Target      ident.TargetName
 	Incarnation ident.Incarnation
-	// Replaces is an attempt whose claim is proved void, or empty.
-	Replaces    ident.AttemptID
-	Fingerprint ident.Fingerprint
+	// Replaces is an attempt whose claim is proved void, or empty, and
+	// ReplacesIncarnation that of the sidecar that proved it.
+	Replaces            ident.AttemptID
+	ReplacesIncarnation ident.Incarnation
+	Fingerprint         ident.Fingerprint
 }
 
 // Held is the ledger's reply, as an event for the state machine and, when the
--- /dev/null
+++ b/internal/version/record/once.go
@@ -0,0 +1,18 @@
+package record
+
+import "strings"
+
+// RunsOnce reports whether a call of the service may run at most once.
+func (s *Service) RunsOnce(method, path string) bool {
+	for _, pattern := range s.NotRepeatable {
+		wantMethod, wantPath, _ := strings.Cut(pattern, " ")
+		prefix, open := strings.CutSuffix(wantPath, "*")
+		if method != wantMethod {
+			continue
+		}
+		if path == wantPath || (open && strings.HasPrefix(path, prefix)) {
+			return true
+		}
+	}
+	return false
+}
