--- /dev/null
+++ b/internal/process/trace/trace_test.go
@@ -0,0 +1,66 @@
+package trace_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"go.opentelemetry.io/otel/attribute"
+	"gotest.tools/v3/assert"
+
+	"cactusline.dev/cactusline/internal/process/trace"
+)
+
+const (
+	incoming = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+	traceID  = "0af7651916cd43dd8448eb211c80319c"
+)
+
+func TestHopsShareATraceInTheFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "spans")
+	tracer, err := trace.New(context.Background(), trace.Config{File: path, Process: "r1", Role: "router"})
+	assert.NilError(t, err)
+	ctx, first := tracer.Start(context.Background(), incoming, "one", attribute.String("Model", "m"))
+	frame := trace.Parent(ctx)
+	assert.Assert(t, frame != incoming && strings.Contains(frame, traceID), frame)
+	_, second := tracer.Start(context.Background(), frame, "two")
+	second.End()
+	first.End()
+	assert.NilError(t, tracer.Close(context.Background()))
+	data, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	lines := bytes.Split(bytes.TrimSpace(data), []byte("\n"))
+	assert.Equal(t, len(lines), 2)
+	var span struct {
+		Name                string
+		SpanContext, Parent struct{ TraceID, SpanID string }
+	}
+	assert.NilError(t, json.Unmarshal(lines[0], &span))
+	assert.Equal(t, span.Name, "two")
+	assert.Equal(t, span.SpanContext.TraceID, traceID)
+	assert.Assert(t, strings.Contains(frame, span.Parent.SpanID))
+}
+
+func TestOffPassesContextOn(t *testing.T) {
+	tracer, err := trace.New(context.Background(), trace.Config{})
+	assert.NilError(t, err)
+	ctx, span := tracer.Start(context.Background(), incoming, "one")
+	assert.Assert(t, !span.IsRecording())
+	assert.Equal(t, trace.Parent(ctx), incoming)
+	ctx, _ = tracer.Start(context.Background(), "nonsense", "one")
+	assert.Equal(t, trace.Parent(ctx), "")
+}
+
+func BenchmarkOff(b *testing.B) {
+	tracer := trace.Off()
+	b.ReportAllocs()
+	for b.Loop() {
+		ctx, span := tracer.Start(context.Background(), incoming, "one")
+		_ = trace.Parent(ctx)
+		span.End()
+	}
+}
