--- /dev/null
+++ b/internal/process/cmds/sidecar.go
@@ -0,0 +1,94 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/url"
+
+	"google.golang.org/protobuf/proto"
+
+	"cactusline.dev/cactusline/internal/conn/remote"
+	"cactusline.dev/cactusline/internal/conn/watch"
+	"cactusline.dev/cactusline/internal/process/clock"
+	"cactusline.dev/cactusline/internal/process/side"
+	"cactusline.dev/cactusline/internal/version/cmdpb"
+	"cactusline.dev/cactusline/internal/version/ident"
+)
+
+// SidecarCommand runs a sidecar.
+type SidecarCommand struct {
+	Name    ident.TargetName `help:"The target's name, as in its record." required:""`
+	Target  *url.URL         `help:"Base URL of the target." required:""`
+	Listen  string           `help:"Address for routers." default:"127.0.0.1:9000"`
+	Control []string         `help:"Addresses of the control processes." required:""`
+}
+
+// Run implements the command.
+func (c *SidecarCommand) Run(s *scope) error {
+	logger, err := newLogger(s, "sidecar", string(c.Name))
+	if err != nil {
+		return err
+	}
+	listener, err := listen("listen", c.Listen)
+	if err != nil {
+		return err
+	}
+	links, control := newLinks(string(c.Name), c.Control)
+	defer func() { _ = links.Close() }()
+	incarnation, err := register(s.ctx, control, "sidecar/"+string(c.Name))
+	if err != nil {
+		return err
+	}
+	sidecar, err := side.New(side.Config{
+		Name:        c.Name,
+		Target:      c.Target,
+		Listener:    listener,
+		Clock:       clock.System{},
+		Logger:      logger,
+		Control:     control,
+		Incarnation: incarnation,
+		Seed:        rand.Uint64(),
+	})
+	if err != nil {
+		return fmt.Errorf("make sidecar: %w", err)
+	}
+	follower := watch.NewFollower(watch.Config{
+		Addresses: c.Control,
+		Link:      links,
+		Clock:     clock.System{},
+		Logger:    logger,
+		Process:   string(c.Name),
+		Role:      "sidecar",
+		Target:    string(c.Name),
+		Load:      sidecar.Load,
+		OnUpdate:  sidecar.Update,
+	})
+	sidecar.Follow(follower)
+	go follower.Run(s.ctx)
+	return sidecar.Run(s.ctx)
+}
+
+// register asks control for the incarnation of a process that starts.
+func register(ctx context.Context, control *remote.Client, process string) (ident.Incarnation, error) {
+	entry, err := proto.Marshal(&cmdpb.Command{
+		Format: 1,
+		Actor:  process,
+		Body:   &cmdpb.Command_Register{Register: &cmdpb.RegisterProcess{Process: process, Nonce: rand.Uint64()}},
+	})
+	if err != nil {
+		return 0, fmt.Errorf("encode registration: %w", err)
+	}
+	reply, err := control.Command(ctx, entry, "")
+	if err != nil {
+		return 0, fmt.Errorf("register %s: %w", process, err)
+	}
+	result := new(cmdpb.Result)
+	if err := proto.Unmarshal(reply, result); err != nil {
+		return 0, fmt.Errorf("decode registration: %w", err)
+	}
+	if result.GetStatus() != cmdpb.Status_STATUS_OK {
+		return 0, fmt.Errorf("register %s: %s", process, result.GetDetail())
+	}
+	return ident.Incarnation(result.GetIncarnation()), nil
+}
--- a/internal/process/ctrl/ctrl.go
+++ b/internal/process/ctrl/ctrl.go
@@ -17,6 +17,7 @@
 	"cactusline.dev/cactusline/internal/conn/link"
 	"cactusline.dev/cactusline/internal/conn/watch"
 	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/process/trace"
 	"cactusline.dev/cactusline/internal/version/cmdpb"
 	"cactusline.dev/cactusline/internal/version/ident"
 	"cactusline.dev/cactusline/internal/version/record"
@@ -60,6 +61,7 @@
 	Listener net.Listener
 	Clock    Clock
 	Logger   log.Logger
+	Tracer   *trace.Tracer
 	Log      Log
 	Store    Store
 	// Receive takes messages of the replicated log.
@@ -102,7 +104,9 @@
 func (c *Control) ServeCall(ctx context.Context, call *wire.Call, stream *link.Stream) {
 	switch body := call.GetBody().(type) {
 	case *wire.Call_Command:
+		ctx, span := c.cfg.Tracer.Start(ctx, call.GetTraceParent(), "control.command")
 		_ = stream.Send(c.command(ctx, body.Command))
+		span.End()
 	case *wire.Call_Watch:
 		c.serveWatch(ctx, call, body.Watch, stream)
 	case *wire.Call_Query:
--- a/internal/process/router/chat.go
+++ b/internal/process/router/chat.go
@@ -15,9 +15,7 @@
 const chatPath = "/v1/chat/completions"
 
 // serveChat answers a chat completion.
-func (r *Router) serveChat(w http.ResponseWriter, req *http.Request) {
-	id := r.requests.next()
-	w.Header().Set(headerRequest, string(id))
+func (r *Router) serveChat(w http.ResponseWriter, req *http.Request, id ident.RequestID) {
 	call, err := r.readChat(w, req, id)
 	if err != nil {
 		err.write(w, id)
@@ -35,7 +33,6 @@
 	tries    tries.Config
 	query    rank.Query
 	stream   bool
-	traceID  string
 }
 
 // readChat checks a chat completion and finds its pool.
--- a/internal/process/router/ledger.go
+++ b/internal/process/router/ledger.go
@@ -9,6 +9,7 @@
 
 	"cactusline.dev/cactusline/internal/conn/remote"
 	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/process/trace"
 	"cactusline.dev/cactusline/internal/request/relay"
 	"cactusline.dev/cactusline/internal/request/tries"
 	"cactusline.dev/cactusline/internal/version/cmdpb"
@@ -97,7 +98,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode command: %w", err)
 	}
-	reply, err := l.control.Command(ctx, entry, "")
+	reply, err := l.control.Command(ctx, entry, trace.Parent(ctx))
 	if err != nil {
 		return nil, fmt.Errorf("command: %w", err)
 	}
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -14,12 +14,14 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"go.opentelemetry.io/otel/attribute"
 
 	"cactusline.dev/cactusline/internal/conn/digest"
 	"cactusline.dev/cactusline/internal/conn/link"
 	"cactusline.dev/cactusline/internal/conn/remote"
 	"cactusline.dev/cactusline/internal/conn/watch"
 	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/process/trace"
 	"cactusline.dev/cactusline/internal/request/budget"
 	"cactusline.dev/cactusline/internal/request/poison"
 	"cactusline.dev/cactusline/internal/request/relay"
@@ -57,6 +59,8 @@
 	// Clock and Logger are required.
 	Clock  Clock
 	Logger log.Logger
+	// Tracer starts a span for each request and attempt; required.
+	Tracer *trace.Tracer
 	// Link carries the calls to sidecars and control.
 	Link *link.Client
 	// Control asks the control processes.
@@ -95,6 +99,7 @@
 	r.requests.prefix = cfg.Process
 	r.relay = relay.Config{
 		Clock:            cfg.Clock,
+		Tracer:           cfg.Tracer,
 		Links:            cfg.Link,
 		Directory:        r.view,
 		Ledger:           &ledger{control: cfg.Control, process: cfg.Process},
@@ -117,14 +122,27 @@
 // Handler returns the callers' interface.
 func (r *Router) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/chat/completions", r.serveChat)
+	mux.HandleFunc("POST /v1/chat/completions", r.traced(r.serveChat))
 	mux.HandleFunc("GET /v1/models", r.serveModels)
-	mux.HandleFunc("/services/{service}/{path...}", r.serveService)
+	mux.HandleFunc("/services/{service}/{path...}", r.traced(r.serveService))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", r.serveReady)
 	return mux
 }
 
+// traced gives each request an id and a span, which goes on from the caller's
+// trace if it sent one.
+func (r *Router) traced(serve func(http.ResponseWriter, *http.Request, ident.RequestID)) http.HandlerFunc {
+	return func(w http.ResponseWriter, req *http.Request) {
+		id := r.requests.next()
+		w.Header().Set(headerRequest, string(id))
+		ctx, span := r.cfg.Tracer.Start(req.Context(), req.Header.Get(trace.Header), "router.request",
+			attribute.String("request", string(id)))
+		defer span.End()
+		serve(w, req.WithContext(ctx), id)
+	}
+}
+
 // Run serves callers until ctx ends, then lets the requests in flight finish.
 func (r *Router) Run(ctx context.Context) error {
 	server := &http.Server{
--- a/internal/process/router/service.go
+++ b/internal/process/router/service.go
@@ -31,9 +31,7 @@
 }
 
 // serveService answers a call of a plain service.
-func (r *Router) serveService(w http.ResponseWriter, req *http.Request) {
-	id := r.requests.next()
-	w.Header().Set(headerRequest, string(id))
+func (r *Router) serveService(w http.ResponseWriter, req *http.Request, id ident.RequestID) {
 	c, failed := r.readService(w, req, id)
 	if failed != nil {
 		failed.write(w, id)
--- a/internal/process/side/run.go
+++ b/internal/process/side/run.go
@@ -9,7 +9,10 @@
 	"sync/atomic"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+
 	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/process/trace"
 	"cactusline.dev/cactusline/internal/version/ident"
 )
 
@@ -42,7 +45,10 @@
 
 // start runs an admitted attempt in the background.
 func (s *Sidecar) start(call *wire.Call, submit *wire.Submit) {
-	ctx, cancel := context.WithCancel(s.life)
+	ctx, span := s.cfg.Tracer.Start(s.life, call.GetTraceParent(), "sidecar.attempt",
+		attribute.String("request", submit.GetRequest()),
+		attribute.String("attempt", submit.GetAttempt()))
+	ctx, cancel := context.WithCancel(ctx)
 	r := &run{
 		id:          ident.AttemptID(submit.GetAttempt()),
 		fingerprint: ident.Fingerprint(submit.GetFingerprint()),
@@ -54,7 +60,8 @@
 	s.runs.add(r)
 	go func() {
 		defer cancel()
-		end := s.perform(ctx, call, submit, r)
+		defer span.End()
+		end := s.perform(ctx, submit, r)
 		s.runs.remove(r)
 		now := s.cfg.Clock.Now()
 		if end == nil {
@@ -68,8 +75,8 @@
 
 // perform sends the attempt to the target and keeps the answer. It returns
 // nil if the target never saw the attempt.
-func (s *Sidecar) perform(ctx context.Context, call *wire.Call, submit *wire.Submit, r *run) *wire.End {
-	resp, err := s.target.do(ctx, submit, call.GetTraceParent())
+func (s *Sidecar) perform(ctx context.Context, submit *wire.Submit, r *run) *wire.End {
+	resp, err := s.target.do(ctx, submit, trace.Parent(ctx))
 	if notSent(err) {
 		s.targetDown()
 		return nil
--- a/internal/process/side/side.go
+++ b/internal/process/side/side.go
@@ -21,6 +21,7 @@
 	"cactusline.dev/cactusline/internal/conn/remote"
 	"cactusline.dev/cactusline/internal/conn/watch"
 	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/process/trace"
 	"cactusline.dev/cactusline/internal/request/admit"
 	"cactusline.dev/cactusline/internal/request/poison"
 	"cactusline.dev/cactusline/internal/request/replay"
@@ -47,6 +48,8 @@
 	Clock Clock
 	// Logger is required.
 	Logger log.Logger
+	// Tracer starts a span for each attempt; required.
+	Tracer *trace.Tracer
 	// Control asks the control processes.
 	Control *remote.Client
 	// Incarnation is this start's number, unique for the target.
--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -19,8 +19,6 @@
 	Candidates []tries.Candidate
 	// Submit is the template of what the sidecars get.
 	Submit *wire.Submit
-	// TraceParent is the W3C trace context of the request's span.
-	TraceParent string
 	// Revision is the one under which the candidates were chosen.
 	Revision func() ident.Revision
 	// Fingerprint is that of the content.
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -9,6 +9,7 @@
 
 	"cactusline.dev/cactusline/internal/conn/link"
 	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/process/trace"
 	"cactusline.dev/cactusline/internal/request/tries"
 	"cactusline.dev/cactusline/internal/version/ident"
 )
@@ -111,6 +112,7 @@
 // Config is what all requests of a router share.
 type Config struct {
 	Clock     Clock
+	Tracer    *trace.Tracer
 	Links     Links
 	Directory Directory
 	Ledger    Ledger
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -5,10 +5,12 @@
 	"errors"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
 	"google.golang.org/protobuf/proto"
 
 	"cactusline.dev/cactusline/internal/conn/link"
 	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/process/trace"
 	"cactusline.dev/cactusline/internal/request/tries"
 	"cactusline.dev/cactusline/internal/version/ident"
 )
@@ -29,6 +31,9 @@
 
 // send submits an attempt on a stream of its own.
 func (x *exchange) send(ctx context.Context, action *tries.Action) {
+	ctx, span := x.cfg.Tracer.Start(ctx, "", "router.attempt",
+		attribute.String("attempt", string(action.Attempt)),
+		attribute.String("target", string(action.Target)))
 	ctx, cancel := context.WithCancel(ctx)
 	s := &attemptStream{
 		id:      action.Stream,
@@ -38,11 +43,14 @@
 		stop:    make(chan struct{}),
 	}
 	x.streams = append(x.streams, s)
-	call := x.call(action)
-	go x.run(ctx, s, call)
+	call := x.call(ctx, action)
+	go func() {
+		defer span.End()
+		x.run(ctx, s, call)
+	}()
 }
 
-func (x *exchange) call(action *tries.Action) *wire.Call {
+func (x *exchange) call(ctx context.Context, action *tries.Action) *wire.Call {
 	submit := proto.CloneOf(x.request.Submit)
 	submit.Attempt = string(action.Attempt)
 	submit.Incarnation = uint64(action.Incarnation)
@@ -54,7 +62,7 @@
 		x.sent++
 	}
 	return &wire.Call{
-		TraceParent: x.request.TraceParent,
+		TraceParent: trace.Parent(ctx),
 		Revision:    uint64(x.request.Revision()),
 		Body:        &wire.Call_Submit{Submit: submit},
 	}
