--- /dev/null
+++ b/internal/process/group/group_test.go
@@ -0,0 +1,263 @@
+package group_test
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cactusline.dev/cactusline/internal/process/clock"
+	"cactusline.dev/cactusline/internal/process/group"
+	"cactusline.dev/cactusline/internal/process/raft"
+	"cactusline.dev/cactusline/internal/process/walog"
+	"cactusline.dev/cactusline/internal/version/ident"
+)
+
+// counter adds up the entries that it applies.
+type counter struct {
+	mu    sync.Mutex
+	sum   uint64
+	delay time.Duration
+}
+
+func (c *counter) Apply(_ uint64, entry []byte) []byte {
+	if c.delay > 0 {
+		_ = clock.System{}.Sleep(context.Background(), c.delay)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sum += binary.BigEndian.Uint64(entry)
+	return binary.BigEndian.AppendUint64(nil, c.sum)
+}
+
+func (c *counter) Snapshot() ([]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return binary.BigEndian.AppendUint64(nil, c.sum), nil
+}
+
+func (c *counter) Restore(snapshot []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sum = binary.BigEndian.Uint64(snapshot)
+	return nil
+}
+
+func (c *counter) value() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sum
+}
+
+func add(n uint64) []byte { return binary.BigEndian.AppendUint64(nil, n) }
+
+// network joins the members of one test, with a delay for each message.
+type network struct {
+	t     *testing.T
+	delay time.Duration
+	mu    sync.Mutex
+	nodes map[ident.VMName]*group.Group
+	cut   map[ident.VMName]bool
+}
+
+func newNetwork(t *testing.T, delay time.Duration) *network {
+	return &network{t: t, delay: delay, nodes: map[ident.VMName]*group.Group{}, cut: map[ident.VMName]bool{}}
+}
+
+// port is one VM's transport.
+type port struct {
+	net *network
+	vm  ident.VMName
+}
+
+func (p port) Send(to group.MemberID, message []byte) {
+	time.AfterFunc(p.net.delay, func() {
+		p.net.mu.Lock()
+		target := p.net.nodes[to.VM()]
+		blocked := p.net.cut[p.vm] || p.net.cut[to.VM()]
+		p.net.mu.Unlock()
+		if target != nil && !blocked {
+			target.Receive(group.ContactID(p.vm), message)
+		}
+	})
+}
+
+func (n *network) open(cfg group.Config) *group.Group {
+	cfg.Clock = clock.System{}
+	cfg.Transport = port{n, cfg.VM}
+	cfg.Assert = func(invariant, detail string) { panic(invariant + ": " + detail) }
+	g, err := group.Open(cfg)
+	assert.NilError(n.t, err)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.nodes[cfg.VM] = g
+	return g
+}
+
+// lose cuts a VM off and closes its member.
+func (n *network) lose(vm ident.VMName) {
+	n.mu.Lock()
+	g := n.nodes[vm]
+	n.cut[vm] = true
+	delete(n.nodes, vm)
+	n.mu.Unlock()
+	_ = g.Close()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[vm] = false
+}
+
+func (n *network) leader() *group.Group {
+	n.mu.Lock()
+	nodes := make([]*group.Group, 0, len(n.nodes))
+	for _, g := range n.nodes {
+		nodes = append(nodes, g)
+	}
+	n.mu.Unlock()
+	for _, g := range nodes {
+		if g.Status().Role == raft.Leader {
+			return g
+		}
+	}
+	return nil
+}
+
+func (n *network) awaitLeader(within time.Duration) *group.Group {
+	n.t.Helper()
+	deadline := time.Now().Add(within)
+	for time.Now().Before(deadline) {
+		if g := n.leader(); g != nil {
+			return g
+		}
+		time.Sleep(time.Millisecond)
+	}
+	n.t.Fatal("no leader")
+	return nil
+}
+
+func bootstrap(n int) []group.Member {
+	var members []group.Member
+	for i := range n {
+		vm := ident.VMName(fmt.Sprintf("c%d", i+1))
+		members = append(members, group.Member{VM: vm, Address: fmt.Sprintf("10.0.0.%d:7000", i+1)})
+	}
+	return members
+}
+
+func (n *network) openAll(folder string, size int) []*group.Group {
+	var nodes []*group.Group
+	for _, member := range bootstrap(size) {
+		nodes = append(nodes, n.open(group.Config{
+			VM: member.VM, Folder: filepath.Join(folder, string(member.VM)),
+			Bootstrap: bootstrap(size), Machine: &counter{},
+		}))
+	}
+	return nodes
+}
+
+func withTimeout(t *testing.T, d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func TestOneMemberLeadsAtOnceAndRestarts(t *testing.T) {
+	folder := t.TempDir()
+	net := newNetwork(t, 0)
+	machine := &counter{}
+	cfg := group.Config{VM: "c1", Folder: folder, Bootstrap: bootstrap(1), Machine: machine, SnapshotEvery: 100}
+	g := net.open(cfg)
+	net.awaitLeader(time.Second)
+	ctx := withTimeout(t, 10*time.Second)
+	for range 250 {
+		_, err := g.Propose(ctx, add(1))
+		assert.NilError(t, err)
+	}
+	id := g.Status().ID
+	_, err := group.Open(group.Config{VM: "c1", Folder: folder, Machine: machine, Clock: clock.System{}})
+	var locked *walog.LockedError
+	assert.Assert(t, errors.As(err, &locked), "%v", err)
+	assert.NilError(t, g.Close())
+
+	cfg.Machine = &counter{}
+	g = net.open(cfg)
+	defer g.Close()
+	_, err = g.Barrier(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, cfg.Machine.(*counter).value(), uint64(250))
+	assert.Equal(t, g.Status().ID, id)
+}
+
+func TestReplaceWipedMemberThenLoseAnother(t *testing.T) {
+	folder := t.TempDir()
+	net := newNetwork(t, time.Millisecond)
+	net.openAll(folder, 3)
+	ctx := withTimeout(t, 20*time.Second)
+	first := net.awaitLeader(5 * time.Second)
+	_, err := first.Propose(ctx, add(5))
+	assert.NilError(t, err)
+
+	wiped := first.Status().ID
+	net.lose(wiped.VM())
+	leader := net.awaitLeader(5 * time.Second)
+	_, err = leader.Propose(ctx, add(6))
+	assert.NilError(t, err)
+
+	machine := &counter{}
+	fresh := net.open(group.Config{
+		VM: wiped.VM(), Folder: filepath.Join(folder, "wiped"), Bootstrap: bootstrap(3), Machine: machine,
+	})
+	assert.Assert(t, fresh.Status().ID != wiped)
+	for len(leader.Status().Newcomers) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	newcomer := leader.Status().Newcomers[0]
+	assert.Equal(t, newcomer.ID, fresh.Status().ID)
+	assert.NilError(t, leader.Replace(ctx, wiped, newcomer))
+	assert.Assert(t, !slices.ContainsFunc(leader.Status().Members, func(m group.MemberStatus) bool { return m.ID == wiped || m.Learner }))
+
+	net.lose(leader.Status().ID.VM())
+	index, err := fresh.Barrier(ctx)
+	assert.NilError(t, err)
+	assert.Assert(t, index > 0)
+	assert.Equal(t, machine.value(), uint64(11))
+	for _, g := range net.nodes {
+		defer g.Close()
+	}
+}
+
+func TestProposeOnFollowerNamesLeaderAndTransferMovesIt(t *testing.T) {
+	net := newNetwork(t, time.Millisecond)
+	nodes := net.openAll(t.TempDir(), 3)
+	ctx := withTimeout(t, 10*time.Second)
+	leader := net.awaitLeader(5 * time.Second)
+	_, err := leader.Propose(ctx, add(1))
+	assert.NilError(t, err)
+	var follower *group.Group
+	for _, g := range nodes {
+		if g != leader {
+			follower = g
+		}
+		_, err := g.Barrier(ctx)
+		assert.NilError(t, err)
+		defer g.Close()
+	}
+	_, err = follower.Propose(ctx, add(1))
+	var notLeader *group.NotLeaderError
+	assert.Assert(t, errors.As(err, &notLeader))
+	assert.Equal(t, notLeader.Leader, leader.Status().ID)
+	assert.Assert(t, notLeader.Address != "")
+
+	assert.NilError(t, leader.Transfer(ctx, follower.Status().ID))
+	for follower.Status().Role != raft.Leader {
+		assert.NilError(t, ctx.Err())
+		time.Sleep(time.Millisecond)
+	}
+}
--- /dev/null
+++ b/internal/process/raft/form.go
@@ -0,0 +1,24 @@
+package raft
+
+import (
+	"time"
+
+	"cactusline.dev/cactusline/internal/process/raftpb"
+)
+
+// Empty reports whether the member has never taken part in a group: it knows
+// no term, no entry and no member list.
+func (n *Node) Empty() bool {
+	return n.term == 0 && n.log.last() == 0 && len(n.members) == 0
+}
+
+// Form gives an empty member the first snapshot of a group that it founds.
+func (n *Node) Form(now time.Time, first *raftpb.Snapshot) {
+	n.now = now
+	n.assert(n.Empty(), "a group is formed once", "last entry %d", n.log.last())
+	n.restore(first)
+	n.electAt = now
+}
+
+// Send gives out a message of the shell's own with the next Ready.
+func (n *Node) Send(m *raftpb.Message) { n.send(m) }
