--- a/internal/request/tries/config.go
+++ b/internal/request/tries/config.go
@@ -16,7 +16,8 @@
 const (
 	DefaultMaxTries       = 4
 	DefaultMaxCrashes     = 2
-	DefaultMaxResumes     = 3
+	DefaultMaxResumes     = 6
+	DefaultResumeDelay    = 100 * time.Millisecond
 	DefaultRetryAfter     = time.Second
 	DefaultAttemptTimeout = 30 * time.Second
 	DefaultTimeout        = 10 * time.Minute
@@ -57,6 +58,9 @@
 	MaxCrashes int
 	// MaxResumes bounds how often broken streams are joined again.
 	MaxResumes int
+	// ResumeDelay is the wait before a target that did not answer a join is
+	// asked again; it doubles each time.
+	ResumeDelay time.Duration
 	// MaxTakeovers bounds how many claims of other routers are looked into.
 	MaxTakeovers int
 	// HedgeAfter is the wait for the first byte after which an idempotent
@@ -76,6 +80,7 @@
 	c.MaxCrashes = cmp.Or(c.MaxCrashes, DefaultMaxCrashes)
 	c.MaxResumes = cmp.Or(c.MaxResumes, DefaultMaxResumes)
 	c.MaxTakeovers = cmp.Or(c.MaxTakeovers, DefaultMaxTakeovers)
+	c.ResumeDelay = cmp.Or(c.ResumeDelay, DefaultResumeDelay)
 	c.RetryAfter = cmp.Or(c.RetryAfter, DefaultRetryAfter)
 	c.MaxTries = min(c.MaxTries, LimitTries)
 	return c
--- a/internal/request/tries/machine.go
+++ b/internal/request/tries/machine.go
@@ -29,9 +29,12 @@
 	status      int
 	// silentAt is when an idempotent attempt has been silent for too long.
 	silentAt time.Time
-	live     bool
-	head     bool
-	joined   bool
+	// joinAt is when a waiting attempt is joined again.
+	joinAt  time.Time
+	live    bool
+	waiting bool
+	head    bool
+	joined  bool
 	// foreign marks the attempt of another router under the same ledger key.
 	foreign bool
 	// again marks an attempt whose target may be tried once more.
@@ -107,12 +110,12 @@
 // ended by then.
 func (m *Machine) Wake() time.Time {
 	wake := m.deadline
-	if m.cfg.Once {
-		return wake
-	}
 	for i := range m.attempts {
 		a := &m.attempts[i]
-		if a.live && a.silentAt.Before(wake) {
+		if a.waiting && a.joinAt.Before(wake) {
+			wake = a.joinAt
+		}
+		if a.live && !m.cfg.Once && a.silentAt.Before(wake) {
 			wake = a.silentAt
 		}
 	}
@@ -264,6 +267,7 @@
 	m.streams++
 	a.stream = m.streams
 	a.live = true
+	a.waiting = false
 	a.head = false
 	a.silentAt = now.Add(m.cfg.AttemptTimeout)
 	m.actions = append(m.actions, Action{
@@ -291,7 +295,7 @@
 
 func (m *Machine) anyLive() bool {
 	for i := range m.attempts {
-		if m.attempts[i].live {
+		if m.attempts[i].live || m.attempts[i].waiting {
 			return true
 		}
 	}
@@ -301,6 +305,7 @@
 // close ends the router's interest in a stream.
 func (m *Machine) close(now time.Time, index int, result Result) {
 	m.attempts[index].live = false
+	m.attempts[index].waiting = false
 	m.record.Attempts[index].Result = result
 	m.record.Attempts[index].Ended = now
 }
@@ -320,7 +325,14 @@
 
 func (m *Machine) cancelOthers(now time.Time, keep int, stop bool) {
 	for i := range m.attempts {
-		if i != keep && m.attempts[i].live {
+		if i == keep {
+			continue
+		}
+		if m.attempts[i].waiting {
+			m.doubt = true
+			m.close(now, i, ResultBroken)
+		}
+		if m.attempts[i].live {
 			m.doubt = true
 			m.cancel(now, i, ResultCanceled, stop)
 		}
--- a/internal/request/tries/stream.go
+++ b/internal/request/tries/stream.go
@@ -60,7 +60,7 @@
 	}
 	if a.joined {
 		m.close(now, index, ResultBroken)
-		m.lost(now, index)
+		m.rerun(now)
 		return
 	}
 	m.close(now, index, ResultRefused)
@@ -162,7 +162,7 @@
 		m.onCrash(now, index)
 	case e.Failed || e.Outcome != wire.Outcome_OUTCOME_RAN:
 		m.close(now, index, ResultFailed)
-		m.rerun(now, index)
+		m.rerun(now)
 	case !a.head || e.Length != uint64(m.record.Delivered):
 		m.badFrame(now, index)
 	default:
@@ -202,7 +202,7 @@
 		m.finish(now, wire.Outcome_OUTCOME_UNKNOWN, http.StatusBadGateway, 0)
 		return
 	}
-	m.rerun(now, index)
+	m.rerun(now)
 }
 
 func (m *Machine) onLinkBroken(now time.Time, index int, unsent bool) {
@@ -231,24 +231,31 @@
 		return
 	}
 	if m.resumes >= m.cfg.MaxResumes {
-		m.lost(now, index)
+		m.rerun(now)
 		return
 	}
 	if m.cfg.Once && !a.head && !a.joined {
 		m.bury(index)
 		return
 	}
-	m.join(now, index)
+	if a.head || !a.joined {
+		m.join(now, index)
+		return
+	}
+	if !m.cfg.Once && m.record.Delivered == 0 {
+		m.rerun(now)
+		return
+	}
+	a.waiting = true
+	a.joinAt = now.Add(m.cfg.ResumeDelay << min(m.resumes-1, maxDoublings))
 }
 
-// lost gives up an attempt that can't be joined.
-func (m *Machine) lost(now time.Time, index int) {
-	m.rerun(now, index)
-}
+// maxDoublings bounds the growth of the wait between joins.
+const maxDoublings = 10
 
 // rerun runs an idempotent request again at another target, unless part of
 // the answer went out. All else ends in an answer that says unknown.
-func (m *Machine) rerun(now time.Time, index int) {
+func (m *Machine) rerun(now time.Time) {
 	m.doubt = true
 	if m.cfg.Once || m.record.Delivered > 0 || m.gone {
 		m.finishUnknown(now, http.StatusBadGateway)
--- a/internal/request/tries/timer.go
+++ b/internal/request/tries/timer.go
@@ -18,16 +18,16 @@
 	m.finishNotRun(now)
 }
 
-// onTimeout gives up silent attempts and hedges slow ones.
+// onTimeout joins attempts that waited, gives up silent ones and hedges slow
+// ones.
 func (m *Machine) onTimeout(now time.Time) {
-	if m.cfg.Once {
-		return
-	}
-	for i := range m.attempts {
-		if m.phase == phaseDone {
-			return
+	for i := 0; i < len(m.attempts) && m.phase != phaseDone; i++ {
+		a := &m.attempts[i]
+		if a.waiting && !now.Before(a.joinAt) {
+			m.join(now, i)
+			continue
 		}
-		if m.attempts[i].live && !now.Before(m.attempts[i].silentAt) {
+		if a.live && !m.cfg.Once && !now.Before(a.silentAt) {
 			m.onSilent(now, i)
 		}
 	}
@@ -45,7 +45,7 @@
 		return
 	}
 	m.cancel(now, index, ResultTimeout, true)
-	m.rerun(now, index)
+	m.rerun(now)
 }
 
 func (m *Machine) mayHedge() bool {
