--- a/internal/conn/health/checker.go
+++ b/internal/conn/health/checker.go
@@ -123,7 +123,7 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		t := s.targets[name]
-		if t != nil && (!t.left || t.decayed(now, &c.cfg) >= forgetBelow || now.Sub(t.heard) < c.cfg.FlapHalfLife) {
+		if t == nil || (!t.left || t.decayed(now, &c.cfg) >= forgetBelow || now.Sub(t.heard) < c.cfg.FlapHalfLife) {
 			return false
 		}
 		delete(s.targets, name)
--- /dev/null
+++ b/internal/request/poison/recent.go
@@ -0,0 +1,70 @@
+package poison
+
+import (
+	"sync"
+	"time"
+
+	"cactusline.dev/cactusline/internal/version/ident"
+)
+
+// MaxRecent bounds the fingerprints that a Recent holds.
+const MaxRecent = 4096
+
+// Recent holds the requests that were in flight when a sidecar's own target
+// crashed. The sidecar refuses them, so that a request crashes one target no
+// more than once, also before any verdict has spread. Its zero value is empty.
+// It is safe for concurrent use.
+type Recent struct {
+	mu    sync.Mutex
+	until map[ident.Fingerprint]time.Time
+}
+
+// Note holds fingerprints until a time. When there is no room for all, those
+// that end first make way.
+func (r *Recent) Note(until time.Time, fingerprints []ident.Fingerprint) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.until == nil {
+		r.until = make(map[ident.Fingerprint]time.Time)
+	}
+	for _, fingerprint := range fingerprints {
+		if until.After(r.until[fingerprint]) {
+			r.until[fingerprint] = until
+		}
+	}
+	for len(r.until) > MaxRecent {
+		delete(r.until, r.first())
+	}
+}
+
+// Holds reports whether the target must not run a request.
+func (r *Recent) Holds(now time.Time, fingerprint ident.Fingerprint) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	until, ok := r.until[fingerprint]
+	if ok && !now.Before(until) {
+		delete(r.until, fingerprint)
+		return false
+	}
+	return ok
+}
+
+// Clear lets a request run again.
+func (r *Recent) Clear(fingerprint ident.Fingerprint) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.until, fingerprint)
+}
+
+func (r *Recent) first() ident.Fingerprint {
+	var (
+		first   ident.Fingerprint
+		soonest time.Time
+	)
+	for fingerprint, until := range r.until {
+		if soonest.IsZero() || until.Before(soonest) {
+			first, soonest = fingerprint, until
+		}
+	}
+	return first
+}
--- a/internal/request/poison/tracker.go
+++ b/internal/request/poison/tracker.go
@@ -46,9 +46,11 @@
 // CrashReport tells of a target's crash.
 type CrashReport struct {
 	Target ident.TargetName
-	// Incarnation is that of the crashed target, so that reports of the same
-	// crash are known as such.
+	// Incarnation is the sidecar's, and Number counts the crashes that it saw,
+	// from one on, so that reports of the same crash are known as such. Number
+	// is zero when the sidecar went down with its target.
 	Incarnation ident.Incarnation
+	Number      uint64
 	InFlight    []ident.Fingerprint
 	// Partial marks the report of a router, which knows only its own part of
 	// what was in flight. It never shows that a request ran alone.
@@ -69,6 +71,7 @@
 	site := Site{
 		Target:      report.Target,
 		Incarnation: report.Incarnation,
+		Number:      report.Number,
 		Alone:       len(report.InFlight) == 1 && !report.Partial,
 		At:          now,
 	}
@@ -107,6 +110,20 @@
 	return entry.Verdict()
 }
 
+// CrashedAt returns the requests that were in flight when a target crashed, in
+// order, for the Recent of a sidecar that has restarted.
+func (t *Tracker) CrashedAt(now time.Time, target ident.TargetName) []ident.Fingerprint {
+	var found []ident.Fingerprint
+	for fingerprint, entry := range t.entries {
+		here := slices.ContainsFunc(entry.Sites, func(s Site) bool { return s.Target == target })
+		if here && now.Before(t.expiry(entry)) {
+			found = append(found, fingerprint)
+		}
+	}
+	slices.Sort(found)
+	return found
+}
+
 // Expire forgets the entries whose time is over, and returns the verdicts that
 // this changed.
 func (t *Tracker) Expire(now time.Time) []Change {
--- a/internal/request/poison/verdict.go
+++ b/internal/request/poison/verdict.go
@@ -29,10 +29,12 @@
 	VerdictQuarantined
 )
 
-// Site is one crash under a fingerprint. Target and Incarnation name it.
+// Site is one crash under a fingerprint. Target, Incarnation and Number name
+// it.
 type Site struct {
 	Target      ident.TargetName
 	Incarnation ident.Incarnation
+	Number      uint64
 	// Alone says that nothing else was in flight.
 	Alone bool
 	At    time.Time
@@ -50,13 +52,13 @@
 // MaxSites bounds the crashes that are kept of one fingerprint.
 const MaxSites = 8
 
-// Verdict returns what the crashes mean. Two targets that crashed with only
-// this request in flight, or two in company and a third alone, put it under
-// quarantine.
+// Verdict returns what the crashes mean. A request is put under quarantine
+// when two targets crashed with nothing else in flight, or when it was suspect
+// and a target crashed under it alone after that.
 func (e *Entry) Verdict() Verdict {
-	targets, alone := e.distinct()
+	targets := e.countTargets(func(Site) bool { return true })
 	switch {
-	case alone >= 2, targets >= 3 && alone >= 1:
+	case e.countTargets(isAlone) >= 2, slices.ContainsFunc(e.Sites, e.convicts):
 		return VerdictQuarantined
 	case targets >= 2:
 		return VerdictSuspect
@@ -66,23 +68,27 @@
 	return VerdictNone
 }
 
-// distinct counts the different targets that crashed, and those that did with
-// nothing else in flight.
-func (e *Entry) distinct() (targets, alone int) {
-	for i, site := range e.Sites {
-		first := !slices.ContainsFunc(e.Sites[:i], func(o Site) bool { return o.Target == site.Target })
-		if !first {
-			continue
-		}
-		targets++
-		// Crashes alone sort first, and so the first of a target tells.
-		if site.Alone {
-			alone++
+// convicts reports whether a crash alone came after those of two targets.
+func (e *Entry) convicts(site Site) bool {
+	earlier := func(s Site) bool { return s.At.Before(site.At) }
+	return site.Alone && e.countTargets(earlier) >= 2
+}
+
+// countTargets counts the different targets of the crashes that match.
+func (e *Entry) countTargets(match func(Site) bool) int {
+	var targets [MaxSites]ident.TargetName
+	count := 0
+	for _, site := range e.Sites {
+		if match(site) && !slices.Contains(targets[:count], site.Target) {
+			targets[count] = site.Target
+			count++
 		}
 	}
-	return targets, alone
+	return count
 }
 
+func isAlone(s Site) bool { return s.Alone }
+
 // Last returns the time of the newest crash.
 func (e *Entry) Last() time.Time {
 	var last time.Time
@@ -109,7 +115,7 @@
 // addSite adds one crash. Reports of the same crash become one.
 func (e *Entry) addSite(site Site) {
 	i := slices.IndexFunc(e.Sites, func(s Site) bool {
-		return s.Target == site.Target && s.Incarnation == site.Incarnation
+		return s.Target == site.Target && s.Incarnation == site.Incarnation && s.Number == site.Number
 	})
 	if i < 0 {
 		e.Sites = append(e.Sites, site)
@@ -133,7 +139,11 @@
 		}
 		return 1
 	}
-	return cmp.Or(cmp.Compare(a.Target, b.Target), cmp.Compare(a.Incarnation, b.Incarnation))
+	return cmp.Or(
+		cmp.Compare(a.Target, b.Target),
+		cmp.Compare(a.Incarnation, b.Incarnation),
+		cmp.Compare(a.Number, b.Number),
+	)
 }
 
 // clone copies an entry so that it shares no memory.
--- a/internal/request/tries/action.go
+++ b/internal/request/tries/action.go
@@ -12,16 +12,18 @@
 
 // Kinds of actions, each with the fields of Action that it uses.
 const (
-	// ActionSend opens Stream to Target and submits Attempt. With Join the
+	// ActionSend opens Stream to Target and submits Attempt. The sidecar must
+	// refuse it unless Incarnation is its own, or zero and the request is
+	// idempotent. With Join the
 	// sidecar must serve the attempt from Offset if it has seen it in
-	// Incarnation, and refuse it otherwise; it must never run it.
+	// Incarnation, and refuse and bury it otherwise; it must never run it.
 	ActionSend ActionKind = iota + 1
 	// ActionHead writes the head that came on Stream to the caller.
 	ActionHead
 	// ActionDeliver writes the data of the event to the caller.
 	ActionDeliver
-	// ActionCancel closes Stream. With Stop the target need not go on with
-	// Attempt.
+	// ActionCancel closes Stream. With Stop the sidecar is asked to stop
+	// Attempt, or to bury it if it has not come yet.
 	ActionCancel
 	// ActionClaimLedger claims the ledger key for Attempt at Target and
 	// Incarnation. The claim of Replaces, unless empty, is withdrawn.
--- a/internal/request/tries/config.go
+++ b/internal/request/tries/config.go
@@ -15,7 +15,7 @@
 // Defaults of Config.
 const (
 	DefaultMaxTries       = 4
-	DefaultMaxCrashes     = 2
+	DefaultMaxRuns        = 2
 	DefaultMaxResumes     = 6
 	DefaultResumeDelay    = 100 * time.Millisecond
 	DefaultRetryAfter     = time.Second
@@ -53,9 +53,13 @@
 	AttemptTimeout time.Duration
 	// MaxTries bounds the targets that the request is sent to.
 	MaxTries int
-	// MaxCrashes is the number of targets that may crash under the request
-	// before it is given up.
-	MaxCrashes int
+	// MaxRuns bounds the targets that may have begun an idempotent request: all
+	// but those that provably did not run it. It is also the number of targets
+	// that one send can crash.
+	MaxRuns int
+	// Watched marks a request under which a target crashed before: a
+	// send of it is begun by one target only.
+	Watched bool
 	// MaxResumes bounds how often broken streams are joined again.
 	MaxResumes int
 	// ResumeDelay is the wait before a target that did not answer a join is
@@ -77,11 +81,14 @@
 func (c Config) withDefaults() Config {
 	c.AttemptTimeout = cmp.Or(c.AttemptTimeout, DefaultAttemptTimeout)
 	c.MaxTries = cmp.Or(c.MaxTries, DefaultMaxTries)
-	c.MaxCrashes = cmp.Or(c.MaxCrashes, DefaultMaxCrashes)
+	c.MaxRuns = cmp.Or(c.MaxRuns, DefaultMaxRuns)
 	c.MaxResumes = cmp.Or(c.MaxResumes, DefaultMaxResumes)
 	c.MaxTakeovers = cmp.Or(c.MaxTakeovers, DefaultMaxTakeovers)
 	c.ResumeDelay = cmp.Or(c.ResumeDelay, DefaultResumeDelay)
 	c.RetryAfter = cmp.Or(c.RetryAfter, DefaultRetryAfter)
+	if c.Watched {
+		c.MaxRuns = 1
+	}
 	c.MaxTries = min(c.MaxTries, LimitTries)
 	return c
 }
--- a/internal/request/tries/event.go
+++ b/internal/request/tries/event.go
@@ -19,9 +19,9 @@
 	// EventOpened reports that the Submit of Stream was written.
 	EventOpened
 	// EventRefused reports a Refusal: Stream, Attempt, Reason, RetryAfter,
-	// Forward.
+	// Forward and, if known, Incarnation.
 	EventRefused
-	// EventHead reports a Head: Stream, Attempt, Offset, Status.
+	// EventHead reports a Head: Stream, Attempt, Status, Incarnation.
 	EventHead
 	// EventData reports Length bytes at Offset: Stream, Attempt.
 	EventData
--- a/internal/request/tries/machine.go
+++ b/internal/request/tries/machine.go
@@ -37,6 +37,8 @@
 	joined  bool
 	// foreign marks the attempt of another router under the same ledger key.
 	foreign bool
+	// void marks an attempt that provably does not run.
+	void bool
 	// again marks an attempt whose target may be tried once more.
 	again bool
 }
@@ -55,7 +57,6 @@
 	named    int
 	winner   int
 	resumes  int
-	crashes  int
 	deadline time.Time
 	hedgeAt  time.Time
 
@@ -70,10 +71,11 @@
 	takeovers int
 	refusal   refusal
 
-	claimed    bool
-	doubt      bool
-	gone       bool
-	staleTwice bool
+	claimed bool
+	doubt   bool
+	gone    bool
+	// stale says that a target was tried again with fresh news.
+	stale bool
 }
 
 // refusal is what the caller is told if no target takes the request.
@@ -306,6 +308,7 @@
 func (m *Machine) close(now time.Time, index int, result Result) {
 	m.attempts[index].live = false
 	m.attempts[index].waiting = false
+	m.attempts[index].void = result == ResultRefused || result == ResultUnsent || result == ResultBuried
 	m.record.Attempts[index].Result = result
 	m.record.Attempts[index].Ended = now
 }
--- /dev/null
+++ b/internal/request/tries/random_test.go
@@ -0,0 +1,25 @@
+package tries_test
+
+import (
+	"testing"
+
+	"cactusline.dev/cactusline/internal/process/seeds"
+)
+
+func TestRandomisedRequests(t *testing.T) {
+	steps, joins := 0, 0
+	outcomes := make(map[string]int)
+	span := seeds.FromEnv(seeds.Range{First: 1, Last: 1500})
+	for seed := span.First; seed <= span.Last; seed++ {
+		w := newWorld(seed)
+		if violation := w.run(); violation != "" {
+			t.Fatalf("seed %d: %s; repeat with: %s", seed, violation, seeds.Command(t.Name(), seed))
+		}
+		steps += w.steps
+		joins += w.joins
+		for outcome, count := range w.settled {
+			outcomes[outcome] += count
+		}
+	}
+	t.Logf("%d steps, %d joins, outcomes %v", steps, joins, outcomes)
+}
--- a/internal/request/tries/stream.go
+++ b/internal/request/tries/stream.go
@@ -1,6 +1,7 @@
 package tries
 
 import (
+	"cmp"
 	"net/http"
 	"time"
 
@@ -34,6 +35,7 @@
 	case EventHead:
 		a.head = true
 		a.status = e.Status
+		a.incarnation = cmp.Or(e.Incarnation, a.incarnation)
 	case EventData:
 		m.onData(now, index, e)
 	case EventEnd:
@@ -70,14 +72,23 @@
 	}
 	m.noteRetryAfter(e.RetryAfter)
 	m.noteForward(e.Forward)
-	if e.Reason == wire.RefusalReason_REFUSAL_REASON_STALE_REVISION && !m.staleTwice {
-		m.staleTwice = true
-		a.again = true
-		m.forwardTo(a.target, a.incarnation, "again under the new revision")
-	}
+	m.noteStale(a, e)
 	m.next(now)
 }
 
+// noteStale tries the same target once more when it refused only because the
+// router was behind.
+func (m *Machine) noteStale(a *attempt, e *Event) {
+	stale := e.Reason == wire.RefusalReason_REFUSAL_REASON_STALE_REVISION ||
+		e.Reason == wire.RefusalReason_REFUSAL_REASON_INCARNATION
+	if !stale || m.stale {
+		return
+	}
+	m.stale = true
+	a.again = true
+	m.forwardTo(a.target, cmp.Or(e.Incarnation, a.incarnation), "again with fresh news")
+}
+
 // refusedForGood ends the request when no other target would take it either.
 func (m *Machine) refusedForGood(now time.Time, e *Event) bool {
 	var status int
@@ -190,21 +201,31 @@
 	})
 }
 
-// onCrash runs an idempotent request again unless too many targets crashed
-// under it. A claim of a request that died with its target is settled, so that
-// a resend learns at once that the outcome is unknown.
+// onCrash settles the claim of a request that died with its target, so that a
+// resend learns at once that the outcome is unknown. An idempotent request is
+// run again, unless it did this to as many targets as it may.
 func (m *Machine) onCrash(now time.Time, index int) {
-	m.crashes++
 	if m.keyed() {
 		m.settle(&m.attempts[index], wire.Outcome_OUTCOME_UNKNOWN)
 	}
-	if m.crashes >= m.cfg.MaxCrashes {
+	if !m.cfg.Once && m.begun() >= m.cfg.MaxRuns {
 		m.finish(now, wire.Outcome_OUTCOME_UNKNOWN, http.StatusBadGateway, 0)
 		return
 	}
 	m.rerun(now)
 }
 
+// begun counts the attempts that may have run.
+func (m *Machine) begun() int {
+	count := 0
+	for i := range m.attempts {
+		if !m.attempts[i].void {
+			count++
+		}
+	}
+	return count
+}
+
 func (m *Machine) onLinkBroken(now time.Time, index int, unsent bool) {
 	if unsent && !m.attempts[index].joined {
 		m.close(now, index, ResultUnsent)
@@ -257,11 +278,11 @@
 // the answer went out. All else ends in an answer that says unknown.
 func (m *Machine) rerun(now time.Time) {
 	m.doubt = true
-	if m.cfg.Once || m.record.Delivered > 0 || m.gone {
-		m.finishUnknown(now, http.StatusBadGateway)
+	if !m.cfg.Once && m.anyLive() {
 		return
 	}
-	if m.anyLive() {
+	if m.cfg.Once || m.record.Delivered > 0 || m.gone || m.begun() >= m.cfg.MaxRuns {
+		m.finishUnknown(now, http.StatusBadGateway)
 		return
 	}
 	m.winner = nobody
--- a/internal/request/tries/timer.go
+++ b/internal/request/tries/timer.go
@@ -50,7 +50,7 @@
 
 func (m *Machine) mayHedge() bool {
 	return m.cfg.HedgeAfter > 0 && !m.cfg.Once && m.phase == phaseTrying &&
-		m.winner == nobody && len(m.attempts) == 1 && m.attempts[0].live
+		m.winner == nobody && m.cfg.MaxRuns > 1 && len(m.attempts) == 1 && m.attempts[0].live
 }
 
 func (m *Machine) hedge(now time.Time) {
