--- a/internal/request/tries/machine.go
+++ b/internal/request/tries/machine.go
@@ -29,11 +29,16 @@
 	status      int
 	// silentAt is when an idempotent attempt has been silent for too long.
 	silentAt time.Time
-	live     bool
-	head     bool
-	joined   bool
+	// joinAt is when a waiting attempt is joined again.
+	joinAt  time.Time
+	live    bool
+	waiting bool
+	head    bool
+	joined  bool
 	// foreign marks the attempt of another router under the same ledger key.
 	foreign bool
+	// void marks an attempt that provably does not run.
+	void bool
 	// again marks an attempt whose target may be tried once more.
 	again bool
 }
@@ -52,7 +57,6 @@
 	named    int
 	winner   int
 	resumes  int
-	crashes  int
 	deadline time.Time
 	hedgeAt  time.Time
 
@@ -67,10 +71,11 @@
 	takeovers int
 	refusal   refusal
 
-	claimed    bool
-	doubt      bool
-	gone       bool
-	staleTwice bool
+	claimed bool
+	doubt   bool
+	gone    bool
+	// stale says that a target was tried again with fresh news.
+	stale bool
 }
 
 // refusal is what the caller is told if no target takes the request.
@@ -107,12 +112,12 @@
 // ended by then.
 func (m *Machine) Wake() time.Time {
 	wake := m.deadline
-	if m.cfg.Once {
-		return wake
-	}
 	for i := range m.attempts {
 		a := &m.attempts[i]
-		if a.live && a.silentAt.Before(wake) {
+		if a.waiting && a.joinAt.Before(wake) {
+			wake = a.joinAt
+		}
+		if a.live && !m.cfg.Once && a.silentAt.Before(wake) {
 			wake = a.silentAt
 		}
 	}
@@ -264,6 +269,7 @@
 	m.streams++
 	a.stream = m.streams
 	a.live = true
+	a.waiting = false
 	a.head = false
 	a.silentAt = now.Add(m.cfg.AttemptTimeout)
 	m.actions = append(m.actions, Action{
@@ -291,7 +297,7 @@
 
 func (m *Machine) anyLive() bool {
 	for i := range m.attempts {
-		if m.attempts[i].live {
+		if m.attempts[i].live || m.attempts[i].waiting {
 			return true
 		}
 	}
@@ -301,6 +307,8 @@
 // close ends the router's interest in a stream.
 func (m *Machine) close(now time.Time, index int, result Result) {
 	m.attempts[index].live = false
+	m.attempts[index].waiting = false
+	m.attempts[index].void = result == ResultRefused || result == ResultUnsent || result == ResultBuried
 	m.record.Attempts[index].Result = result
 	m.record.Attempts[index].Ended = now
 }
@@ -320,7 +328,14 @@
 
 func (m *Machine) cancelOthers(now time.Time, keep int, stop bool) {
 	for i := range m.attempts {
-		if i != keep && m.attempts[i].live {
+		if i == keep {
+			continue
+		}
+		if m.attempts[i].waiting {
+			m.doubt = true
+			m.close(now, i, ResultBroken)
+		}
+		if m.attempts[i].live {
 			m.doubt = true
 			m.cancel(now, i, ResultCanceled, stop)
 		}
