Measure the decisions in simulated time

The policies had no common measure. An engine fake with continuous batching and a bounded prefix cache now runs the same work and seed under eight policies and five scenarios, with each router's own stale view and link delays.

--- a/internal/conn/digest/digest.go
+++ b/internal/conn/digest/digest.go
@@ -33,7 +33,7 @@
 	Targets  int
 	Requests int
 	Tokens   ident.Tokens
-	// At is when the oldest report that the digest sums was taken, on the
+	// At is when the reports that the digest sums were taken, on average and on the
 	// clock of the process that holds the digest.
 	At time.Time
 	// Stamp orders digests of one pool; a higher one is newer.
--- /dev/null
+++ b/internal/request/rank/bench_test.go
@@ -0,0 +1,132 @@
+package rank_test
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"cactusline.dev/cactusline/internal/request/rank"
+)
+
+// settling is how long a run may take before its skew counts.
+const settling = 2 * time.Second
+
+var scenarios = []string{"steady", "surge", "churn", "views", "death"}
+
+// stats gathers what a run shows.
+type stats struct {
+	prefix, warm      int
+	skew              []float64
+	means             float64
+	admitted, overCap int
+	refused, control  int
+	waits, others     *hdrhistogram.Histogram
+}
+
+func newStats() stats {
+	return stats{
+		waits:  hdrhistogram.New(1, 100_000_000, 3),
+		others: hdrhistogram.New(1, 100_000_000, 3),
+	}
+}
+
+// count takes what a returning chat has found warm.
+func (s *stats) count(m *sim, r *request, warm int) {
+	if m.now > m.size.warmUp && r.tries == 0 {
+		s.prefix += r.prefix
+		s.warm += warm
+	}
+}
+
+// wait takes the time to the first token. Those of customers that do not
+// surge count apart while the surge lasts, in other scenarios as well.
+func (s *stats) wait(m *sim, r *request, d time.Duration) {
+	_ = s.waits.RecordValue(d.Microseconds())
+	if !surges(r.customer) && r.at > m.size.length/2 && r.at < m.size.length*3/4 {
+		_ = s.others.RecordValue(d.Microseconds())
+	}
+}
+
+func (s *stats) reuse() float64 { return float64(s.warm) / float64(max(s.prefix, 1)) }
+
+func (s *stats) mean() float64 { return s.means / float64(len(s.skew)) }
+
+// skewAt returns a quantile of the skew, which is sorted.
+func (s *stats) skewAt(q float64) float64 { return s.skew[int(q*float64(len(s.skew)-1))] }
+
+func (s *stats) report(b *testing.B, m *sim) {
+	slices.Sort(s.skew)
+	perRouter := float64(s.control) / float64(len(m.routers)) / m.size.length.Seconds()
+	metrics := []struct {
+		name  string
+		value float64
+	}{
+		{"reuse", s.reuse()},
+		{"skew-p50", s.skewAt(0.5)},
+		{"skew-p99", s.skewAt(0.99)},
+		{"skew-max", s.skewAt(1)},
+		{"mean-load", s.mean()},
+		{"over-cap", float64(s.overCap)},
+		{"ctl-B/s", perRouter},
+		{"refused", float64(s.refused) / float64(s.refused+s.admitted)},
+		{"ttft-p50-ms", float64(s.waits.ValueAtQuantile(50)) / 1000},
+		{"ttft-p95-ms", float64(s.waits.ValueAtQuantile(95)) / 1000},
+		{"others-ttft-p95-ms", float64(s.others.ValueAtQuantile(95)) / 1000},
+	}
+	for _, metric := range metrics {
+		b.ReportMetric(metric.value, metric.name)
+	}
+}
+
+func seedFromEnv() uint64 {
+	seed, err := strconv.ParseUint(os.Getenv("CACTUSLINE_TEST_SEED"), 10, 64)
+	if err != nil {
+		return 1
+	}
+	return seed
+}
+
+func BenchmarkDecision(b *testing.B) {
+	for _, scenario := range scenarios {
+		for _, s := range sizes {
+			for _, p := range policies {
+				b.Run(fmt.Sprintf("scenario=%s/size=%s/policy=%s", scenario, s.name, p.name), func(b *testing.B) {
+					var m *sim
+					for range b.N {
+						m = newSim(s, scenario, p, seedFromEnv(), func(err error) { b.Fatal(err) })
+						m.run()
+					}
+					m.stats.report(b, m)
+				})
+			}
+		}
+	}
+}
+
+// TestRandomisedBoundHolds runs every scenario at the small sizes and holds
+// the load bound, at each admission and over time, against the true mean.
+func TestRandomisedBoundHolds(t *testing.T) {
+	ours := policies[slices.IndexFunc(policies, func(p policy) bool { return p.name == "ours" })]
+	for seed := seedFromEnv(); seed < seedFromEnv()+2; seed++ {
+		for _, scenario := range scenarios {
+			for _, s := range sizes[:2] {
+				t.Run(fmt.Sprintf("%s/%s/seed=%d", scenario, s.name, seed), func(t *testing.T) {
+					m := newSim(s, scenario, ours, seed, func(err error) { t.Fatal(err) })
+					m.run()
+					slices.Sort(m.stats.skew)
+					repeat := fmt.Sprintf("CACTUSLINE_TEST_SEED=%d go test -run TestRandomisedBoundHolds ./internal/request/rank", seed)
+					assert.Check(t, m.stats.overCap == 0, "over the bound %d times of %d: %s", m.stats.overCap, m.stats.admitted, repeat)
+					limit := rank.DefaultBound + 1/m.stats.mean()
+					assert.Check(t, m.stats.skewAt(0.99) <= limit, "skew %.2f above %.2f: %s", m.stats.skewAt(0.99), limit, repeat)
+				})
+			}
+		}
+	}
+}
--- a/internal/request/rank/choose.go
+++ b/internal/request/rank/choose.go
@@ -34,6 +34,24 @@
 	return c.dst
 }
 
+// Home returns the chat's first usable target by rendezvous hashing, whatever
+// its load; false if there is none. It is where a router sends word that
+// another target served the chat.
+func (p *Pool) Home(q Query) (Candidate, bool) {
+	s := p.state.Load()
+	if len(s.targets) == 0 {
+		return Candidate{}, false
+	}
+	c := choice{pool: p, state: s, query: q}
+	var r ranking
+	c.rendezvous(&r)
+	if r.size == 0 {
+		return Candidate{}, false
+	}
+	i := r.best[0].index
+	return Candidate{Target: s.targets[i].Name, Reason: Home, Index: i}, true
+}
+
 // choice is one call of Choose.
 type choice struct {
 	pool     *Pool
