Send cold work where the load is below the mean

Returning chats were refused at their home target because new chats, which gain nothing from a place, had filled it. A sidecar now admits work of which nothing is warm up to the believed mean only; the router's plan goes on and makes its last offer to the least loaded of those that refused, a target that served the chat is tried before and the home again after it.

--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -20,6 +20,7 @@
 // Defaults of Config.
 const (
 	DefaultBound       = 1.25
+	DefaultColdBound   = 1.0
 	DefaultSigmas      = 3.0
 	DefaultMaxRequests = 64
 	DefaultMaxQueue    = 64
@@ -35,6 +36,9 @@
 	Target ident.TargetName
 	// Bound is the multiple of the mean load that the target may carry.
 	Bound float64
+	// ColdBound is the multiple of the mean load up to which work is admitted
+	// of which nothing is warm, unless the offer is final.
+	ColdBound float64
 	// Sigmas is how many standard deviations of the ends that may have
 	// happened since the digest are taken off the mean.
 	Sigmas float64
@@ -91,6 +95,7 @@
 
 func (cfg *Config) fill() {
 	setDefault(&cfg.Bound, DefaultBound)
+	setDefault(&cfg.ColdBound, DefaultColdBound)
 	setDefault(&cfg.Sigmas, DefaultSigmas)
 	setDefault(&cfg.MaxRequests, DefaultMaxRequests)
 	setDefault(&cfg.Headroom, DefaultHeadroom)
@@ -129,7 +134,7 @@
 		return c.refuse(w, Moved), nil
 	}
 	acc := c.accounts.get(w.Customer, w.Weight)
-	if len(acc.queue) == 0 && c.fits(now, acc, w) {
+	if len(acc.queue) == 0 && c.fits(now, acc, w) && c.welcome(w) {
 		return c.admit(now, acc, w), nil
 	}
 	if !w.Final || !c.worthQueueing(now, w) {
@@ -186,6 +191,15 @@
 	return c.cfg.MaxTokens == 0 || int64(held) <= max(tokens, int64(float64(c.cfg.MaxTokens)*c.cfg.Headroom))
 }
 
+// welcome reports whether work of which nothing is warm may run here rather
+// than at a less loaded target.
+func (c *Controller) welcome(w Work) bool {
+	if w.Final || w.Warm > 0 {
+		return true
+	}
+	return c.load.Requests+1 <= c.bound.cold(c.load, c.cfg.ColdBound)
+}
+
 // soft returns the requests above which fair shares count.
 func (c *Controller) soft() int {
 	return int(float64(c.cfg.MaxRequests) * c.cfg.Headroom)
--- a/internal/request/admit/bound.go
+++ b/internal/request/admit/bound.go
@@ -73,3 +73,14 @@
 	maxTokens = int64(b.factor * (sumTokens + float64(tokens)) / n)
 	return max(1, requests), maxTokens
 }
+
+// cold returns the requests up to which cold work is admitted, a multiple of
+// the mean as it is believed, without allowance for what may have ended.
+func (b *bound) cold(own digest.Load, factor float64) int {
+	n := float64(b.news.Targets)
+	if n == 0 {
+		return 1
+	}
+	sum := max(float64(b.news.Requests), float64(own.Requests))
+	return max(1, int(math.Ceil(factor*(sum+1)/n)))
+}
--- a/internal/request/rank/driver_test.go
+++ b/internal/request/rank/driver_test.go
@@ -45,12 +45,6 @@
 	next        int
 }
 
-// candidate is an engine that a router tries.
-type candidate struct {
-	engine int
-	moved  bool
-}
-
 // sim is one run of a scenario under a policy.
 type sim struct {
 	size     size
@@ -179,36 +173,30 @@
 
 // arrive lets a router choose for a request.
 func (m *sim) arrive(r *request) {
-	r.plan = m.policy.choose(m, m.routers[r.router], r)
-	m.send(r)
-}
-
-// send offers the request to the next engine of its plan.
-func (m *sim) send(r *request) {
-	if len(r.plan) == 0 {
-		m.refused(r)
+	rt := m.routers[r.router]
+	if m.policy.sidecar {
+		r.steps = rt.pool.Plan(rank.Query{Now: m.clock(), Chat: ident.ChatKey(r.chat), Prefix: ident.Tokens(r.prefix)})
+		m.follow(r)
 		return
 	}
-	to := r.plan[0]
-	r.plan = r.plan[1:]
-	rt, e := m.routers[r.router], m.engines[to.engine]
-	rt.sent[to.engine]++
-	if m.policy.instant {
-		m.deliver(r, e, to.moved)
+	i, ok := m.policy.choose(m, rt, r)
+	if !ok {
+		m.refused(r)
 		return
 	}
-	m.after(m.delay(rt.domain, e.domain), func() { m.deliver(r, e, to.moved) })
-}
-
-func (m *sim) deliver(r *request, e *engine, moved bool) {
-	switch {
-	case !e.serves():
-		m.after(m.delay(0, 1), func() { m.send(r) })
-	case m.policy.sidecar:
-		m.offer(r, e, moved)
-	default:
+	rt.sent[i]++
+	e := m.engines[i]
+	if m.policy.instant {
 		m.admitted(r, e)
+		return
 	}
+	m.after(m.delay(rt.domain, e.domain), func() {
+		if e.serves() {
+			m.admitted(r, e)
+			return
+		}
+		m.after(m.delay(rt.domain, e.domain), func() { m.arrive(r) })
+	})
 }
 
 // admitted starts the request and holds the bound against the true mean.
--- a/internal/request/rank/ours_test.go
+++ b/internal/request/rank/ours_test.go
@@ -32,15 +32,6 @@
 	noteFrame    = segment + 40
 )
 
-// chooseOurs asks the router's pool.
-func chooseOurs(m *sim, r *router, q *request) []candidate {
-	var plan []candidate
-	for _, c := range r.pool.Choose(nil, rank.Query{Now: m.clock(), Chat: ident.ChatKey(q.chat)}) {
-		plan = append(plan, candidate{engine: c.Index})
-	}
-	return plan
-}
-
 // startControl gives each engine a sidecar, each router a pool, and a process
 // that sums the sidecars' reports.
 func (m *sim) startControl() {
@@ -116,22 +107,22 @@
 }
 
 // offer asks the engine's sidecar to admit a request.
-func (m *sim) offer(r *request, e *engine, moved bool) {
+func (m *sim) offer(r *request, e *engine, step rank.Step) {
 	m.stats.control += digestNews
 	d, evicted := e.control.Offer(m.clock(), admit.Work{
 		Attempt: attemptOf(r), Customer: ident.CustomerName(rune('a' + r.customer)), Chat: ident.ChatKey(r.chat),
 		Tokens: ident.Tokens(r.prefix + r.fresh + r.output), Warm: ident.Tokens(min(e.cache.get(r.chat), r.prefix)),
-		Deadline: time.Unix(1_000_000, 0).Add(r.at + 5*time.Second), Final: len(r.plan) == 0, Moved: moved,
+		Deadline: time.Unix(1_000_000, 0).Add(r.at + 5*time.Second), Final: step.Final, Moved: step.Moved,
 	})
 	if d.Kind == admit.Queued {
 		e.held = append(e.held, r)
 	}
-	m.answer(r, e, d)
+	m.answer(r, e, step, d)
 	m.settle(e, evicted)
 }
 
 // answer acts on a sidecar's decision.
-func (m *sim) answer(r *request, e *engine, d admit.Decision) {
+func (m *sim) answer(r *request, e *engine, step rank.Step, d admit.Decision) {
 	switch d.Kind {
 	case admit.Admitted:
 		m.admitted(r, e)
@@ -139,16 +130,36 @@
 	case admit.Refused:
 		m.stats.control += refusalFrame
 		rt := m.routers[r.router]
-		if to := d.Forward.Target; to != "" {
-			r.plan = append([]candidate{{engineIndex(to), true}}, r.plan...)
-		}
 		m.after(m.delay(rt.domain, e.domain), func() {
 			rt.pool.Observe(m.clock(), engineName(e.id), d.Load)
-			m.send(r)
+			r.steps.Refused(step, rank.Refusal{
+				Load: d.Load, Forward: d.Forward.Target, Moved: d.Reason == admit.Moved, Closed: d.Reason == admit.Leaving,
+			})
+			m.follow(r)
 		})
 	}
 }
 
+// follow offers the request to the next target of its plan.
+func (m *sim) follow(r *request) {
+	step, ok := r.steps.Next()
+	if !ok {
+		m.refused(r)
+		return
+	}
+	rt, e := m.routers[r.router], m.engines[step.Index]
+	m.after(m.delay(rt.domain, e.domain), func() {
+		if e.serves() {
+			m.offer(r, e, step)
+			return
+		}
+		m.after(m.delay(rt.domain, e.domain), func() {
+			r.steps.Refused(step, rank.Refusal{Closed: true})
+			m.follow(r)
+		})
+	})
+}
+
 // settle acts on verdicts on queued requests.
 func (m *sim) settle(e *engine, verdicts []admit.Verdict) {
 	for _, v := range verdicts {
@@ -159,7 +170,7 @@
 			m.after(m.delay(0, 1), func() { m.arrive(r) })
 			continue
 		}
-		m.answer(r, e, v.Decision)
+		m.answer(r, e, rank.Step{Candidate: rank.Candidate{Index: e.id}, Final: true}, v.Decision)
 	}
 }
 
--- /dev/null
+++ b/internal/request/rank/plan.go
@@ -0,0 +1,101 @@
+package rank
+
+import (
+	"slices"
+
+	"cactusline.dev/cactusline/internal/conn/digest"
+	"cactusline.dev/cactusline/internal/version/ident"
+)
+
+// Plan leads one request from target to target until one admits it. It is
+// not safe for concurrent use.
+type Plan struct {
+	pool  *Pool
+	query Query
+	queue []Candidate
+	tried []tried
+	final bool
+}
+
+// tried is a target that has refused, with its load then.
+type tried struct {
+	candidate Candidate
+	load      int
+	// closed marks a target that takes no work whatever its load.
+	closed bool
+}
+
+// Step is the next offer of a plan.
+type Step struct {
+	Candidate
+	// Final marks the last offer: the target is to queue what it cannot run.
+	Final bool
+	// Moved marks an offer to which a refusal has led, so that the target
+	// does not send the chat on.
+	Moved bool
+}
+
+// Refusal is what a plan needs to know of a target's refusal.
+type Refusal struct {
+	Load digest.Load
+	// Forward names the target that served the chat last, if known.
+	Forward ident.TargetName
+	// Moved marks a refusal whose only reason was the forward.
+	Moved bool
+	// Closed marks a target that takes no work: it leaves, is down or does
+	// not answer.
+	Closed bool
+}
+
+// Plan returns the plan for a request.
+func (p *Pool) Plan(q Query) *Plan {
+	return &Plan{pool: p, query: q, queue: p.Choose(make([]Candidate, 0, maxLimit), q)}
+}
+
+// Next returns the next offer, false if no target is left. After the
+// candidates, the least loaded of those that refused gets the final offer.
+func (p *Plan) Next() (Step, bool) {
+	if len(p.queue) > 0 {
+		next := p.queue[0]
+		p.queue = p.queue[1:]
+		return Step{Candidate: next, Moved: next.Reason == Forwarded || p.seen(next.Index)}, true
+	}
+	if p.final {
+		return Step{}, false
+	}
+	p.final = true
+	best := -1
+	for i := range p.tried {
+		if !p.tried[i].closed && (best < 0 || p.tried[i].load < p.tried[best].load) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return Step{}, false
+	}
+	return Step{Candidate: p.tried[best].candidate, Final: true, Moved: true}, true
+}
+
+func (p *Plan) seen(index int) bool {
+	return slices.ContainsFunc(p.tried, func(t tried) bool { return t.candidate.Index == index })
+}
+
+// Refused takes the refusal of a step. A target that the refusal names is
+// tried next, and the one that named it once more after that.
+func (p *Plan) Refused(s Step, r Refusal) {
+	p.tried = append(p.tried, tried{candidate: s.Candidate, load: r.Load.Requests + r.Load.Queued, closed: r.Closed})
+	state := p.pool.state.Load()
+	i, ok := state.byName[r.Forward]
+	if ok && !p.seen(i) && state.open(i, p.query.Now) {
+		forward := Candidate{Target: r.Forward, Reason: Forwarded, Index: i}
+		p.queue = slices.DeleteFunc(p.queue, func(c Candidate) bool { return c.Index == i })
+		if r.Moved {
+			p.queue = slices.Insert(p.queue, 0, s.Candidate)
+		}
+		p.queue = slices.Insert(p.queue, 0, forward)
+		return
+	}
+	if r.Moved {
+		p.queue = slices.Insert(p.queue, 0, s.Candidate)
+	}
+}
--- a/internal/request/rank/policy_test.go
+++ b/internal/request/rank/policy_test.go
@@ -11,7 +11,7 @@
 	name string
 	// sidecar has admission decide at the engine, instant removes delays.
 	sidecar, instant bool
-	choose           func(*sim, *router, *request) []candidate
+	choose           func(*sim, *router, *request) (int, bool)
 }
 
 var policies = []policy{
@@ -49,13 +49,13 @@
 			return score(q.chat, i)
 		})
 	})},
-	{name: "ours", sidecar: true, choose: chooseOurs},
+	{name: "ours", sidecar: true},
 	{name: "oracle", instant: true, choose: chooseOne(chooseOracle)},
 }
 
 // chooseOne makes a policy of a choice among the engines that are visible.
-func chooseOne(pick func(*sim, *router, *request, []int) int) func(*sim, *router, *request) []candidate {
-	return func(m *sim, r *router, q *request) []candidate {
+func chooseOne(pick func(*sim, *router, *request, []int) int) func(*sim, *router, *request) (int, bool) {
+	return func(m *sim, r *router, q *request) (int, bool) {
 		var open []int
 		for i := range m.engines {
 			if m.visible(r, i) {
@@ -63,9 +63,9 @@
 			}
 		}
 		if len(open) == 0 {
-			return nil
+			return 0, false
 		}
-		return []candidate{{engine: pick(m, r, q, open)}}
+		return pick(m, r, q, open), true
 	}
 }
 
--- a/internal/request/rank/rank.go
+++ b/internal/request/rank/rank.go
@@ -67,6 +67,9 @@
 	Now time.Time
 	// Chat is zero for work that gains nothing from returning.
 	Chat ident.ChatKey
+	// Prefix is the length of the prefix that the chat has already, 0 for a
+	// new chat, of which nothing can be warm.
+	Prefix ident.Tokens
 	// Forward names the target that served the chat last, if that is known.
 	Forward ident.TargetName
 	// Avoid names a target that has refused or failed the request.
--- a/internal/request/rank/work_test.go
+++ b/internal/request/rank/work_test.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"cactusline.dev/cactusline/internal/request/rank"
 )
 
 // size is one size of fleet with the load that it is given.
@@ -34,7 +36,7 @@
 	poison, urgent        bool
 	engine                *engine
 	cold, left, tries     int
-	plan                  []candidate
+	steps                 *rank.Plan
 }
 
 // chatState is a chat that may return.
