Wait for warm prefixes, and count only exposed work as ending

Changes: work waits at its warm target in proportion to the prefill it saves; a returning chat always asks its home; the joining target gets new chats first and returning ones after minutes; refusals name a lighter target; customers below their fair share are marked urgent.

--- a/internal/conn/digest/digest.go
+++ b/internal/conn/digest/digest.go
@@ -24,6 +24,9 @@
 	Tokens ident.Tokens
 	// Queued counts the requests that wait for admission.
 	Queued int
+	// Backed counts the running requests that queued ones would follow at
+	// once, so that their end would not lower the load.
+	Backed int
 }
 
 // Digest is the load of a whole pool at one time.
@@ -33,9 +36,13 @@
 	Targets  int
 	Requests int
 	Tokens   ident.Tokens
+	// Backed sums what the targets report as backed.
+	Backed int
 	// At is when the reports that the digest sums were taken, on average and on the
 	// clock of the process that holds the digest.
 	At time.Time
+	// Light names the targets that carried least, in no order.
+	Light []ident.TargetName
 	// Stamp orders digests of one pool; a higher one is newer.
 	Stamp uint64
 }
--- a/internal/conn/digest/table.go
+++ b/internal/conn/digest/table.go
@@ -1,19 +1,26 @@
 package digest
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"cactusline.dev/cactusline/internal/version/ident"
 )
 
-// DefaultExpiry is how long a target counts after its last report.
-const DefaultExpiry = time.Second
+// Defaults of Config.
+const (
+	DefaultExpiry = time.Second
+	DefaultLight  = 4
+)
 
 // Config sets how a table sums the reports of a pool.
 type Config struct {
 	Pool PoolName
 	// Expiry is how long a target counts after its last report.
 	Expiry time.Duration
+	// Light is how many of the least loaded targets a digest names.
+	Light int
 }
 
 // Report is what a sidecar says of its target. A joining target reports
@@ -40,8 +47,17 @@
 	at   time.Time
 }
 
+// light is a target that may be named as lightly loaded.
+type light struct {
+	name ident.TargetName
+	load int
+}
+
 // NewTable returns an empty table.
 func NewTable(cfg Config) *Table {
+	if cfg.Light == 0 {
+		cfg.Light = DefaultLight
+	}
 	if cfg.Expiry == 0 {
 		cfg.Expiry = DefaultExpiry
 	}
@@ -68,14 +84,17 @@
 	t.stamp++
 	d := Digest{Pool: t.cfg.Pool, Stamp: t.stamp, At: now}
 	var age, weights float64
+	var order []light
 	for name, e := range t.last {
 		if now.Sub(e.at) > t.cfg.Expiry {
 			delete(t.last, name)
 			continue
 		}
 		d.Targets++
+		order = append(order, light{name: name, load: e.load.Requests + e.load.Queued})
 		d.Requests += e.load.Requests
 		d.Tokens += e.load.Tokens
+		d.Backed += e.load.Backed
 		weight := float64(e.load.Requests)
 		age += weight * now.Sub(e.at).Seconds()
 		weights += weight
@@ -83,5 +102,11 @@
 	if weights > 0 {
 		d.At = now.Add(-time.Duration(age / weights * float64(time.Second)))
 	}
+	slices.SortFunc(order, func(a, b light) int {
+		return cmp.Or(cmp.Compare(a.load, b.load), cmp.Compare(a.name, b.name))
+	})
+	for _, l := range order[:min(t.cfg.Light, len(order))] {
+		d.Light = append(d.Light, l.name)
+	}
 	return d
 }
--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -26,6 +26,8 @@
 	DefaultMaxQueue    = 64
 	DefaultRetryAfter  = 500 * time.Millisecond
 	DefaultPatience    = 2 * time.Second
+	DefaultPrefill     = 20_000
+	DefaultWarmWait    = 4.0
 	DefaultForwards    = 4096
 	DefaultHeadroom    = 0.75
 	DefaultMoveTokens  = 256
@@ -53,6 +55,11 @@
 	MaxQueue int
 	// Patience bounds the wait in the queue, within the caller's deadline.
 	Patience time.Duration
+	// Prefill is how many cold tokens the target computes in a second; work
+	// waits for a warm prefix in proportion to the time that it saves.
+	Prefill ident.Tokens
+	// WarmWait is that proportion.
+	WarmWait float64
 	// RetryAfter is the middle of the time that refused callers are told.
 	RetryAfter time.Duration
 	// Forwards bounds the entries that say where chats were served.
@@ -74,6 +81,9 @@
 	running  map[ident.AttemptID]Work
 	load     digest.Load
 	accounts accounts
+	// limit is the requests that the target might carry when work was last
+	// weighed.
+	limit    int
 	leaving  bool
 	down     bool
 	forwards *forwards
@@ -101,6 +111,8 @@
 	setDefault(&cfg.Headroom, DefaultHeadroom)
 	setDefault(&cfg.MaxQueue, DefaultMaxQueue)
 	setDefault(&cfg.Patience, DefaultPatience)
+	setDefault(&cfg.Prefill, DefaultPrefill)
+	setDefault(&cfg.WarmWait, DefaultWarmWait)
 	setDefault(&cfg.RetryAfter, DefaultRetryAfter)
 	setDefault(&cfg.MoveTokens, DefaultMoveTokens)
 	setDefault(&cfg.Forwards, DefaultForwards)
@@ -137,7 +149,7 @@
 	if len(acc.queue) == 0 && c.fits(now, acc, w) && c.welcome(w) {
 		return c.admit(now, acc, w), nil
 	}
-	if !w.Final || !c.worthQueueing(now, w) {
+	if c.patience(w) <= 0 || !c.worthQueueing(now, w) {
 		c.accounts.drop(acc)
 		return c.refuse(w, Overloaded), nil
 	}
@@ -178,6 +190,7 @@
 		return false
 	}
 	requests, tokens := c.bound.limits(now, c.load, int64(w.Tokens))
+	c.limit = requests
 	if after > requests {
 		return false
 	}
@@ -208,6 +221,7 @@
 // admit takes the work on.
 func (c *Controller) admit(now time.Time, acc *account, w Work) Decision {
 	limit, _ := c.bound.limits(now, c.load, int64(w.Tokens))
+	urgent := float64(acc.running+1) <= c.accounts.share(acc, c.load.Requests+1)
 	c.running[w.Attempt] = w
 	c.load.Requests++
 	c.load.Tokens += w.Tokens
@@ -216,7 +230,7 @@
 	if c.leaving || c.load.Requests > limit {
 		c.cfg.Assert(&BrokenError{Target: c.cfg.Target, Load: c.load.Requests, Limit: limit, Leaving: c.leaving})
 	}
-	return Decision{Kind: Admitted, Load: c.snapshot(), Limit: limit}
+	return Decision{Kind: Admitted, Urgent: urgent, Load: c.snapshot(), Limit: limit}
 }
 
 // refuse answers that the work is not run, with what helps the router on.
@@ -231,12 +245,18 @@
 	if f, ok := c.forwards.get(w.Chat); ok {
 		d.Forward = f
 	}
+	if light := c.bound.news.Light; len(light) > 0 {
+		d.Lighter = light[c.cfg.Rand.IntN(len(light))]
+	}
 	return d
 }
 
 func (c *Controller) snapshot() digest.Load {
 	load := c.load
 	load.Queued = c.accounts.queued
+	if load.Requests <= c.limit {
+		load.Backed = min(load.Queued, load.Requests)
+	}
 	return load
 }
 
--- a/internal/request/admit/bound.go
+++ b/internal/request/admit/bound.go
@@ -50,13 +50,23 @@
 // share returns the part of the digest's load that is certain enough to be
 // running still.
 func (b *bound) share(now time.Time) float64 {
-	if b.news.Requests <= 0 {
-		return 0
+	total := float64(b.news.Requests)
+	exposed := total - float64(b.news.Backed)
+	if exposed <= 0 {
+		return 1
 	}
 	age := max(now.Sub(b.news.At), 0).Seconds()
-	ended := float64(b.news.Requests) * b.rate() * age
-	ended += b.sigmas * math.Sqrt(ended)
-	return max(0, 1-ended/float64(b.news.Requests))
+	ended := poissonBound(exposed*b.rate()*age, b.sigmas)
+	return 1 - min(ended, exposed)/total
+}
+
+// poissonBound returns a number that a Poisson variable exceeds as rarely as
+// a normal variable exceeds sigmas, by Bernstein's inequality.
+func poissonBound(mean, sigmas float64) float64 {
+	if mean == 0 {
+		return 0
+	}
+	return mean + sigmas*math.Sqrt(mean) + sigmas*sigmas/3
 }
 
 // limits returns the requests and tokens that the target may carry,
--- a/internal/request/admit/settle.go
+++ b/internal/request/admit/settle.go
@@ -13,6 +13,16 @@
 	return w.Deadline.IsZero() || w.Deadline.After(now)
 }
 
+// patience returns how long the work may be queued. Work that has other
+// targets left waits only as long as the warm prefix is worth.
+func (c *Controller) patience(w Work) time.Duration {
+	if w.Final {
+		return c.cfg.Patience
+	}
+	saved := float64(w.Warm) / float64(c.cfg.Prefill) * float64(time.Second)
+	return min(c.cfg.Patience, time.Duration(c.cfg.WarmWait*saved))
+}
+
 // enqueue queues the work. If the queue is full, the newest work of the
 // customer that queues most for its weight has to go.
 func (c *Controller) enqueue(now time.Time, acc *account, w Work) (Decision, []Verdict) {
@@ -74,7 +84,7 @@
 	if reason := c.unfit(now, w.work); reason != 0 {
 		return reason
 	}
-	if now.Sub(w.since) >= c.cfg.Patience {
+	if now.Sub(w.since) >= c.patience(w.work) {
 		return Overloaded
 	}
 	return 0
--- a/internal/request/admit/work.go
+++ b/internal/request/admit/work.go
@@ -80,11 +80,16 @@
 	Reason Reason
 	// RetryAfter is when a refused caller may come back.
 	RetryAfter time.Duration
-	Load       digest.Load
+	// Urgent marks admitted work of a customer that runs less than its fair
+	// share: the target is to start it before work that is not urgent.
+	Urgent bool
+	Load   digest.Load
 	// Limit is the requests that the target might carry at the decision.
 	Limit int
 	// Forward says where the chat was served last; empty if not known.
 	Forward Forward
+	// Lighter names a target that carried little of late; empty if not known.
+	Lighter ident.TargetName
 }
 
 // Verdict settles work that was queued.
--- a/internal/request/rank/choose.go
+++ b/internal/request/rank/choose.go
@@ -34,10 +34,11 @@
 	return c.dst
 }
 
-// Home returns the chat's first usable target by rendezvous hashing, whatever
-// its load; false if there is none. It is where a router sends word that
-// another target served the chat.
+// Home returns the target that the chat is to return to by rendezvous
+// hashing, whatever its load; false if there is none. It is where a router
+// sends word that another target served the chat.
 func (p *Pool) Home(q Query) (Candidate, bool) {
+	q.Prefix = max(q.Prefix, 1)
 	s := p.state.Load()
 	if len(s.targets) == 0 {
 		return Candidate{}, false
@@ -71,9 +72,12 @@
 	if i, ok := c.state.byName[c.query.Forward]; ok && c.usable(i) {
 		c.add(i, Forwarded)
 	}
+	if c.query.Prefix == 0 {
+		c.lighterFirst(&r)
+	}
 	for n := range r.size {
 		i := r.best[n].index
-		if !c.full(i) {
+		if !c.full(i) || (n == 0 && c.query.Prefix > 0) {
 			c.add(i, reasonOf(n))
 		}
 	}
@@ -83,6 +87,15 @@
 	}
 }
 
+// lighterFirst orders the ranking by cost: a new chat is warm nowhere.
+func (c *choice) lighterFirst(r *ranking) {
+	for n := 1; n < r.size; n++ {
+		for k := n; k > 0 && c.cost(r.best[k].index) < c.cost(r.best[k-1].index); k-- {
+			r.best[k], r.best[k-1] = r.best[k-1], r.best[k]
+		}
+	}
+}
+
 func reasonOf(rank int) Reason {
 	if rank == 0 {
 		return Home
@@ -146,6 +159,7 @@
 
 // held reports whether the slow start of target i keeps the chat from it. A
 // chat once let through stays let through as the target's share rises.
+// Returning chats, warm at an earlier home, are kept from it longer.
 func (c *choice) held(i int, score uint64) bool {
 	joined := c.state.targets[i].Joined
 	if joined.IsZero() {
@@ -153,6 +167,10 @@
 	}
 	span := c.pool.cfg.SlowStart
 	since := c.query.Now.Sub(joined)
+	if c.query.Prefix > 0 {
+		span = c.pool.cfg.ReturnHold
+		since -= span
+	}
 	if since >= span {
 		return false
 	}
--- a/internal/request/rank/plan.go
+++ b/internal/request/rank/plan.go
@@ -40,6 +40,8 @@
 	Load digest.Load
 	// Forward names the target that served the chat last, if known.
 	Forward ident.TargetName
+	// Lighter names a target that carried little of late, if known.
+	Lighter ident.TargetName
 	// Moved marks a refusal whose only reason was the forward.
 	Moved bool
 	// Closed marks a target that takes no work: it leaves, is down or does
@@ -84,18 +86,22 @@
 // tried next, and the one that named it once more after that.
 func (p *Plan) Refused(s Step, r Refusal) {
 	p.tried = append(p.tried, tried{candidate: s.Candidate, load: r.Load.Requests + r.Load.Queued, closed: r.Closed})
-	state := p.pool.state.Load()
-	i, ok := state.byName[r.Forward]
-	if ok && !p.seen(i) && state.open(i, p.query.Now) {
-		forward := Candidate{Target: r.Forward, Reason: Forwarded, Index: i}
-		p.queue = slices.DeleteFunc(p.queue, func(c Candidate) bool { return c.Index == i })
-		if r.Moved {
-			p.queue = slices.Insert(p.queue, 0, s.Candidate)
-		}
-		p.queue = slices.Insert(p.queue, 0, forward)
-		return
+	if !r.Moved {
+		p.prefer(r.Lighter, Lighter)
 	}
 	if r.Moved {
 		p.queue = slices.Insert(p.queue, 0, s.Candidate)
 	}
+	p.prefer(r.Forward, Forwarded)
+}
+
+// prefer has a target tried next that has not been tried yet.
+func (p *Plan) prefer(name ident.TargetName, reason Reason) {
+	state := p.pool.state.Load()
+	i, ok := state.byName[name]
+	if !ok || p.seen(i) || !state.open(i, p.query.Now) {
+		return
+	}
+	p.queue = slices.DeleteFunc(p.queue, func(c Candidate) bool { return c.Index == i })
+	p.queue = slices.Insert(p.queue, 0, Candidate{Target: name, Reason: reason, Index: i})
 }
--- a/internal/request/rank/rank.go
+++ b/internal/request/rank/rank.go
@@ -19,10 +19,11 @@
 
 // Defaults of Config.
 const (
-	DefaultBound     = 1.25
-	DefaultLimit     = 4
-	DefaultSlowStart = 10 * time.Second
-	DefaultBelief    = time.Second
+	DefaultBound      = 1.25
+	DefaultLimit      = 4
+	DefaultSlowStart  = 10 * time.Second
+	DefaultReturnHold = 5 * time.Minute
+	DefaultBelief     = time.Second
 )
 
 // maxLimit bounds the candidates of one choice.
@@ -40,6 +41,9 @@
 	Limit int
 	// SlowStart is how long a joining target takes to get its whole share.
 	SlowStart time.Duration
+	// ReturnHold is how long returning chats are kept from a joining target;
+	// its share of them rises over as long again.
+	ReturnHold time.Duration
 	// Belief is how long a reported load is believed.
 	Belief time.Duration
 	// Seed differs between routers, so that their probes differ.
@@ -106,6 +110,9 @@
 	if cfg.SlowStart == 0 {
 		cfg.SlowStart = DefaultSlowStart
 	}
+	if cfg.ReturnHold == 0 {
+		cfg.ReturnHold = DefaultReturnHold
+	}
 	if cfg.Belief == 0 {
 		cfg.Belief = DefaultBelief
 	}
--- a/internal/request/rank/reason.go
+++ b/internal/request/rank/reason.go
@@ -11,6 +11,8 @@
 	Home
 	// Spill follows the home target by rendezvous hashing.
 	Spill
+	// Lighter is a target that is named as lightly loaded.
+	Lighter
 	// Nearest is a lightly loaded target in the router's failure domain.
 	Nearest
 	// Probe is a target drawn at random, to learn its load.
@@ -19,7 +21,7 @@
 	Overloaded
 )
 
-var reasonNames = [...]string{"unknown", "forwarded", "home", "spill", "nearest", "probe", "overloaded"}
+var reasonNames = [...]string{"unknown", "forwarded", "home", "spill", "lighter", "nearest", "probe", "overloaded"}
 
 // String returns the reason in lower case, for decision records.
 func (r Reason) String() string {
--- a/internal/request/rank/work_test.go
+++ b/internal/request/rank/work_test.go
@@ -36,6 +36,7 @@
 	poison, urgent        bool
 	engine                *engine
 	cold, left, tries     int
+	held                  rank.Step
 	steps                 *rank.Plan
 }
 
