--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -20,11 +20,14 @@
 // Defaults of Config.
 const (
 	DefaultBound       = 1.25
+	DefaultColdBound   = 1.0
 	DefaultSigmas      = 3.0
 	DefaultMaxRequests = 64
 	DefaultMaxQueue    = 64
 	DefaultRetryAfter  = 500 * time.Millisecond
 	DefaultPatience    = 2 * time.Second
+	DefaultPrefill     = 20_000
+	DefaultWarmWait    = 4.0
 	DefaultForwards    = 4096
 	DefaultHeadroom    = 0.75
 	DefaultMoveTokens  = 256
@@ -35,6 +38,9 @@
 	Target ident.TargetName
 	// Bound is the multiple of the mean load that the target may carry.
 	Bound float64
+	// ColdBound is the multiple of the mean load up to which work is admitted
+	// of which nothing is warm, unless the offer is final.
+	ColdBound float64
 	// Sigmas is how many standard deviations of the ends that may have
 	// happened since the digest are taken off the mean.
 	Sigmas float64
@@ -49,6 +55,11 @@
 	MaxQueue int
 	// Patience bounds the wait in the queue, within the caller's deadline.
 	Patience time.Duration
+	// Prefill is how many cold tokens the target computes in a second; work
+	// waits for a warm prefix in proportion to the time that it saves.
+	Prefill ident.Tokens
+	// WarmWait is that proportion.
+	WarmWait float64
 	// RetryAfter is the middle of the time that refused callers are told.
 	RetryAfter time.Duration
 	// Forwards bounds the entries that say where chats were served.
@@ -70,6 +81,9 @@
 	running  map[ident.AttemptID]Work
 	load     digest.Load
 	accounts accounts
+	// limit is the requests that the target might carry when work was last
+	// weighed.
+	limit    int
 	leaving  bool
 	down     bool
 	forwards *forwards
@@ -91,11 +105,14 @@
 
 func (cfg *Config) fill() {
 	setDefault(&cfg.Bound, DefaultBound)
+	setDefault(&cfg.ColdBound, DefaultColdBound)
 	setDefault(&cfg.Sigmas, DefaultSigmas)
 	setDefault(&cfg.MaxRequests, DefaultMaxRequests)
 	setDefault(&cfg.Headroom, DefaultHeadroom)
 	setDefault(&cfg.MaxQueue, DefaultMaxQueue)
 	setDefault(&cfg.Patience, DefaultPatience)
+	setDefault(&cfg.Prefill, DefaultPrefill)
+	setDefault(&cfg.WarmWait, DefaultWarmWait)
 	setDefault(&cfg.RetryAfter, DefaultRetryAfter)
 	setDefault(&cfg.MoveTokens, DefaultMoveTokens)
 	setDefault(&cfg.Forwards, DefaultForwards)
@@ -129,10 +146,10 @@
 		return c.refuse(w, Moved), nil
 	}
 	acc := c.accounts.get(w.Customer, w.Weight)
-	if len(acc.queue) == 0 && c.fits(now, acc, w) {
+	if len(acc.queue) == 0 && c.fits(now, acc, w) && c.welcome(w) {
 		return c.admit(now, acc, w), nil
 	}
-	if !w.Final || !c.worthQueueing(now, w) {
+	if c.patience(w) <= 0 || !c.worthQueueing(now, w) {
 		c.accounts.drop(acc)
 		return c.refuse(w, Overloaded), nil
 	}
@@ -173,6 +190,7 @@
 		return false
 	}
 	requests, tokens := c.bound.limits(now, c.load, int64(w.Tokens))
+	c.limit = requests
 	if after > requests {
 		return false
 	}
@@ -186,6 +204,15 @@
 	return c.cfg.MaxTokens == 0 || int64(held) <= max(tokens, int64(float64(c.cfg.MaxTokens)*c.cfg.Headroom))
 }
 
+// welcome reports whether work of which nothing is warm may run here rather
+// than at a less loaded target.
+func (c *Controller) welcome(w Work) bool {
+	if w.Final || w.Warm > 0 {
+		return true
+	}
+	return c.load.Requests+1 <= c.bound.cold(c.load, c.cfg.ColdBound)
+}
+
 // soft returns the requests above which fair shares count.
 func (c *Controller) soft() int {
 	return int(float64(c.cfg.MaxRequests) * c.cfg.Headroom)
@@ -194,6 +221,7 @@
 // admit takes the work on.
 func (c *Controller) admit(now time.Time, acc *account, w Work) Decision {
 	limit, _ := c.bound.limits(now, c.load, int64(w.Tokens))
+	urgent := float64(acc.running+1) <= c.accounts.share(acc, c.load.Requests+1)
 	c.running[w.Attempt] = w
 	c.load.Requests++
 	c.load.Tokens += w.Tokens
@@ -202,7 +230,7 @@
 	if c.leaving || c.load.Requests > limit {
 		c.cfg.Assert(&BrokenError{Target: c.cfg.Target, Load: c.load.Requests, Limit: limit, Leaving: c.leaving})
 	}
-	return Decision{Kind: Admitted, Load: c.snapshot(), Limit: limit}
+	return Decision{Kind: Admitted, Urgent: urgent, Load: c.snapshot(), Limit: limit}
 }
 
 // refuse answers that the work is not run, with what helps the router on.
@@ -217,12 +245,18 @@
 	if f, ok := c.forwards.get(w.Chat); ok {
 		d.Forward = f
 	}
+	if light := c.bound.news.Light; len(light) > 0 {
+		d.Lighter = light[c.cfg.Rand.IntN(len(light))]
+	}
 	return d
 }
 
 func (c *Controller) snapshot() digest.Load {
 	load := c.load
 	load.Queued = c.accounts.queued
+	if load.Requests <= c.limit {
+		load.Backed = min(load.Queued, load.Requests)
+	}
 	return load
 }
 
