--- a/internal/process/audit/audit.go
+++ b/internal/process/audit/audit.go
@@ -50,6 +50,7 @@
 	KindQuarantine Kind = "Quarantine"
 	KindRegister   Kind = "Register"
 	KindOrder      Kind = "Order"
+	KindNote       Kind = "Note"
 )
 
 // Event is what an entry records, without its place in the chain.
--- /dev/null
+++ b/internal/version/store/claim.go
@@ -0,0 +1,189 @@
+package store
+
+import (
+	"errors"
+	"fmt"
+
+	"cactusline.dev/cactusline/internal/process/audit"
+	"cactusline.dev/cactusline/internal/request/ledger"
+	"cactusline.dev/cactusline/internal/version/cmdpb"
+	"cactusline.dev/cactusline/internal/version/ident"
+)
+
+// maxIdempotencyKey bounds a caller's Idempotency-Key, in bytes.
+const maxIdempotencyKey = 255
+
+// ledgerStep is one step of the ledger: what it is done to and what it gave.
+type ledgerStep struct {
+	kind     audit.Kind
+	customer string
+	key      string
+	request  string
+	detail   string
+	reply    ledger.Reply
+	err      error
+}
+
+// checkKey returns what is wrong with a step's key, empty if nothing is.
+func checkKey(customer, key, attempt string) string {
+	switch {
+	case customer == "" || key == "" || attempt == "":
+		return "customer, key and attempt must be set"
+	case len(key) > maxIdempotencyKey:
+		return fmt.Sprintf("key is longer than %d bytes", maxIdempotencyKey)
+	}
+	return ""
+}
+
+// claim asks the ledger for a key.
+func (s *Store) claim(c *cmdpb.Command, body *cmdpb.Claim) *cmdpb.Result {
+	if problem := checkKey(body.GetCustomer(), body.GetKey(), body.GetAttempt()); problem != "" {
+		return invalid(problem)
+	}
+	reply, err := s.ledger.Claim(s.now, ledger.Claim{
+		Key:         ledgerKey(body),
+		Fingerprint: ident.Fingerprint(body.GetFingerprint()),
+		Attempt:     ident.AttemptID(body.GetAttempt()),
+		Target:      ident.TargetName(body.GetTarget()),
+		Incarnation: ident.Incarnation(body.GetIncarnation()),
+		Replaces:    proofOf(body.GetReplaces()),
+	})
+	if err == nil && !reply.Granted {
+		return &cmdpb.Result{Status: cmdpb.Status_STATUS_OK, Entry: entryOf(reply, nil)}
+	}
+	detail := fmt.Sprintf("attempt %s at %s incarnation %d", body.GetAttempt(), body.GetTarget(), body.GetIncarnation())
+	if replaced := body.GetReplaces(); replaced != nil && err == nil {
+		detail += fmt.Sprintf(" in place of %s by %s", replaced.GetAttempt(), replaced.GetKind())
+	}
+	return s.stepped(c, ledgerStep{
+		kind: audit.KindClaim, customer: body.GetCustomer(), key: body.GetKey(),
+		request: body.GetRequest(), detail: detail, reply: reply, err: err,
+	})
+}
+
+// dispatch notes that an attempt is being sent.
+func (s *Store) dispatch(c *cmdpb.Command, body *cmdpb.Dispatch) *cmdpb.Result {
+	if problem := checkKey(body.GetCustomer(), body.GetKey(), body.GetAttempt()); problem != "" {
+		return invalid(problem)
+	}
+	reply, err := s.ledger.Dispatch(s.now, ledgerKey(body), ident.AttemptID(body.GetAttempt()))
+	return s.stepped(c, ledgerStep{
+		kind: audit.KindDispatch, customer: body.GetCustomer(), key: body.GetKey(),
+		detail: "attempt " + body.GetAttempt(), reply: reply, err: err,
+	})
+}
+
+// settle records how an attempt ended.
+func (s *Store) settle(c *cmdpb.Command, body *cmdpb.Settle) *cmdpb.Result {
+	if problem := checkKey(body.GetCustomer(), body.GetKey(), body.GetAttempt()); problem != "" {
+		return invalid(problem)
+	}
+	reply, err := s.ledger.Settle(s.now, ledger.Settlement{
+		Key:     ledgerKey(body),
+		Attempt: ident.AttemptID(body.GetAttempt()),
+		Unknown: body.GetUnknown(),
+		Answer:  ledger.AnswerOf(body.GetAnswer()),
+	})
+	detail := fmt.Sprintf("attempt %s ran, status %d", body.GetAttempt(), body.GetAnswer().GetStatus())
+	if body.GetUnknown() {
+		detail = fmt.Sprintf("attempt %s ended unknown", body.GetAttempt())
+	}
+	return s.stepped(c, ledgerStep{
+		kind: audit.KindSettle, customer: body.GetCustomer(), key: body.GetKey(),
+		detail: detail, reply: reply, err: err,
+	})
+}
+
+// release frees a key on proof.
+func (s *Store) release(c *cmdpb.Command, body *cmdpb.Release) *cmdpb.Result {
+	if problem := checkKey(body.GetCustomer(), body.GetKey(), body.GetProof().GetAttempt()); problem != "" {
+		return invalid(problem)
+	}
+	proof := proofOf(body.GetProof())
+	reply, err := s.ledger.Release(s.now, ledgerKey(body), *proof)
+	detail := fmt.Sprintf("attempt %s by %s incarnation %d", proof.Attempt, body.GetProof().GetKind(), proof.Incarnation)
+	return s.stepped(c, ledgerStep{
+		kind: audit.KindRelease, customer: body.GetCustomer(), key: body.GetKey(),
+		detail: detail, reply: reply, err: err,
+	})
+}
+
+// stepped returns the result of a step and records it.
+func (s *Store) stepped(c *cmdpb.Command, step ledgerStep) *cmdpb.Result {
+	result := &cmdpb.Result{Status: cmdpb.Status_STATUS_OK, Entry: entryOf(step.reply, step.err)}
+	event := audit.Event{
+		Kind: step.kind, Request: step.request,
+		Subject: step.customer + "/" + step.key, Detail: step.detail,
+	}
+	if step.err != nil {
+		result.Status = cmdpb.Status_STATUS_REFUSED
+		result.Detail = step.err.Error()
+		event.Kind = audit.KindRefused
+		event.Detail = fmt.Sprintf("%s %s: %v", step.kind, step.detail, step.err)
+		s.assert(step.err)
+	}
+	return s.record(result, c, event)
+}
+
+// assert reports an error that shows a broken invariant.
+func (s *Store) assert(err error) {
+	var contradiction *ledger.ContradictionError
+	if s.cfg.OnViolation != nil && errors.As(err, &contradiction) {
+		s.cfg.OnViolation(err)
+	}
+}
+
+// keyed is a step that names a key.
+type keyed interface {
+	GetCustomer() string
+	GetKey() string
+}
+
+func ledgerKey(body keyed) ledger.Key {
+	return ledger.KeyOf(ident.CustomerName(body.GetCustomer()), body.GetKey())
+}
+
+// proofKinds maps the kinds of proof; unknown kinds prove nothing.
+var proofKinds = map[cmdpb.ProofKind]ledger.ProofKind{
+	cmdpb.ProofKind_PROOF_KIND_NOT_SENT:  ledger.ProofNotSent,
+	cmdpb.ProofKind_PROOF_KIND_REFUSED:   ledger.ProofRefused,
+	cmdpb.ProofKind_PROOF_KIND_TOMBSTONE: ledger.ProofTombstone,
+}
+
+func proofOf(in *cmdpb.Proof) *ledger.Proof {
+	if in == nil {
+		return nil
+	}
+	return &ledger.Proof{
+		Kind:        proofKinds[in.GetKind()],
+		Attempt:     ident.AttemptID(in.GetAttempt()),
+		Incarnation: ident.Incarnation(in.GetIncarnation()),
+	}
+}
+
+// entryStates maps the states of a key.
+var entryStates = map[ledger.State]cmdpb.EntryState{
+	ledger.StateFree:     cmdpb.EntryState_ENTRY_STATE_FREE,
+	ledger.StateRunning:  cmdpb.EntryState_ENTRY_STATE_RUNNING,
+	ledger.StateSettled:  cmdpb.EntryState_ENTRY_STATE_SETTLED,
+	ledger.StateUnknown:  cmdpb.EntryState_ENTRY_STATE_UNKNOWN,
+	ledger.StateReleased: cmdpb.EntryState_ENTRY_STATE_FREE,
+	ledger.StateExpired:  cmdpb.EntryState_ENTRY_STATE_EXPIRED,
+}
+
+// entryOf describes what the ledger holds.
+func entryOf(reply ledger.Reply, err error) *cmdpb.Entry {
+	entry := &cmdpb.Entry{
+		State: entryStates[reply.State], Attempt: string(reply.Attempt), Target: string(reply.Target),
+		Incarnation: uint64(reply.Incarnation), Dispatched: reply.Dispatched,
+		Answer: ledger.AnswerProto(reply.Answer), RetryAfterMs: uint32(reply.RetryAfter.Milliseconds()),
+	}
+	var mismatch *ledger.MismatchError
+	switch {
+	case errors.As(err, &mismatch):
+		entry.State = cmdpb.EntryState_ENTRY_STATE_MISMATCH
+	case reply.Granted:
+		entry.State = cmdpb.EntryState_ENTRY_STATE_GRANTED
+	}
+	return entry
+}
