--- a/internal/version/store/answer.go
+++ b/internal/version/store/answer.go
@@ -60,7 +60,7 @@
 // no id is always run.
 func (s *Store) once(c *cmdpb.Command, body proto.Message, run func() *cmdpb.Result) *cmdpb.Result {
 	if c.GetChange() == "" {
-		return run()
+		return s.revised(run())
 	}
 	content, err := contentHash(body)
 	if err != nil {
@@ -69,10 +69,7 @@
 	if known := s.answers.byChange[c.GetChange()]; known != nil {
 		return replay(known, content)
 	}
-	result := run()
-	if result.GetRevision() == 0 {
-		result.Revision = s.revision()
-	}
+	result := s.revised(run())
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(result)
 	if err != nil {
 		return invalid(err.Error())
@@ -83,6 +80,12 @@
 	return result
 }
 
+// revised adds the current revision to a result.
+func (s *Store) revised(result *cmdpb.Result) *cmdpb.Result {
+	result.Revision = s.revision()
+	return result
+}
+
 // replay returns the answer that a change got.
 func replay(known *cmdpb.ChangeAnswer, content []byte) *cmdpb.Result {
 	if !bytes.Equal(known.GetContent(), content) {
--- /dev/null
+++ b/internal/version/store/fuzz_test.go
@@ -0,0 +1,52 @@
+package store_test
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"cactusline.dev/cactusline/internal/version/cmdpb"
+	"cactusline.dev/cactusline/internal/version/store"
+)
+
+func FuzzApply(f *testing.F) {
+	for _, c := range []*cmdpb.Command{
+		applyOf("c", service("s", 0, "p"), replicaTarget("t", "s")), retireOf("d", "Service", "s", 1),
+		claimOf("k", "a", 1), settleOf("k", "a", []byte("x")), drainOf("e", "vm1", false),
+	} {
+		entry, err := store.Encode(c)
+		assert.NilError(f, err)
+		f.Add(entry)
+	}
+	f.Add([]byte{})
+	f.Add([]byte{0x08, 1, 0x10, 0xff})
+	f.Fuzz(func(t *testing.T, entry []byte) {
+		if store.Check(entry) != nil {
+			return
+		}
+		s, twin := store.New(store.Config{}), store.New(store.Config{})
+		for index := uint64(1); index <= 2; index++ {
+			data := s.Apply(index, entry)
+			result := &cmdpb.Result{}
+			assert.NilError(t, proto.Unmarshal(data, result))
+			assert.Equal(t, string(twin.Apply(index, entry)), string(data))
+		}
+		assert.NilError(t, twin.Restore(snapshotOf(t, s)))
+		assert.Equal(t, string(snapshotOf(t, twin)), string(snapshotOf(t, s)))
+	})
+}
+
+func FuzzRestore(f *testing.F) {
+	r := newReplica(f, store.Config{})
+	r.apply(applyOf("c", service("s", 0, "p"), replicaTarget("t", "s")))
+	r.apply(claimOf("k", "a", 1))
+	f.Add(r.snapshot())
+	f.Add([]byte{0x08, 9})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s := store.New(store.Config{})
+		if s.Restore(data) == nil {
+			snapshotOf(t, s)
+		}
+	})
+}
--- a/internal/version/store/store.go
+++ b/internal/version/store/store.go
@@ -112,11 +112,7 @@
 		panic(&FormatError{Format: command.GetFormat()})
 	}
 	s.advance(time.Unix(0, command.GetTime()).UTC())
-	result := s.run(command)
-	if result.GetRevision() == 0 {
-		result.Revision = s.revision()
-	}
-	return result
+	return s.run(command)
 }
 
 // run carries out a command.
@@ -128,6 +124,15 @@
 		return s.once(c, body.Retire, func() *cmdpb.Result { return s.retireRecords(c, body.Retire) })
 	case *cmdpb.Command_Drain:
 		return s.once(c, body.Drain, func() *cmdpb.Result { return s.drain(c, body.Drain) })
+	}
+	result := s.runStep(c)
+	result.Revision = s.revision()
+	return result
+}
+
+// runStep carries out a command that changes no records.
+func (s *Store) runStep(c *cmdpb.Command) *cmdpb.Result {
+	switch body := c.GetBody().(type) {
 	case *cmdpb.Command_Claim:
 		return s.claim(c, body.Claim)
 	case *cmdpb.Command_Dispatch:
