--- a/internal/process/cmds/cmds.go
+++ b/internal/process/cmds/cmds.go
@@ -23,7 +23,10 @@
 
 // commands is the whole command line.
 type commands struct {
-	LogLevel string `help:"Least level that is logged." enum:"debug,info,warn,error" default:"info"`
+	LogLevel      string `help:"Least level that is logged." enum:"debug,info,warn,error" default:"info"`
+	TraceEndpoint string `help:"URL of an OTLP/HTTP collector for spans."`
+	TraceFile     string `help:"File to which spans are appended as JSON lines."`
+	TraceOneIn    int    `help:"Keep one new trace in this many." default:"1"`
 
 	Router  RouterCommand  `cmd:"" help:"Take callers' requests and route them to targets."`
 	Sidecar SidecarCommand `cmd:"" help:"Guard one target: admit, run and account for its work."`
@@ -39,7 +42,7 @@
 	ctx    context.Context
 	stdout io.Writer
 	stderr io.Writer
-	level  string
+	cli    *commands
 }
 
 // Main runs the command line and returns the exit code.
@@ -66,7 +69,7 @@
 		_, _ = fmt.Fprintln(stderr, "cactusline:", err)
 		return ExitUsage
 	}
-	err = parsed.Run(&scope{ctx: ctx, stdout: stdout, stderr: stderr, level: cli.LogLevel})
+	err = parsed.Run(&scope{ctx: ctx, stdout: stdout, stderr: stderr, cli: cli})
 	return exitCode(err, stderr)
 }
 
--- a/internal/process/cmds/router.go
+++ b/internal/process/cmds/router.go
@@ -1,12 +1,17 @@
 package cmds
 
 import (
+	"context"
 	"math/rand/v2"
+	"net"
+
+	"github.com/go-kit/log"
 
 	"cactusline.dev/cactusline/internal/conn/watch"
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/process/clock"
 	"cactusline.dev/cactusline/internal/process/router"
+	"cactusline.dev/cactusline/internal/process/trace"
 	"cactusline.dev/cactusline/internal/version/ident"
 	"cactusline.dev/cactusline/internal/version/record"
 )
@@ -30,6 +35,16 @@
 	if err != nil {
 		return err
 	}
+	tracer, err := s.tracer(c.Name, "router")
+	if err != nil {
+		return err
+	}
+	defer closeTracer(tracer)
+	return c.serve(s.ctx, logger, tracer, listener)
+}
+
+// serve runs the router on a listener until ctx ends.
+func (c *RouterCommand) serve(ctx context.Context, logger log.Logger, tracer *trace.Tracer, listener net.Listener) error {
 	links, control := newLinks(c.Name, c.Control)
 	defer func() { _ = links.Close() }()
 	var r *router.Router
@@ -48,12 +63,13 @@
 		Listener:  listener,
 		Clock:     clock.System{},
 		Logger:    logger,
+		Tracer:    tracer,
 		Link:      links,
 		Control:   control,
 		Follower:  follower,
 		Seed:      rand.Uint64(),
 		BodyLimit: c.BodyLimit,
 	})
-	go follower.Run(s.ctx)
-	return r.Run(s.ctx)
+	go follower.Run(ctx)
+	return r.Run(ctx)
 }
--- a/internal/process/cmds/sidecar.go
+++ b/internal/process/cmds/sidecar.go
@@ -4,14 +4,18 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/url"
 
+	"github.com/go-kit/log"
+
 	"google.golang.org/protobuf/proto"
 
 	"cactusline.dev/cactusline/internal/conn/remote"
 	"cactusline.dev/cactusline/internal/conn/watch"
 	"cactusline.dev/cactusline/internal/process/clock"
 	"cactusline.dev/cactusline/internal/process/side"
+	"cactusline.dev/cactusline/internal/process/trace"
 	"cactusline.dev/cactusline/internal/version/cmdpb"
 	"cactusline.dev/cactusline/internal/version/ident"
 )
@@ -34,9 +38,19 @@
 	if err != nil {
 		return err
 	}
+	tracer, err := s.tracer(string(c.Name), "sidecar")
+	if err != nil {
+		return err
+	}
+	defer closeTracer(tracer)
+	return c.serve(s.ctx, logger, tracer, listener)
+}
+
+// serve runs the sidecar on a listener until ctx ends.
+func (c *SidecarCommand) serve(ctx context.Context, logger log.Logger, tracer *trace.Tracer, listener net.Listener) error {
 	links, control := newLinks(string(c.Name), c.Control)
 	defer func() { _ = links.Close() }()
-	incarnation, err := register(s.ctx, control, "sidecar/"+string(c.Name))
+	incarnation, err := register(ctx, control, "sidecar/"+string(c.Name))
 	if err != nil {
 		return err
 	}
@@ -46,6 +60,7 @@
 		Listener:    listener,
 		Clock:       clock.System{},
 		Logger:      logger,
+		Tracer:      tracer,
 		Control:     control,
 		Incarnation: incarnation,
 		Seed:        rand.Uint64(),
@@ -65,8 +80,8 @@
 		OnUpdate:  sidecar.Update,
 	})
 	sidecar.Follow(follower)
-	go follower.Run(s.ctx)
-	return sidecar.Run(s.ctx)
+	go follower.Run(sidecar.Life())
+	return sidecar.Run(ctx)
 }
 
 // register asks control for the incarnation of a process that starts.
--- a/internal/process/cmds/wiring.go
+++ b/internal/process/cmds/wiring.go
@@ -1,9 +1,11 @@
 package cmds
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"time"
 
 	"github.com/go-kit/log"
 
@@ -11,17 +13,42 @@
 	"cactusline.dev/cactusline/internal/conn/remote"
 	"cactusline.dev/cactusline/internal/process/clock"
 	"cactusline.dev/cactusline/internal/process/logs"
+	"cactusline.dev/cactusline/internal/process/trace"
 )
 
 // newLogger returns the logger of a role.
 func newLogger(s *scope, role, name string) (log.Logger, error) {
-	logger, err := logs.New(logs.Config{Writer: s.stderr, Level: s.level, Clock: clock.System{}})
+	logger, err := logs.New(logs.Config{Writer: s.stderr, Level: s.cli.LogLevel, Clock: clock.System{}})
 	if err != nil {
 		return nil, &codedError{code: ExitUsage, err: err}
 	}
 	return log.With(logger, "role", role, "process", name), nil
 }
 
+// tracer returns the tracer of a role.
+func (s *scope) tracer(process, role string) (*trace.Tracer, error) {
+	tracer, err := trace.New(s.ctx, trace.Config{
+		Process:     process,
+		Role:        role,
+		Endpoint:    s.cli.TraceEndpoint,
+		File:        s.cli.TraceFile,
+		SampleOneIn: s.cli.TraceOneIn,
+	})
+	if err != nil {
+		return nil, &codedError{code: ExitUsage, err: err}
+	}
+	return tracer, nil
+}
+
+// closeTracer exports the spans that are left.
+func closeTracer(tracer *trace.Tracer) {
+	ctx, cancel := context.WithTimeout(context.Background(), traceFlushTimeout)
+	defer cancel()
+	_ = tracer.Close(ctx)
+}
+
+const traceFlushTimeout = 2 * time.Second
+
 // listen opens a TCP listener.
 func listen(flag, address string) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address)
--- a/internal/process/ctrl/ctrl.go
+++ b/internal/process/ctrl/ctrl.go
@@ -17,6 +17,7 @@
 	"cactusline.dev/cactusline/internal/conn/link"
 	"cactusline.dev/cactusline/internal/conn/watch"
 	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/process/group"
 	"cactusline.dev/cactusline/internal/process/trace"
 	"cactusline.dev/cactusline/internal/version/cmdpb"
 	"cactusline.dev/cactusline/internal/version/ident"
@@ -65,7 +66,7 @@
 	Log      Log
 	Store    Store
 	// Receive takes messages of the replicated log.
-	Receive func(from string, message []byte)
+	Receive func(from group.MemberID, message []byte)
 	// Query answers questions other than those of this package.
 	Query func(ctx context.Context, query *wire.Query) *wire.QueryReply
 }
@@ -131,19 +132,12 @@
 	return failure(err)
 }
 
-// Leader is an error that says where the leader is.
-type Leader interface {
-	error
-	// LeaderAddress returns the leader's host:port, empty if unknown.
-	LeaderAddress() string
-}
-
 // failure words an entry that was not committed, as far as is known.
 func failure(err error) *wire.CommandReply {
 	reply := &wire.CommandReply{Error: err.Error()}
-	var elsewhere Leader
+	var elsewhere *group.NotLeaderError
 	if errors.As(err, &elsewhere) {
-		reply.Leader = elsewhere.LeaderAddress()
+		reply.Leader = elsewhere.Address
 		reply.Retry = true
 		return reply
 	}
@@ -173,7 +167,7 @@
 		if stream.Receive(message) != nil {
 			return
 		}
-		c.cfg.Receive(peer.GetFrom(), message.GetData())
+		c.cfg.Receive(group.MemberID(peer.GetFrom()), message.GetData())
 	}
 }
 
--- a/internal/process/side/side.go
+++ b/internal/process/side/side.go
@@ -102,6 +102,9 @@
 // to Update.
 func (s *Sidecar) Follow(f *watch.Follower) { s.follower.Store(f) }
 
+// Life ends when the sidecar has nothing left to do.
+func (s *Sidecar) Life() context.Context { return s.life }
+
 // Run serves until ctx ends. Then it refuses new work, lets what runs finish,
 // and returns.
 func (s *Sidecar) Run(ctx context.Context) error {
--- a/internal/process/side/submit.go
+++ b/internal/process/side/submit.go
@@ -47,8 +47,7 @@
 	reason := wire.RefusalReason_REFUSAL_REASON_UNSPECIFIED
 	incarnation := submit.GetIncarnation()
 	switch {
-	case submit.GetOnce() && submit.GetLedgerKey() != "" && incarnation != uint64(s.cfg.Incarnation),
-		submit.GetJoin() && incarnation != 0 && incarnation != uint64(s.cfg.Incarnation):
+	case incarnation != uint64(s.cfg.Incarnation) && (incarnation != 0 || submit.GetOnce()):
 		reason = wire.RefusalReason_REFUSAL_REASON_INCARNATION
 	case submit.GetJoin():
 		return nil
@@ -211,7 +210,8 @@
 	var unseen *replay.UnseenError
 	switch {
 	case errors.As(err, &unseen):
-		refusal.Reason = wire.RefusalReason_REFUSAL_REASON_INCARNATION
+		s.attempts.Bury(s.cfg.Clock.Now(), id)
+		refusal.Reason = wire.RefusalReason_REFUSAL_REASON_TOMBSTONED
 	case s.attempts.Bury(s.cfg.Clock.Now(), id):
 		refusal.Reason = wire.RefusalReason_REFUSAL_REASON_TARGET_DOWN
 	default:
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -203,6 +203,7 @@
 		e.Reason = body.Refusal.GetReason()
 		e.RetryAfter = time.Duration(body.Refusal.GetRetryAfterMs()) * time.Millisecond
 		e.Forward = ident.TargetName(body.Refusal.GetForward())
+		e.Incarnation = ident.Incarnation(body.Refusal.GetLoad().GetIncarnation())
 		return e, true
 	case *wire.Reply_Head:
 		e.Kind = tries.EventHead
