Bring sidecars that control does not reach to the router's revision

Cause: a sidecar behind a cut-off control process would never learn of a change. A router that sees it behind for a second pushes the records. Not measured yet.

--- a/internal/process/cmds/control.go
+++ b/internal/process/cmds/control.go
@@ -60,7 +60,7 @@
 		members = []group.Member{{VM: c.VM, Address: internal.Addr().String()}}
 	}
 	state := store.New(store.Config{})
-	links, _ := newLinks(string(c.VM), nil)
+	links, remotes := newLinks(string(c.VM), addressesOf(members))
 	defer func() { _ = links.Close() }()
 	peers := ctrl.NewPeers(ctrl.PeersConfig{Self: c.VM, Members: members, Link: links, Clock: clock.System{}})
 	replicas, err := group.Open(group.Config{
@@ -83,6 +83,7 @@
 		Tracer:   tracer,
 		Log:      replicas,
 		Store:    state,
+		Remote:   remotes,
 		Receive:  replicas.Receive,
 	})
 	go peers.Run(ctx)
@@ -97,6 +98,14 @@
 	return err
 }
 
+func addressesOf(members []group.Member) []string {
+	addresses := make([]string, 0, len(members))
+	for _, member := range members {
+		addresses = append(addresses, member.Address)
+	}
+	return addresses
+}
+
 // parsePeers reads NAME=HOST:PORT pairs.
 func parsePeers(pairs []string) ([]group.Member, error) {
 	members := make([]group.Member, 0, len(pairs))
--- a/internal/process/ctrl/ctrl.go
+++ b/internal/process/ctrl/ctrl.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"cactusline.dev/cactusline/internal/conn/link"
+	"cactusline.dev/cactusline/internal/conn/remote"
 	"cactusline.dev/cactusline/internal/conn/watch"
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/process/group"
@@ -65,6 +66,8 @@
 	Tracer   *trace.Tracer
 	Log      Log
 	Store    Store
+	// Remote asks the other control processes.
+	Remote *remote.Client
 	// Receive takes messages of the replicated log.
 	Receive func(from group.MemberID, message []byte)
 	// Query answers questions other than those of this package.
@@ -111,7 +114,7 @@
 	case *wire.Call_Watch:
 		c.serveWatch(ctx, call, body.Watch, stream)
 	case *wire.Call_Query:
-		_ = stream.Send(c.cfg.Query(ctx, body.Query))
+		_ = stream.Send(c.query(ctx, body.Query))
 	case *wire.Call_Peer:
 		c.servePeer(body.Peer, stream)
 	case *wire.Call_Probe:
@@ -119,6 +122,14 @@
 	}
 }
 
+// query answers a question about the state of this process.
+func (c *Control) query(ctx context.Context, query *wire.Query) *wire.QueryReply {
+	if c.cfg.Query == nil {
+		return &wire.QueryReply{Error: "no answer to " + query.GetKind()}
+	}
+	return c.cfg.Query(ctx, query)
+}
+
 // command stamps a command with the time and proposes it.
 func (c *Control) command(ctx context.Context, command *wire.Command) *wire.CommandReply {
 	entry, err := Stamp(c.cfg.Clock.Now(), command.GetEntry())
@@ -145,6 +156,32 @@
 	return reply
 }
 
+// Command proposes an encoded command here, or at the leader, and returns its
+// encoded result. It implements admin.Control.
+func (c *Control) Command(ctx context.Context, entry []byte) ([]byte, error) {
+	for {
+		reply := c.command(ctx, &wire.Command{Entry: entry})
+		if reply.GetError() == "" {
+			return reply.GetResult(), nil
+		}
+		if !reply.GetRetry() {
+			return nil, errors.New(reply.GetError())
+		}
+		if reply.GetLeader() != "" {
+			return c.cfg.Remote.Command(ctx, entry, trace.Parent(ctx))
+		}
+		if err := c.cfg.Clock.Sleep(ctx, leaderInterval); err != nil {
+			return nil, fmt.Errorf("await a leader: %w", err)
+		}
+	}
+}
+
+// leaderInterval is how often a process that knows no leader looks for one.
+const leaderInterval = 50 * time.Millisecond
+
+// Set returns the records in force. It implements admin.Control.
+func (c *Control) Set() *record.Set { return c.cfg.Store.Set() }
+
 // Stamp sets the time of an encoded command, so that every replica applies it
 // at the same time.
 func Stamp(now time.Time, entry []byte) ([]byte, error) {
--- a/internal/process/router/view.go
+++ b/internal/process/router/view.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cactusline.dev/cactusline/internal/conn/digest"
+	"cactusline.dev/cactusline/internal/conn/watch"
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/request/rank"
 	"cactusline.dev/cactusline/internal/version/ident"
@@ -143,11 +144,41 @@
 			Queued:   int(load.GetQueued()),
 		})
 	}
-	if revision > v.set().Revision() {
+	v.compare(now, target, revision)
+}
+
+// compare brings whoever is behind, this router or the sidecar, to the other
+// one's revision.
+func (v *view) compare(now time.Time, target ident.TargetName, revision ident.Revision) {
+	n := v.nodes.get(target)
+	own := v.set().Revision()
+	switch {
+	case revision > own:
 		v.pullFrom(target)
+	case revision == own:
+		n.behind.Store(0)
+	case n.behind.CompareAndSwap(0, now.UnixNano()):
+		// Control is given a moment to tell the sidecar.
+	case now.UnixNano()-n.behind.Load() > int64(pushDelay):
+		n.behind.Store(0)
+		v.pushTo(target)
 	}
 }
 
+// pushTo sends the records to a sidecar that control does not reach.
+func (v *view) pushTo(target ident.TargetName) {
+	address, ok := v.Address(target)
+	if !ok {
+		return
+	}
+	call := &wire.Call{Body: &wire.Call_Push{Push: watch.Encode(v.set().Full())}}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
+		defer cancel()
+		_ = v.cfg.Link.Ask(ctx, address, call, new(wire.PushReply))
+	}()
+}
+
 // Failed implements relay.Directory.
 func (v *view) Failed(target ident.TargetName) {
 	until := v.cfg.Clock.Now().Add(ejectInterval)
@@ -178,10 +209,18 @@
 	}()
 }
 
-const pullTimeout = 2 * time.Second
+const (
+	pullTimeout = 2 * time.Second
+	// pushDelay is how long a sidecar may be behind before this router tells
+	// it what it lacks.
+	pushDelay = time.Second
+)
 
 // node is what replies said of one sidecar.
 type node struct {
 	incarnation atomic.Uint64
-	pulling     atomic.Bool
+	// behind is when the sidecar was first seen at a lower revision, in Unix
+	// nanoseconds; zero if it is not.
+	behind  atomic.Int64
+	pulling atomic.Bool
 }
