--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -112,6 +112,9 @@
 }
 
 func (x *exchange) step(ctx context.Context, e event) {
+	if e.head != nil {
+		x.keepHead(&e)
+	}
 	if e.Kind == tries.EventRefused {
 		x.forwarded = e.Forward
 	}
@@ -132,7 +135,7 @@
 	case tries.ActionSend:
 		x.send(ctx, action)
 	case tries.ActionHead:
-		x.head(e.head)
+		x.head(action.Stream)
 	case tries.ActionDeliver:
 		x.deliver(e.data)
 	case tries.ActionCancel:
@@ -163,7 +166,11 @@
 	}
 }
 
-func (x *exchange) head(head *wire.Head) {
+// head writes the head that came on a stream. The machine asks for it only
+// once the first bytes have come, since until then the attempt may be run
+// again elsewhere.
+func (x *exchange) head(stream tries.StreamID) {
+	head := x.headOf(stream)
 	x.result.Started = true
 	x.result.WarmTokens = ident.Tokens(head.GetWarmTokens())
 	x.answer.Status = int(head.GetStatus())
@@ -171,6 +178,23 @@
 	x.caller.Head(x.answer.Status, x.answer.Headers)
 }
 
+func (x *exchange) headOf(stream tries.StreamID) *wire.Head {
+	for _, s := range x.streams {
+		if s.id == stream {
+			return s.head
+		}
+	}
+	return nil
+}
+
+func (x *exchange) keepHead(e *event) {
+	for _, s := range x.streams {
+		if s.id == e.Stream {
+			s.head = e.head
+		}
+	}
+}
+
 func (x *exchange) deliver(data []byte) {
 	if x.request.Tries.Once && ident.Bytes(len(x.answer.Body)+len(data)) <= x.cfg.MaxRecordedBytes {
 		x.answer.Body = append(x.answer.Body, data...)
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -27,6 +27,8 @@
 	target  ident.TargetName
 	cancel  context.CancelFunc
 	stop    chan struct{}
+	// head came on the stream; only the loop touches it.
+	head *wire.Head
 }
 
 // send submits an attempt on a stream of its own.
