--- a/internal/process/ctrl/hub.go
+++ b/internal/process/ctrl/hub.go
@@ -40,7 +40,6 @@
 	verdicts uint64
 	// stamps are reports that no barrier has followed yet, oldest first.
 	stamps []stamp
-	echoed int64
 	digest uint64
 }
 
--- a/internal/process/router/view.go
+++ b/internal/process/router/view.go
@@ -34,7 +34,7 @@
 	current atomic.Pointer[snapshot]
 	nodes   nodes
 
-	mu sync.Mutex // serialises rebuild
+	mu sync.Mutex // serializes rebuild
 }
 
 // snapshot is the view at one revision. It does not change.
--- a/internal/process/side/run.go
+++ b/internal/process/side/run.go
@@ -222,12 +222,12 @@
 
 // detach takes a reader away. An idempotent run that nobody reads ends: at
 // once if its caller has gone, else when no router comes back in time.
-func (s *Sidecar) detach(reader *reader, cancelled bool) {
+func (s *Sidecar) detach(reader *reader, canceled bool) {
 	r := reader.run
 	if r == nil || !r.leave() || r.once {
 		return
 	}
-	if cancelled {
+	if canceled {
 		r.cancel()
 		return
 	}
--- a/internal/process/side/submit.go
+++ b/internal/process/side/submit.go
@@ -44,7 +44,7 @@
 
 // unfit returns why an attempt may not even be looked at, nil if it may.
 func (s *Sidecar) unfit(call *wire.Call, submit *wire.Submit) *wire.Refusal {
-	reason := wire.RefusalReason_REFUSAL_REASON_UNSPECIFIED
+	var reason wire.RefusalReason
 	incarnation := submit.GetIncarnation()
 	switch {
 	case incarnation != uint64(s.cfg.Incarnation) && (incarnation != 0 || submit.GetOnce()):
@@ -121,7 +121,7 @@
 func (s *Sidecar) join(ctx context.Context, submit *wire.Submit, out *answer, watcher *callerWatch) {
 	id := ident.AttemptID(submit.GetAttempt())
 	reader := s.runs.attach(id)
-	defer func() { s.detach(reader, watcher.cancelled.Load()) }()
+	defer func() { s.detach(reader, watcher.canceled.Load()) }()
 	buffer := make([]byte, answerChunkBytes)
 	headSent := false
 	for {
@@ -160,12 +160,12 @@
 type callerWatch struct {
 	stream    *link.Stream
 	cancel    context.CancelFunc
-	cancelled flag
+	canceled flag
 }
 
 func (c *callerWatch) wait() {
 	if c.stream.Receive(new(wire.Cancel)) == nil {
-		c.cancelled.Store(true)
+		c.canceled.Store(true)
 	}
 	c.cancel()
 }
