--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -20,6 +20,7 @@
 // Defaults of Config.
 const (
 	DefaultBound       = 1.25
+	DefaultAim         = 1.2
 	DefaultColdBound   = 1.0
 	DefaultSigmas      = 3.0
 	DefaultMaxRequests = 64
@@ -27,7 +28,7 @@
 	DefaultRetryAfter  = 500 * time.Millisecond
 	DefaultPatience    = 2 * time.Second
 	DefaultPrefill     = 20_000
-	DefaultWarmWait    = 4.0
+	DefaultWarmWait    = 8.0
 	DefaultForwards    = 4096
 	DefaultHeadroom    = 0.75
 	DefaultMoveTokens  = 256
@@ -38,6 +39,9 @@
 	Target ident.TargetName
 	// Bound is the multiple of the mean load that the target may carry.
 	Bound float64
+	// Aim is the multiple of the mean at which admission stops, below Bound by
+	// what the mean is likely to fall while admitted work still runs.
+	Aim float64
 	// ColdBound is the multiple of the mean load up to which work is admitted
 	// of which nothing is warm, unless the offer is final.
 	ColdBound float64
@@ -97,7 +101,7 @@
 	cfg.fill()
 	return &Controller{
 		cfg:      cfg,
-		bound:    bound{factor: cfg.Bound, sigmas: cfg.Sigmas},
+		bound:    bound{factor: min(cfg.Aim, cfg.Bound), sigmas: cfg.Sigmas},
 		running:  make(map[ident.AttemptID]Work),
 		forwards: newForwards(cfg.Forwards),
 	}, nil
@@ -105,6 +109,7 @@
 
 func (cfg *Config) fill() {
 	setDefault(&cfg.Bound, DefaultBound)
+	setDefault(&cfg.Aim, min(DefaultAim, cfg.Bound))
 	setDefault(&cfg.ColdBound, DefaultColdBound)
 	setDefault(&cfg.Sigmas, DefaultSigmas)
 	setDefault(&cfg.MaxRequests, DefaultMaxRequests)
--- a/internal/request/admit/admit_test.go
+++ b/internal/request/admit/admit_test.go
@@ -32,7 +32,7 @@
 }
 
 func TestTargetStaysWithinTheBound(t *testing.T) {
-	c := newController(t, admit.Config{})
+	c := newController(t, admit.Config{Aim: 1.25})
 	c.SetDigest(start, digest.Digest{Targets: 10, Requests: 80, At: start, Stamp: 1})
 	for id := range 30 {
 		c.Offer(start, work(id, "club"))
--- a/internal/request/rank/bench_test.go
+++ b/internal/request/rank/bench_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"cactusline.dev/cactusline/internal/request/admit"
 	"cactusline.dev/cactusline/internal/request/rank"
 )
 
@@ -27,6 +28,7 @@
 	means             float64
 	admitted, overCap int
 	refused, control  int
+	turnedAway        [3]int
 	waits, others     *hdrhistogram.Histogram
 }
 
@@ -54,6 +56,19 @@
 	}
 }
 
+// turnAway counts a refusal as of cold work, at a full target, or on to where
+// the chat is.
+func (s *stats) turnAway(e *engine, r *request, d admit.Decision) {
+	switch {
+	case d.Reason == admit.Moved:
+		s.turnedAway[2]++
+	case e.cache.get(r.chat) > 0 && r.prefix > 0:
+		s.turnedAway[1]++
+	default:
+		s.turnedAway[0]++
+	}
+}
+
 func (s *stats) reuse() float64 { return float64(s.warm) / float64(max(s.prefix, 1)) }
 
 func (s *stats) mean() float64 { return s.means / float64(len(s.skew)) }
@@ -78,6 +93,9 @@
 		{"refused", float64(s.refused) / float64(s.refused+s.admitted)},
 		{"ttft-p50-ms", float64(s.waits.ValueAtQuantile(50)) / 1000},
 		{"ttft-p95-ms", float64(s.waits.ValueAtQuantile(95)) / 1000},
+		{"cold-refusals", float64(s.turnedAway[0]) / float64(s.admitted)},
+		{"full-refusals", float64(s.turnedAway[1]) / float64(s.admitted)},
+		{"moved-refusals", float64(s.turnedAway[2]) / float64(s.admitted)},
 		{"others-ttft-p95-ms", float64(s.others.ValueAtQuantile(95)) / 1000},
 	}
 	for _, metric := range metrics {
--- a/internal/request/rank/ours_test.go
+++ b/internal/request/rank/ours_test.go
@@ -129,6 +129,7 @@
 		m.note(r, e)
 	case admit.Refused:
 		m.stats.control += refusalFrame
+		m.stats.turnAway(e, r, d)
 		rt := m.routers[r.router]
 		m.after(m.delay(rt.domain, e.domain), func() {
 			rt.pool.Observe(m.clock(), engineName(e.id), d.Load)
