--- /dev/null
+++ b/internal/request/budget/budget_test.go
@@ -0,0 +1,84 @@
+package budget_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cactusline.dev/cactusline/internal/request/budget"
+	"cactusline.dev/cactusline/internal/version/ident"
+)
+
+var epoch = time.Unix(1000, 0)
+
+// load sends requests of a customer at a rate for some seconds, retries each
+// as often as it may, and counts the retries.
+func load(b *budget.Budget, from time.Time, customer ident.CustomerName, seconds, perSecond int) int {
+	retries := 0
+	for i := range seconds * perSecond {
+		now := from.Add(time.Duration(i) * time.Second / time.Duration(perSecond))
+		b.Request(now, customer)
+		for b.Spend(now, customer) {
+			retries++
+		}
+	}
+	return retries
+}
+
+func TestShareOfRequests(t *testing.T) {
+	b := budget.New(budget.Config{Share: 0.1, PoolRate: 2})
+	retries := load(b, epoch, "big", 60, 100)
+	pooled := 60 + 10
+	assert.Assert(t, retries >= 550 && retries <= 600+pooled, "%d retries of 6000 requests", retries)
+}
+
+func TestOneCustomerCantStarveOthers(t *testing.T) {
+	b := budget.New(budget.Config{})
+	load(b, epoch, "greedy", 60, 500)
+	now := epoch.Add(time.Minute)
+	for b.Spend(now, "greedy") {
+	}
+	for i := range 10 {
+		customer := ident.CustomerName(fmt.Sprint("small", i))
+		assert.Assert(t, b.Spend(now, customer), "%s has no retry", customer)
+	}
+	for range 30 {
+		b.Request(now, "steady")
+	}
+	assert.Assert(t, b.Spend(now, "steady"))
+	assert.Assert(t, b.Spend(now, "steady"))
+}
+
+func TestForgetsOldRequests(t *testing.T) {
+	b := budget.New(budget.Config{PoolRate: 0.001})
+	for range 1000 {
+		b.Request(epoch, "c")
+	}
+	b.Spend(epoch, "x")
+	later := epoch.Add(10 * budget.DefaultWindow)
+	spent := 0
+	for b.Spend(later, "c") {
+		spent++
+	}
+	assert.Assert(t, spent <= 1, "%d retries left of requests long ago", spent)
+}
+
+func TestManyCustomers(t *testing.T) {
+	b := budget.New(budget.Config{Shards: 1, MaxCustomers: 8})
+	for i := range 100 {
+		b.Request(epoch, ident.CustomerName(fmt.Sprint(i)))
+	}
+	assert.Assert(t, b.Spend(epoch, "99"), "the shared account has earned retries")
+}
+
+func TestDoesNotAllocate(t *testing.T) {
+	b := budget.New(budget.Config{})
+	b.Request(epoch, "c")
+	allocations := testing.AllocsPerRun(100, func() {
+		b.Request(epoch, "c")
+		b.Spend(epoch, "c")
+	})
+	assert.Equal(t, allocations, 0.0)
+}
--- /dev/null
+++ b/internal/request/poison/poison_test.go
@@ -0,0 +1,172 @@
+package poison_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"cactusline.dev/cactusline/internal/process/seeds"
+	"cactusline.dev/cactusline/internal/request/poison"
+	"cactusline.dev/cactusline/internal/version/ident"
+)
+
+var epoch = time.Unix(1000, 0)
+
+func at(second int) time.Time { return epoch.Add(time.Duration(second) * time.Second) }
+
+func crash(target ident.TargetName, number uint64, inFlight ...ident.Fingerprint) poison.CrashReport {
+	return poison.CrashReport{Target: target, Incarnation: 1, Number: number, InFlight: inFlight}
+}
+
+func TestVerdicts(t *testing.T) {
+	const deadly, bystander = 7, 8
+	router := crash("b", 0, deadly)
+	router.Partial = true
+	for name, c := range map[string]struct {
+		reports []poison.CrashReport
+		want    poison.Verdict
+	}{
+		"one crash":                     {[]poison.CrashReport{crash("a", 1, deadly)}, poison.VerdictWatched},
+		"one target twice":              {[]poison.CrashReport{crash("a", 1, deadly), crash("a", 2, deadly)}, poison.VerdictWatched},
+		"one crash told twice":          {[]poison.CrashReport{crash("a", 1, deadly), crash("a", 1, deadly)}, poison.VerdictWatched},
+		"two targets, alone":            {[]poison.CrashReport{crash("a", 1, deadly), crash("b", 1, deadly)}, poison.VerdictQuarantined},
+		"two targets, in company":       {[]poison.CrashReport{crash("a", 1, deadly, bystander), crash("b", 1, deadly, 9)}, poison.VerdictSuspect},
+		"two targets, one told in part": {[]poison.CrashReport{crash("a", 1, deadly), router}, poison.VerdictSuspect},
+		"suspect, then alone": {
+			[]poison.CrashReport{crash("a", 1, deadly, bystander), crash("b", 1, deadly, bystander), crash("c", 1, deadly)},
+			poison.VerdictQuarantined,
+		},
+		"alone, then suspect": {
+			[]poison.CrashReport{crash("c", 1, deadly), crash("a", 1, deadly, bystander), crash("b", 1, deadly, bystander)},
+			poison.VerdictSuspect,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := poison.NewTracker(poison.Config{})
+			for i, report := range c.reports {
+				tracker.Crash(at(i), report)
+			}
+			assert.Equal(t, tracker.Verdict(at(9), deadly), c.want)
+			assert.Assert(t, tracker.Verdict(at(9), bystander) < poison.VerdictQuarantined)
+		})
+	}
+}
+
+// TestRandomisedInnocents lets one deadly request crash targets among many
+// innocent ones, which all come back. No innocent may end under quarantine,
+// and the deadly one crashes three targets at most.
+func TestRandomisedInnocents(t *testing.T) {
+	seeds.Run(t, seeds.Range{First: 1, Last: 40}, func(t *testing.T, seed uint64) {
+		const deadly ident.Fingerprint = 1000
+		rng := rand.New(rand.NewPCG(seed, 0))
+		tracker := poison.NewTracker(poison.Config{})
+		var set poison.Set
+		crashes := 0
+		for second := 0; second < 200; second++ {
+			target := ident.TargetName(fmt.Sprint(second % 7))
+			running := []ident.Fingerprint{deadly}
+			if set.Verdict(deadly) < poison.VerdictSuspect {
+				for range rng.IntN(4) {
+					running = append(running, ident.Fingerprint(rng.IntN(5)))
+				}
+			}
+			if !set.Blocked(deadly) {
+				crashes++
+				set.Apply(tracker.Crash(at(second), crash(target, 1, running...)))
+			}
+			for fingerprint := range ident.Fingerprint(5) {
+				if set.Verdict(fingerprint) == poison.VerdictSuspect {
+					set.Apply(tracker.RanAlone(at(second), fingerprint))
+				}
+				assert.Assert(t, !set.Blocked(fingerprint))
+			}
+		}
+		assert.Assert(t, set.Blocked(deadly))
+		assert.Assert(t, crashes <= 3, "%d crashes", crashes)
+	})
+}
+
+func TestExpiry(t *testing.T) {
+	tracker := poison.NewTracker(poison.Config{})
+	tracker.Crash(epoch, crash("a", 1, 7))
+	changes := tracker.Crash(epoch, crash("b", 1, 7))
+	assert.DeepEqual(t, changes, []poison.Change{{
+		Fingerprint: 7, Verdict: poison.VerdictQuarantined, Expires: epoch.Add(poison.DefaultQuarantine),
+	}})
+	assert.Equal(t, len(tracker.RanAlone(at(1), 7)), 0, "a quarantine is not cleared")
+	end := epoch.Add(poison.DefaultQuarantine)
+	assert.Equal(t, tracker.Verdict(end, 7), poison.VerdictNone)
+	assert.DeepEqual(t, tracker.Expire(end), []poison.Change{{Fingerprint: 7}})
+}
+
+// TestRandomisedMerge merges what replicas know in different orders.
+func TestRandomisedMerge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		states := make([][]poison.Entry, 3)
+		for i := range states {
+			tracker := poison.NewTracker(poison.Config{Window: time.Hour})
+			for range rapid.IntRange(0, 6).Draw(t, "reports") {
+				now := at(rapid.IntRange(0, 20).Draw(t, "second"))
+				fingerprint := ident.Fingerprint(rapid.IntRange(1, 3).Draw(t, "fingerprint"))
+				target := ident.TargetName(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "target"))
+				if rapid.IntRange(0, 3).Draw(t, "clear") == 0 {
+					tracker.RanAlone(now, fingerprint)
+					continue
+				}
+				report := crash(target, uint64(rapid.IntRange(1, 3).Draw(t, "number")), fingerprint)
+				report.Partial = rapid.Bool().Draw(t, "partial")
+				tracker.Crash(now, report)
+			}
+			states[i] = tracker.State()
+		}
+		merged := func(order ...int) []poison.Entry {
+			tracker := poison.NewTracker(poison.Config{})
+			for _, i := range order {
+				tracker.Merge(states[i])
+			}
+			return slices.DeleteFunc(tracker.State(), func(e poison.Entry) bool { return len(e.Sites) == 0 })
+		}
+		assert.DeepEqual(t, merged(0, 1, 2), merged(2, 1, 0, 1))
+		assert.DeepEqual(t, merged(0, 1, 2), merged(1, 0, 2, 2, 0))
+	})
+}
+
+func TestBoundedMemory(t *testing.T) {
+	tracker := poison.NewTracker(poison.Config{MaxFingerprints: 10})
+	tracker.Crash(epoch, crash("a", 1, 1))
+	tracker.Crash(epoch, crash("b", 1, 1))
+	for i := range 100 {
+		tracker.Crash(at(i), crash("c", uint64(i), ident.Fingerprint(100+i), ident.Fingerprint(300+i)))
+	}
+	assert.Equal(t, len(tracker.State()), 10)
+	assert.Equal(t, tracker.Verdict(at(100), 1), poison.VerdictQuarantined, "a quarantine outlasts what is milder")
+
+	var recent poison.Recent
+	for i := range poison.MaxRecent + 10 {
+		recent.Note(at(i+1), []ident.Fingerprint{ident.Fingerprint(i)})
+	}
+	assert.Assert(t, !recent.Holds(epoch, 0))
+	assert.Assert(t, recent.Holds(epoch, poison.MaxRecent))
+	assert.Assert(t, !recent.Holds(at(2*poison.MaxRecent), poison.MaxRecent))
+}
+
+func TestCrashedAt(t *testing.T) {
+	tracker := poison.NewTracker(poison.Config{})
+	tracker.Crash(epoch, crash("a", 1, 2, 1))
+	tracker.Crash(epoch, crash("b", 1, 3))
+	assert.DeepEqual(t, tracker.CrashedAt(epoch, "a"), []ident.Fingerprint{1, 2})
+}
+
+func TestLookupDoesNotAllocate(t *testing.T) {
+	var set poison.Set
+	set.Replace([]poison.Change{{Fingerprint: 7, Verdict: poison.VerdictQuarantined}})
+	set.Watch(8)
+	assert.Assert(t, set.Blocked(7) && !set.Blocked(8))
+	allocations := testing.AllocsPerRun(100, func() { set.Blocked(7) })
+	assert.Equal(t, allocations, 0.0)
+}
--- a/internal/request/poison/verdict.go
+++ b/internal/request/poison/verdict.go
@@ -29,8 +29,7 @@
 	VerdictQuarantined
 )
 
-// Site is one crash under a fingerprint. Target, Incarnation and Number name
-// it.
+// Site is one crash under a fingerprint. All fields but At name it.
 type Site struct {
 	Target      ident.TargetName
 	Incarnation ident.Incarnation
@@ -112,18 +111,14 @@
 	e.Sites = slices.DeleteFunc(e.Sites, func(s Site) bool { return !s.At.After(e.Cleared) })
 }
 
-// addSite adds one crash. Reports of the same crash become one.
+// addSite adds one crash. Reports of the same crash that agree become one, of
+// the latest time.
 func (e *Entry) addSite(site Site) {
-	i := slices.IndexFunc(e.Sites, func(s Site) bool {
-		return s.Target == site.Target && s.Incarnation == site.Incarnation && s.Number == site.Number
-	})
+	i := slices.IndexFunc(e.Sites, func(s Site) bool { return compareSites(s, site) == 0 })
 	if i < 0 {
 		e.Sites = append(e.Sites, site)
-	} else {
-		e.Sites[i].Alone = e.Sites[i].Alone || site.Alone
-		if site.At.After(e.Sites[i].At) {
-			e.Sites[i].At = site.At
-		}
+	} else if site.At.After(e.Sites[i].At) {
+		e.Sites[i].At = site.At
 	}
 	slices.SortFunc(e.Sites, compareSites)
 	if len(e.Sites) > MaxSites {
