Join ranking, load digests and crash verdicts to the running path

Cause: the shells chose from a fixed list and knew no load. A request now follows the plan of its pool; sidecars report their load each 50 ms to the control process that sums their pool and get the digest back; routers take digests from replies; a chat served away from home is noted there; a crash is reported with what was in flight, and a suspect runs alone.

Ruled out: digests to routers from control, which idle routers would pay for; one summing process for all pools, which would carry 28,000 messages a second at 700 targets.

--- /dev/null
+++ b/internal/conn/watch/convert.go
@@ -0,0 +1,78 @@
+package watch
+
+import (
+	"time"
+
+	"cactusline.dev/cactusline/internal/conn/digest"
+	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/request/poison"
+	"cactusline.dev/cactusline/internal/version/ident"
+)
+
+// Load returns the load that a frame carries.
+func Load(load *wire.Load) digest.Load {
+	return digest.Load{
+		Requests: int(load.GetRequests()),
+		Tokens:   ident.Tokens(load.GetTokens()),
+		Queued:   int(load.GetQueued()),
+		Backed:   int(load.GetBacked()),
+	}
+}
+
+// EncodeLoad returns the frame of a load.
+func EncodeLoad(load digest.Load, incarnation ident.Incarnation, leaving bool) *wire.Load {
+	return &wire.Load{
+		Requests:    uint32(load.Requests),
+		Tokens:      uint64(load.Tokens),
+		Queued:      uint32(load.Queued),
+		Backed:      uint32(load.Backed),
+		Incarnation: uint64(incarnation),
+		Leaving:     leaving,
+	}
+}
+
+// Digest returns the digest that a frame carries, on this process's clock.
+func Digest(now time.Time, d *wire.LoadDigest) digest.Digest {
+	out := digest.Digest{
+		Pool:     digest.PoolName(d.GetPool()),
+		Targets:  int(d.GetTargets()),
+		Requests: int(d.GetRequests()),
+		Tokens:   ident.Tokens(d.GetTokens()),
+		Backed:   int(d.GetBacked()),
+		At:       now.Add(-time.Duration(d.GetAgeUs()) * time.Microsecond),
+		Stamp:    d.GetStamp(),
+	}
+	for _, name := range d.GetLight() {
+		out.Light = append(out.Light, ident.TargetName(name))
+	}
+	return out
+}
+
+// EncodeDigest returns the frame of a digest, with its age now.
+func EncodeDigest(now time.Time, d digest.Digest) *wire.LoadDigest {
+	out := &wire.LoadDigest{
+		Pool:     string(d.Pool),
+		Targets:  uint32(d.Targets),
+		Requests: uint64(d.Requests),
+		Tokens:   uint64(d.Tokens),
+		Backed:   uint64(d.Backed),
+		AgeUs:    uint32(max(0, now.Sub(d.At)) / time.Microsecond),
+		Stamp:    d.Stamp,
+	}
+	for _, name := range d.Light {
+		out.Light = append(out.Light, string(name))
+	}
+	return out
+}
+
+// Verdicts returns the verdicts that a frame carries.
+func Verdicts(verdicts []*wire.CrashVerdict) []poison.Change {
+	changes := make([]poison.Change, 0, len(verdicts))
+	for _, v := range verdicts {
+		changes = append(changes, poison.Change{
+			Fingerprint: ident.Fingerprint(v.GetFingerprint()),
+			Verdict:     poison.Verdict(v.GetVerdict()),
+		})
+	}
+	return changes
+}
--- a/internal/conn/watch/follow.go
+++ b/internal/conn/watch/follow.go
@@ -43,8 +43,6 @@
 	Role    string
 	// Target is a sidecar's, empty elsewhere.
 	Target string
-	// Load returns a sidecar's load, nil elsewhere.
-	Load func() *wire.Load
 	// ReportInterval is the time between two reports to control.
 	ReportInterval time.Duration
 	// Lease is how long the set counts as fresh once a quorum has confirmed
@@ -198,17 +196,13 @@
 }
 
 func (f *Follower) report() *wire.Watch {
-	report := &wire.Watch{
+	return &wire.Watch{
 		Process: f.cfg.Process,
 		Role:    f.cfg.Role,
 		InForce: uint64(f.Set().Revision()),
 		Target:  f.cfg.Target,
 		Stamp:   f.stamp(),
 	}
-	if f.cfg.Load != nil {
-		report.Load = f.cfg.Load()
-	}
-	return report
 }
 
 // stamp returns the nanoseconds since the follower was made.
--- a/internal/process/cmds/sidecar.go
+++ b/internal/process/cmds/sidecar.go
@@ -55,15 +55,18 @@
 		return err
 	}
 	sidecar, err := side.New(side.Config{
-		Name:        c.Name,
-		Target:      c.Target,
-		Listener:    listener,
-		Clock:       clock.System{},
-		Logger:      logger,
-		Tracer:      tracer,
-		Control:     control,
-		Incarnation: incarnation,
-		Seed:        rand.Uint64(),
+		Name:     c.Name,
+		Target:   c.Target,
+		Listener: listener,
+		Clock:    clock.System{},
+		Logger:   logger,
+		Tracer:   tracer,
+		Control:  control,
+		Link:     links,
+
+		ControlAddresses: c.Control,
+		Incarnation:      incarnation,
+		Seed:             rand.Uint64(),
 	})
 	if err != nil {
 		return fmt.Errorf("make sidecar: %w", err)
@@ -76,7 +79,6 @@
 		Process:   string(c.Name),
 		Role:      "sidecar",
 		Target:    string(c.Name),
-		Load:      sidecar.Load,
 		OnUpdate:  sidecar.Update,
 	})
 	sidecar.Follow(follower)
--- /dev/null
+++ b/internal/process/ctrl/balance.go
@@ -0,0 +1,127 @@
+package ctrl
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"cactusline.dev/cactusline/internal/conn/digest"
+	"cactusline.dev/cactusline/internal/conn/link"
+	"cactusline.dev/cactusline/internal/conn/watch"
+	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/version/ident"
+)
+
+// digestInterval is how often the loads of a pool are summed and sent to its
+// sidecars.
+const digestInterval = 50 * time.Millisecond
+
+// balancer sums the loads of the pools whose sidecars report here. Each pool
+// is summed by one control process, which the sidecars agree on by hashing.
+type balancer struct {
+	clock Clock
+
+	mu    sync.Mutex
+	pools map[digest.PoolName]*poolLoad
+}
+
+// poolLoad is one pool's table of loads and the last sum.
+type poolLoad struct {
+	mu    sync.Mutex
+	table *digest.Table
+	last  digest.Digest
+	fresh chan struct{}
+}
+
+func newBalancer(clock Clock) *balancer {
+	return &balancer{clock: clock, pools: make(map[digest.PoolName]*poolLoad)}
+}
+
+// pool returns the pool's loads.
+func (b *balancer) pool(name digest.PoolName) *poolLoad {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p, ok := b.pools[name]
+	if !ok {
+		p = &poolLoad{
+			table: digest.NewTable(digest.Config{Pool: name}),
+			fresh: make(chan struct{}),
+		}
+		b.pools[name] = p
+	}
+	return p
+}
+
+// run sums every pool at each interval until ctx ends.
+func (b *balancer) run(ctx context.Context) {
+	for b.clock.Sleep(ctx, digestInterval) == nil {
+		for _, p := range b.list() {
+			p.sum(b.clock.Now())
+		}
+	}
+}
+
+func (b *balancer) list() []*poolLoad {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list := make([]*poolLoad, 0, len(b.pools))
+	for _, p := range b.pools {
+		list = append(list, p)
+	}
+	return list
+}
+
+// sum makes a new digest. Its stamp is the time, so that digests of a control
+// process that takes over a pool count as newer.
+func (p *poolLoad) sum(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.last = p.table.Sum(now)
+	p.last.Stamp = uint64(now.UnixNano())
+	close(p.fresh)
+	p.fresh = make(chan struct{})
+}
+
+func (p *poolLoad) put(now time.Time, target ident.TargetName, report *wire.LoadReport) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.table.Put(now, digest.Report{
+		Target:  target,
+		Load:    watch.Load(report.GetLoad()),
+		Leaving: report.GetLeaving(),
+	})
+}
+
+func (p *poolLoad) digest() (digest.Digest, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.last, p.fresh
+}
+
+// serve takes one sidecar's reports and sends it the digests of its pool.
+func (b *balancer) serve(ctx context.Context, call *wire.Balance, stream *link.Stream) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	p := b.pool(digest.PoolName(call.GetPool()))
+	go func() {
+		defer cancel()
+		for {
+			report := new(wire.LoadReport)
+			if stream.Receive(report) != nil {
+				return
+			}
+			p.put(b.clock.Now(), ident.TargetName(call.GetTarget()), report)
+		}
+	}()
+	for {
+		d, fresh := p.digest()
+		if d.Targets > 0 && stream.Send(watch.EncodeDigest(b.clock.Now(), d)) != nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-fresh:
+		}
+	}
+}
--- a/internal/process/ctrl/ctrl.go
+++ b/internal/process/ctrl/ctrl.go
@@ -76,14 +76,15 @@
 
 // Control serves the other processes.
 type Control struct {
-	cfg    Config
-	hub    *hub
-	server *link.Server
+	cfg      Config
+	hub      *hub
+	balancer *balancer
+	server   *link.Server
 }
 
 // New returns a control process; Run starts it.
 func New(cfg Config) *Control {
-	c := &Control{cfg: cfg, hub: newHub(cfg)}
+	c := &Control{cfg: cfg, hub: newHub(cfg), balancer: newBalancer(cfg.Clock)}
 	c.server = link.NewServer(c)
 	return c
 }
@@ -93,7 +94,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.cfg.Listener.Close() })
 	defer stop()
 	go c.hub.confirm(ctx)
-	go c.hub.loads.run(ctx, c.cfg.Store.Set)
+	go c.balancer.run(ctx)
 	_ = level.Info(c.cfg.Logger).Log("msg", "control serves", "vm", c.cfg.VM, "address", c.cfg.Listener.Addr())
 	if err := c.server.Serve(ctx, c.cfg.Listener); err != nil {
 		return fmt.Errorf("serve calls: %w", err)
@@ -113,6 +114,8 @@
 		span.End()
 	case *wire.Call_Watch:
 		c.serveWatch(ctx, call, body.Watch, stream)
+	case *wire.Call_Balance:
+		c.balancer.serve(ctx, body.Balance, stream)
 	case *wire.Call_Query:
 		_ = stream.Send(c.query(ctx, body.Query))
 	case *wire.Call_Peer:
--- a/internal/process/ctrl/hub.go
+++ b/internal/process/ctrl/hub.go
@@ -21,8 +21,7 @@
 
 // hub feeds the processes that watch this one.
 type hub struct {
-	cfg   Config
-	loads *loads
+	cfg Config
 
 	mu       sync.Mutex
 	watchers map[*watcher]struct{}
@@ -40,7 +39,6 @@
 	verdicts uint64
 	// stamps are reports that no barrier has followed yet, oldest first.
 	stamps []stamp
-	digest uint64
 }
 
 type stamp struct {
@@ -51,7 +49,6 @@
 func newHub(cfg Config) *hub {
 	return &hub{
 		cfg:       cfg,
-		loads:     newLoads(cfg.Clock),
 		watchers:  make(map[*watcher]struct{}),
 		confirmed: make(chan struct{}),
 	}
@@ -75,9 +72,6 @@
 // take notes what a watcher reports.
 func (h *hub) take(w *watcher, report *wire.Watch) {
 	now := h.cfg.Clock.Now()
-	if report.GetTarget() != "" {
-		h.loads.set(ident.TargetName(report.GetTarget()), report.GetLoad())
-	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.report = report
@@ -137,7 +131,6 @@
 	for {
 		changed := h.cfg.Store.Changed()
 		since, confirmed := h.confirmation()
-		digests := h.loads.changed()
 		if update := h.news(w, since); update != nil {
 			if stream.Send(update) != nil {
 				return
@@ -148,7 +141,6 @@
 			return
 		case <-changed:
 		case <-confirmed:
-		case <-digests:
 		}
 	}
 }
@@ -174,37 +166,8 @@
 		update.Echo = echo
 		some = true
 	}
-	if digests, number := h.loads.digests(); number != w.digest {
-		update.Digests = h.wanted(w, digests)
-		w.digest = number
-		some = some || len(update.GetDigests()) > 0
-	}
 	if !some {
 		return nil
 	}
 	return update
 }
-
-// wanted returns the digests that matter to a watcher: a sidecar's own pools,
-// or all of them.
-func (h *hub) wanted(w *watcher, digests []*wire.LoadDigest) []*wire.LoadDigest {
-	w.mu.Lock()
-	name := ident.TargetName(w.report.GetTarget())
-	w.mu.Unlock()
-	if name == "" {
-		return digests
-	}
-	target, ok := h.cfg.Store.Set().Target(name)
-	if !ok {
-		return nil
-	}
-	var own []*wire.LoadDigest
-	for _, pool := range poolsOf(target) {
-		for _, d := range digests {
-			if d.GetPool() == pool {
-				own = append(own, d)
-			}
-		}
-	}
-	return own
-}
--- a/internal/process/router/chat.go
+++ b/internal/process/router/chat.go
@@ -5,6 +5,7 @@
 
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/request/chat"
+	"cactusline.dev/cactusline/internal/request/poison"
 	"cactusline.dev/cactusline/internal/request/rank"
 	"cactusline.dev/cactusline/internal/request/relay"
 	"cactusline.dev/cactusline/internal/request/tries"
@@ -37,7 +38,8 @@
 
 // readChat checks a chat completion and finds its pool.
 func (r *Router) readChat(w http.ResponseWriter, req *http.Request, id ident.RequestID) (*call, *callerError) {
-	set := r.view.set()
+	snap := r.view.current.Load()
+	set := snap.set
 	customer, failed := authenticate(set, req)
 	if failed != nil {
 		return nil, failed
@@ -55,9 +57,11 @@
 		return nil, refusal(http.StatusNotFound, codeNoModel, "no route for model "+string(asked.Model))
 	}
 	key := asked.Key(customer.Name, req.Header.Get(chat.KeyHeader))
-	c := r.newCall(id, customer, route)
+	c := r.newCall(id, customer, route, snap.routes[route.Name])
 	c.stream = asked.Stream
 	c.query.Chat = key
+	c.query.Prefix = prefixTokens(asked.Messages)
+	c.submit.PrefixTokens = uint32(c.query.Prefix)
 	c.submit.Model = string(asked.Model)
 	c.submit.Chat = uint64(key)
 	c.submit.Method = http.MethodPost
@@ -71,8 +75,19 @@
 	return c, nil
 }
 
+// prefixTokens estimates what a returning chat has sent before: all up to the
+// last answer that it got. It is zero for a new chat.
+func prefixTokens(messages []chat.Message) ident.Tokens {
+	for i := len(messages) - 1; i >= 0; i-- {
+		if messages[i].Role == chat.RoleAssistant {
+			return chat.PromptTokens(messages[:i+1])
+		}
+	}
+	return 0
+}
+
 // newCall fills in what all requests of a route share.
-func (r *Router) newCall(id ident.RequestID, customer *record.Customer, route *record.Route) *call {
+func (r *Router) newCall(id ident.RequestID, customer *record.Customer, route *record.Route, pool *pool) *call {
 	now := r.cfg.Clock.Now()
 	timeout := route.Timeout.Duration
 	if timeout == 0 {
@@ -81,7 +96,7 @@
 	return &call{
 		id:       id,
 		customer: customer,
-		pool:     r.view.pool(route),
+		pool:     pool,
 		query:    rank.Query{Now: now},
 		submit: &wire.Submit{
 			Request:   string(id),
@@ -89,6 +104,8 @@
 			Priority:  customer.Priority,
 			Weight:    customer.FairWeight(),
 			TimeoutMs: uint32(timeout.Milliseconds()),
+
+			DigestStamp: pool.stamp.Load(),
 		},
 		tries: tries.Config{
 			Request:  id,
@@ -96,6 +113,7 @@
 			Deadline: now.Add(timeout),
 			Retries:  r.budget,
 			Random:   r.random.fork(),
+			MaxTries: tries.LimitTries,
 		},
 	}
 }
@@ -107,20 +125,22 @@
 		blocked.write(w, c.id)
 		return
 	}
+	c.tries.Watched = r.poisoned.Verdict(ident.Fingerprint(c.submit.GetFingerprint())) != poison.VerdictNone
 	r.budget.Request(c.query.Now, c.customer.Name)
 	request := relay.Request{
 		Tries:       c.tries,
-		Candidates:  r.candidates(c),
+		Plan:        c.plan(),
 		Submit:      c.submit,
 		Revision:    func() ident.Revision { return r.view.set().Revision() },
 		Fingerprint: ident.Fingerprint(c.submit.GetFingerprint()),
 	}
 	if c.stream {
-		r.stream(w, req, request)
+		r.stream(w, req, c, request)
 		return
 	}
 	whole := new(buffered)
 	result := relay.Run(req.Context(), r.relay, request, whole)
+	r.noteServed(c, result)
 	if !result.Started || result.Truncated {
 		errorOf(result).write(w, c.id)
 		return
@@ -128,9 +148,10 @@
 	whole.finish(w, result)
 }
 
-func (r *Router) stream(w http.ResponseWriter, req *http.Request, request relay.Request) {
+func (r *Router) stream(w http.ResponseWriter, req *http.Request, c *call, request relay.Request) {
 	live := newStreamed(w)
 	result := relay.Run(req.Context(), r.relay, request, live)
+	r.noteServed(c, result)
 	if !result.Started {
 		errorOf(result).write(w, request.Tries.Request)
 		return
@@ -138,22 +159,11 @@
 	live.finish(result)
 }
 
-// candidates ranks the targets of the request's pool.
-func (r *Router) candidates(c *call) []tries.Candidate {
-	if c.pool == nil {
-		return nil
-	}
-	var ranked [maxCandidates]rank.Candidate
-	chosen := c.pool.ranking.Choose(ranked[:0], c.query)
-	candidates := make([]tries.Candidate, 0, len(chosen))
-	for _, candidate := range chosen {
-		candidates = append(candidates, tries.Candidate{Target: candidate.Target, Reason: candidate.Reason.String()})
-	}
-	return candidates
+// plan returns the plan of the request's offers.
+func (c *call) plan() *offers {
+	return &offers{plan: c.pool.ranking.Plan(c.query)}
 }
 
-const maxCandidates = 8
-
 // errorOf words the end of a request that has no answer.
 func errorOf(result relay.Result) *callerError {
 	e := &callerError{
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -16,7 +16,6 @@
 	"github.com/go-kit/log/level"
 	"go.opentelemetry.io/otel/attribute"
 
-	"cactusline.dev/cactusline/internal/conn/digest"
 	"cactusline.dev/cactusline/internal/conn/link"
 	"cactusline.dev/cactusline/internal/conn/remote"
 	"cactusline.dev/cactusline/internal/conn/watch"
@@ -111,11 +110,8 @@
 // Update takes news from control.
 func (r *Router) Update(update *wire.Update, set *record.Set) {
 	r.view.rebuild(set)
-	for _, d := range update.GetDigests() {
-		r.view.setDigest(digestOf(r.cfg.Clock.Now(), d))
-	}
 	if update.GetVerdictsSet() {
-		r.poisoned.Replace(verdictsOf(update.GetVerdicts()))
+		r.poisoned.Replace(watch.Verdicts(update.GetVerdicts()))
 	}
 }
 
@@ -173,28 +169,6 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-func digestOf(now time.Time, d *wire.LoadDigest) digest.Digest {
-	return digest.Digest{
-		Pool:     digest.PoolName(d.GetPool()),
-		Targets:  int(d.GetTargets()),
-		Requests: int(d.GetRequests()),
-		Tokens:   ident.Tokens(d.GetTokens()),
-		At:       now.Add(-time.Duration(d.GetAgeMs()) * time.Millisecond),
-		Stamp:    d.GetStamp(),
-	}
-}
-
-func verdictsOf(verdicts []*wire.CrashVerdict) []poison.Change {
-	changes := make([]poison.Change, 0, len(verdicts))
-	for _, v := range verdicts {
-		changes = append(changes, poison.Change{
-			Fingerprint: ident.Fingerprint(v.GetFingerprint()),
-			Verdict:     poison.Verdict(v.GetVerdict()),
-		})
-	}
-	return changes
-}
-
 // lockedRand draws numbers for several goroutines.
 type lockedRand struct {
 	mu     sync.Mutex
--- a/internal/process/router/service.go
+++ b/internal/process/router/service.go
@@ -42,7 +42,8 @@
 
 // readService checks a call of a plain service and finds its pool.
 func (r *Router) readService(w http.ResponseWriter, req *http.Request, id ident.RequestID) (*call, *callerError) {
-	set := r.view.set()
+	snap := r.view.current.Load()
+	set := snap.set
 	customer, failed := authenticate(set, req)
 	if failed != nil {
 		return nil, failed
@@ -60,7 +61,7 @@
 	if failed != nil {
 		return nil, failed
 	}
-	c := r.newCall(id, customer, route)
+	c := r.newCall(id, customer, route, snap.routes[route.Name])
 	path := "/" + req.PathValue("path")
 	c.submit.Service = string(name)
 	c.submit.Method = req.Method
--- a/internal/process/router/view.go
+++ b/internal/process/router/view.go
@@ -25,6 +25,8 @@
 	ranking *rank.Pool
 	digest  digest.PoolName
 	targets []*record.Target
+	// stamp is that of the newest digest.
+	stamp *atomic.Uint64
 }
 
 // view is what the router knows of the targets: their records, and what their
@@ -79,7 +81,9 @@
 	p := &pool{targets: set.Candidates(route), digest: poolName(route)}
 	if before, ok := old.routes[route.Name]; ok {
 		p.ranking = before.ranking
+		p.stamp = before.stamp
 	} else {
+		p.stamp = new(atomic.Uint64)
 		p.ranking = rank.New(rank.Config{Domain: v.cfg.Domain, Bound: route.LoadBound, Seed: v.cfg.Seed})
 	}
 	targets := make([]rank.Target, 0, len(p.targets))
@@ -99,10 +103,15 @@
 	return digest.PoolName("service/" + route.Service)
 }
 
-// setDigest takes the load of a pool.
-func (v *view) setDigest(d digest.Digest) {
+// Digest implements relay.Directory.
+func (v *view) Digest(frame *wire.LoadDigest) {
+	if frame == nil {
+		return
+	}
+	d := watch.Digest(v.cfg.Clock.Now(), frame)
 	for _, p := range v.current.Load().routes {
-		if p.digest == d.Pool {
+		if p.digest == d.Pool && d.Stamp > p.stamp.Load() {
+			p.stamp.Store(d.Stamp)
 			p.ranking.SetDigest(d)
 		}
 	}
@@ -111,9 +120,6 @@
 // set returns the records in force.
 func (v *view) set() *record.Set { return v.current.Load().set }
 
-// pool returns what a route chooses from.
-func (v *view) pool(route *record.Route) *pool { return v.current.Load().routes[route.Name] }
-
 // Address implements relay.Directory.
 func (v *view) Address(target ident.TargetName) (string, bool) {
 	t, ok := v.set().Target(target)
@@ -138,11 +144,7 @@
 	}
 	now := v.cfg.Clock.Now()
 	for _, p := range v.current.Load().holding[target] {
-		p.ranking.Observe(now, target, digest.Load{
-			Requests: int(load.GetRequests()),
-			Tokens:   ident.Tokens(load.GetTokens()),
-			Queued:   int(load.GetQueued()),
-		})
+		p.ranking.Observe(now, target, watch.Load(load))
 	}
 	v.compare(now, target, revision)
 }
--- /dev/null
+++ b/internal/process/side/balance.go
@@ -0,0 +1,130 @@
+package side
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cactusline.dev/cactusline/internal/conn/digest"
+	"cactusline.dev/cactusline/internal/conn/link"
+	"cactusline.dev/cactusline/internal/conn/watch"
+	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/version/record"
+)
+
+const (
+	// loadInterval is how often the load is reported to the control process
+	// that sums the pool's.
+	loadInterval = 50 * time.Millisecond
+	// sumRetryInterval is the pause before another control process is asked.
+	sumRetryInterval = 100 * time.Millisecond
+)
+
+// newest holds the newest digest of the target's pool.
+type newest struct {
+	digest atomic.Pointer[digest.Digest]
+}
+
+func (n *newest) get() digest.Digest {
+	if d := n.digest.Load(); d != nil {
+		return *d
+	}
+	return digest.Digest{}
+}
+
+// takeDigest passes on a digest, whoever it came from, if it is news.
+func (s *Sidecar) takeDigest(d digest.Digest) {
+	if d.Pool != s.pool() || !d.Newer(s.newest.get()) {
+		return
+	}
+	s.newest.digest.Store(&d)
+	s.settle(s.admitted.SetDigest(s.cfg.Clock.Now(), d))
+}
+
+// digestAbove returns the frame of the newest digest if it is newer than the
+// stamp, nil otherwise.
+func (s *Sidecar) digestAbove(stamp uint64) *wire.LoadDigest {
+	d := s.newest.get()
+	if d.Stamp <= stamp {
+		return nil
+	}
+	return watch.EncodeDigest(s.cfg.Clock.Now(), d)
+}
+
+// pool returns the pool that the target belongs to: that of its service, or
+// of the first model that it serves. It is empty before the target's record
+// is known.
+func (s *Sidecar) pool() digest.PoolName {
+	f := s.follower.Load()
+	if f == nil {
+		return ""
+	}
+	target, ok := f.Set().Target(s.cfg.Name)
+	if !ok {
+		return ""
+	}
+	return poolOf(target)
+}
+
+func poolOf(target *record.Target) digest.PoolName {
+	if target.Service != "" || len(target.Models) == 0 {
+		return digest.PoolName("service/" + target.Service)
+	}
+	return digest.PoolName("model/" + target.Models[0].Name)
+}
+
+// balance reports the load to the control process that sums the pool's, and
+// takes its digests, until the process ends. When that one fails the next
+// one is asked, the same for all sidecars of the pool.
+func (s *Sidecar) balance(ctx context.Context) {
+	addresses := s.cfg.ControlAddresses
+	for turn := uint64(0); ctx.Err() == nil && len(addresses) > 0; turn++ {
+		pool := s.pool()
+		if pool == "" {
+			_ = s.cfg.Clock.Sleep(ctx, sumRetryInterval)
+			continue
+		}
+		first := xxhash.Sum64String(string(pool))
+		s.report(ctx, pool, addresses[(first+turn)%uint64(len(addresses))])
+		_ = s.cfg.Clock.Sleep(ctx, sumRetryInterval)
+	}
+}
+
+// report exchanges load with one control process until the link breaks, it
+// falls silent or the target's pool changes.
+func (s *Sidecar) report(ctx context.Context, pool digest.PoolName, address string) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := s.cfg.Link.Open(ctx, address, &wire.Call{
+		Body: &wire.Call_Balance{Balance: &wire.Balance{Pool: string(pool), Target: string(s.cfg.Name)}},
+	})
+	if err != nil {
+		return
+	}
+	defer func() { _ = stream.Close() }()
+	context.AfterFunc(ctx, stream.Abort)
+	go s.sendLoads(ctx, cancel, pool, stream)
+	for {
+		_ = stream.SetDeadline(s.cfg.Clock.Now().Add(digest.DefaultExpiry))
+		frame := new(wire.LoadDigest)
+		if stream.Receive(frame) != nil {
+			return
+		}
+		s.takeDigest(watch.Digest(s.cfg.Clock.Now(), frame))
+	}
+}
+
+func (s *Sidecar) sendLoads(ctx context.Context, cancel context.CancelFunc, pool digest.PoolName, stream *link.Stream) {
+	defer cancel()
+	for s.pool() == pool {
+		report := &wire.LoadReport{Load: s.Load(), Leaving: s.leaving.Load()}
+		if stream.Send(report) != nil {
+			return
+		}
+		if s.cfg.Clock.Sleep(ctx, loadInterval) != nil {
+			return
+		}
+	}
+}
--- a/internal/process/side/run.go
+++ b/internal/process/side/run.go
@@ -13,6 +13,7 @@
 
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/process/trace"
+	"cactusline.dev/cactusline/internal/request/poison"
 	"cactusline.dev/cactusline/internal/version/ident"
 )
 
@@ -32,8 +33,10 @@
 	id          ident.AttemptID
 	fingerprint ident.Fingerprint
 	once        bool
-	ctx         context.Context
-	cancel      context.CancelFunc
+	// solo says that nothing ran beside it.
+	solo   bool
+	ctx    context.Context
+	cancel context.CancelFunc
 
 	mu      sync.Mutex
 	readers int
@@ -44,7 +47,7 @@
 }
 
 // start runs an admitted attempt in the background.
-func (s *Sidecar) start(call *wire.Call, submit *wire.Submit) {
+func (s *Sidecar) start(call *wire.Call, submit *wire.Submit, solo bool) {
 	ctx, span := s.cfg.Tracer.Start(s.life, call.GetTraceParent(), "sidecar.attempt",
 		attribute.String("request", submit.GetRequest()),
 		attribute.String("attempt", submit.GetAttempt()))
@@ -53,6 +56,7 @@
 		id:          ident.AttemptID(submit.GetAttempt()),
 		fingerprint: ident.Fingerprint(submit.GetFingerprint()),
 		once:        submit.GetOnce(),
+		solo:        solo,
 		ctx:         ctx,
 		cancel:      cancel,
 		moved:       make(chan struct{}),
@@ -63,6 +67,8 @@
 		defer span.End()
 		end := s.perform(ctx, submit, r)
 		s.runs.remove(r)
+		s.runs.release()
+		s.learn(submit, r, end)
 		now := s.cfg.Clock.Now()
 		if end == nil {
 			s.attempts.Withdraw(now, r.id)
@@ -73,6 +79,25 @@
 	}()
 }
 
+// learn notes what the end of a run says about its chat and its request.
+func (s *Sidecar) learn(submit *wire.Submit, r *run, end *wire.End) {
+	if end.GetOutcome() != wire.Outcome_OUTCOME_RAN {
+		return
+	}
+	if submit.GetChat() != 0 {
+		tokens := ident.Tokens(submit.GetPromptTokens()) + ident.Tokens(submit.GetOutputTokens())
+		s.warm.Put(ident.ChatKey(submit.GetChat()), tokens)
+	}
+	if r.solo {
+		s.ranAlone(r.fingerprint)
+	}
+}
+
+// suspect reports whether a request may only run with nothing beside it.
+func (s *Sidecar) suspect(fingerprint ident.Fingerprint) bool {
+	return s.poisoned.Verdict(fingerprint) == poison.VerdictSuspect
+}
+
 // perform sends the attempt to the target and keeps the answer. It returns
 // nil if the target never saw the attempt.
 func (s *Sidecar) perform(ctx context.Context, submit *wire.Submit, r *run) *wire.End {
@@ -112,9 +137,9 @@
 // failed words the end of an attempt whose answer is not whole.
 func (s *Sidecar) failed(ctx context.Context, length uint64, err error) *wire.End {
 	end := &wire.End{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Length: length, Error: err.Error()}
-	if ctx.Err() == nil && !s.target.answers() {
+	if ctx.Err() == nil && (s.down.Load() || !s.target.answers()) {
 		end.TargetCrashed = true
-		s.targetDown()
+		s.targetCrashed()
 	}
 	return end
 }
@@ -162,6 +187,32 @@
 type runs struct {
 	mu   sync.Mutex
 	byID map[ident.AttemptID]*run
+	// places are held by attempts from before admission until they end.
+	places int
+	// solo says that the one place is held by a request that may only run
+	// alone.
+	solo bool
+}
+
+// reserve takes a place. A request that may only run alone gets one if there
+// is no other, and then there is no other until it ends.
+func (s *runs) reserve(solo bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.solo || (solo && s.places > 0) {
+		return false
+	}
+	s.places++
+	s.solo = solo
+	return true
+}
+
+// release gives a place back.
+func (s *runs) release() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.places--
+	s.solo = false
 }
 
 func (s *runs) add(r *run) {
--- a/internal/process/side/side.go
+++ b/internal/process/side/side.go
@@ -16,7 +16,6 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"cactusline.dev/cactusline/internal/conn/digest"
 	"cactusline.dev/cactusline/internal/conn/link"
 	"cactusline.dev/cactusline/internal/conn/remote"
 	"cactusline.dev/cactusline/internal/conn/watch"
@@ -25,6 +24,7 @@
 	"cactusline.dev/cactusline/internal/request/admit"
 	"cactusline.dev/cactusline/internal/request/poison"
 	"cactusline.dev/cactusline/internal/request/replay"
+	"cactusline.dev/cactusline/internal/request/warm"
 	"cactusline.dev/cactusline/internal/version/ident"
 	"cactusline.dev/cactusline/internal/version/record"
 )
@@ -52,8 +52,15 @@
 	Tracer *trace.Tracer
 	// Control asks the control processes.
 	Control *remote.Client
+	// ControlAddresses are the control processes' host:port, in the same order
+	// for all sidecars.
+	ControlAddresses []string
+	// Link carries the calls to control.
+	Link *link.Client
 	// Incarnation is this start's number, unique for the target.
 	Incarnation ident.Incarnation
+	// CacheTokens is the size of the engine's prefix cache; 0 if not known.
+	CacheTokens ident.Tokens
 	// Seed draws jitter.
 	Seed uint64
 }
@@ -66,6 +73,10 @@
 	admitted *admit.Controller
 	attempts *replay.Table
 	poisoned poison.Set
+	recent   poison.Recent
+	crashes  atomic.Uint64
+	warm     *warm.Index
+	newest   newest
 	waiting  waiting
 	runs     runs
 	follower atomic.Pointer[watch.Follower]
@@ -83,6 +94,7 @@
 		cfg:      cfg,
 		target:   newTargetClient(cfg.Target),
 		attempts: replay.New(replay.Config{}),
+		warm:     warm.New(warm.Config{Capacity: cfg.CacheTokens}),
 	}
 	s.life, s.end = context.WithCancel(context.Background())
 	controller, err := admit.New(admit.Config{
@@ -112,6 +124,7 @@
 	stop := context.AfterFunc(ctx, s.shutDown)
 	defer stop()
 	go s.tick(s.life)
+	go s.balance(s.life)
 	_ = level.Info(s.cfg.Logger).Log("msg", "sidecar serves", "target", s.cfg.Name, "address", s.cfg.Listener.Addr())
 	if err := s.server.Serve(s.life, s.cfg.Listener); err != nil {
 		return fmt.Errorf("serve calls: %w", err)
@@ -144,18 +157,8 @@
 // Update takes news from control.
 func (s *Sidecar) Update(update *wire.Update, set *record.Set) {
 	now := s.cfg.Clock.Now()
-	for _, d := range update.GetDigests() {
-		s.settle(s.admitted.SetDigest(now, digest.Digest{
-			Pool:     digest.PoolName(d.GetPool()),
-			Targets:  int(d.GetTargets()),
-			Requests: int(d.GetRequests()),
-			Tokens:   ident.Tokens(d.GetTokens()),
-			At:       now.Add(-time.Duration(d.GetAgeMs()) * time.Millisecond),
-			Stamp:    d.GetStamp(),
-		}))
-	}
 	if update.GetVerdictsSet() {
-		s.poisoned.Replace(verdictsOf(update.GetVerdicts()))
+		s.poisoned.Replace(watch.Verdicts(update.GetVerdicts()))
 	}
 	if set.Revision() > 0 {
 		s.setLeaving(now, set.Leaving(s.cfg.Name))
@@ -180,6 +183,8 @@
 	case *wire.Call_Drain:
 		s.setLeaving(s.cfg.Clock.Now(), body.Drain.GetLeaving())
 		_ = stream.Send(&wire.DrainReply{Load: s.Load()})
+	case *wire.Call_Served:
+		s.noteServed(body.Served)
 	case *wire.Call_Watch:
 		s.serveRecords(call, stream)
 	case *wire.Call_Push:
@@ -188,6 +193,14 @@
 	_ = ctx
 }
 
+// noteServed remembers which other target served a chat whose home this is.
+func (s *Sidecar) noteServed(served *wire.Served) {
+	s.admitted.Note(s.cfg.Clock.Now(), ident.ChatKey(served.GetChat()), admit.Forward{
+		Target: ident.TargetName(served.GetTarget()),
+		Tokens: ident.Tokens(served.GetTokens()),
+	})
+}
+
 // bury answers whether an attempt will never run.
 func (s *Sidecar) bury(tombstone *wire.Tombstone) *wire.TombstoneReply {
 	reply := &wire.TombstoneReply{Incarnation: uint64(s.cfg.Incarnation)}
@@ -223,28 +236,10 @@
 
 // Load returns the target's load for replies and reports.
 func (s *Sidecar) Load() *wire.Load {
-	load := s.admitted.Load()
-	return &wire.Load{
-		Requests:    uint32(load.Requests),
-		Tokens:      uint64(load.Tokens),
-		Queued:      uint32(load.Queued),
-		Incarnation: uint64(s.cfg.Incarnation),
-		Leaving:     s.leaving.Load(),
-	}
+	return watch.EncodeLoad(s.admitted.Load(), s.cfg.Incarnation, s.leaving.Load())
 }
 
 // broken notes an invariant that does not hold.
 func (s *Sidecar) broken(err error) {
 	_ = level.Error(s.cfg.Logger).Log("msg", "invariant broken", "target", s.cfg.Name, "err", err)
 }
-
-func verdictsOf(verdicts []*wire.CrashVerdict) []poison.Change {
-	changes := make([]poison.Change, 0, len(verdicts))
-	for _, v := range verdicts {
-		changes = append(changes, poison.Change{
-			Fingerprint: ident.Fingerprint(v.GetFingerprint()),
-			Verdict:     poison.Verdict(v.GetVerdict()),
-		})
-	}
-	return changes
-}
--- a/internal/process/side/submit.go
+++ b/internal/process/side/submit.go
@@ -57,6 +57,8 @@
 		reason = wire.RefusalReason_REFUSAL_REASON_STALE_REVISION
 	case s.poisoned.Blocked(ident.Fingerprint(submit.GetFingerprint())):
 		reason = wire.RefusalReason_REFUSAL_REASON_QUARANTINED
+	case s.recent.Holds(s.cfg.Clock.Now(), ident.Fingerprint(submit.GetFingerprint())):
+		reason = wire.RefusalReason_REFUSAL_REASON_TARGET_DOWN
 	default:
 		return nil
 	}
@@ -66,16 +68,33 @@
 // begin admits an attempt and starts it.
 func (s *Sidecar) begin(ctx context.Context, call *wire.Call, submit *wire.Submit, out *answer, watcher *callerWatch) {
 	id := ident.AttemptID(submit.GetAttempt())
+	solo := s.suspect(ident.Fingerprint(submit.GetFingerprint()))
+	if !s.runs.reserve(solo) {
+		s.attempts.Withdraw(s.cfg.Clock.Now(), id)
+		_ = out.refuse(&wire.Refusal{
+			Reason:       wire.RefusalReason_REFUSAL_REASON_OVERLOADED,
+			RetryAfterMs: soloRetryMs,
+			Load:         s.Load(),
+		})
+		return
+	}
 	decision := s.offer(ctx, s.work(submit))
 	if decision.Kind != admit.Admitted {
+		s.runs.release()
 		s.attempts.Withdraw(s.cfg.Clock.Now(), id)
-		_ = out.refuse(s.refusalOf(decision))
+		refusal := s.refusalOf(decision)
+		refusal.Digest = s.digestAbove(submit.GetDigestStamp())
+		_ = out.refuse(refusal)
 		return
 	}
-	s.start(call, submit)
+	s.start(call, submit, solo)
+	out.digest = s.digestAbove(submit.GetDigestStamp())
 	s.join(ctx, submit, out, watcher)
 }
 
+// soloRetryMs is when to come back to a target on which a request runs alone.
+const soloRetryMs = 1000
+
 // work is what admission sees of an attempt.
 func (s *Sidecar) work(submit *wire.Submit) admit.Work {
 	work := admit.Work{
@@ -83,6 +102,7 @@
 		Customer: ident.CustomerName(submit.GetCustomer()),
 		Chat:     ident.ChatKey(submit.GetChat()),
 		Tokens:   ident.Tokens(submit.GetPromptTokens()) + ident.Tokens(submit.GetOutputTokens()),
+		Warm:     min(s.warm.Get(ident.ChatKey(submit.GetChat())), ident.Tokens(submit.GetPrefixTokens())),
 		Moved:    submit.GetMoved(),
 		Weight:   submit.GetWeight(),
 		Priority: submit.GetPriority(),
@@ -109,6 +129,7 @@
 		RetryAfterMs:  uint32(decision.RetryAfter.Milliseconds()),
 		Load:          s.Load(),
 		Forward:       string(decision.Forward.Target),
+		Lighter:       string(decision.Lighter),
 		ForwardTokens: uint32(decision.Forward.Tokens),
 	}
 	if int(decision.Reason) < len(reasons) {
@@ -158,8 +179,8 @@
 // callerWatch reads what the router sends after its call: a Cancel, or the
 // end of the link.
 type callerWatch struct {
-	stream    *link.Stream
-	cancel    context.CancelFunc
+	stream   *link.Stream
+	cancel   context.CancelFunc
 	canceled flag
 }
 
@@ -176,6 +197,8 @@
 	attempt  string
 	offset   uint64
 	revision func() ident.Revision
+	// digest goes with the head.
+	digest *wire.LoadDigest
 }
 
 func (a *answer) refuse(refusal *wire.Refusal) error {
@@ -183,7 +206,14 @@
 }
 
 func (a *answer) head(head *wire.Head) error {
-	return a.send(&wire.Reply{Body: &wire.Reply_Head{Head: head}})
+	return a.send(&wire.Reply{Body: &wire.Reply_Head{Head: &wire.Head{
+		Status:      head.GetStatus(),
+		Headers:     head.GetHeaders(),
+		WarmTokens:  head.GetWarmTokens(),
+		Load:        head.GetLoad(),
+		Incarnation: head.GetIncarnation(),
+		Digest:      a.digest,
+	}}})
 }
 
 func (a *answer) data(data []byte) error {
--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -15,8 +15,8 @@
 type Request struct {
 	// Tries describes the request to the state machine.
 	Tries tries.Config
-	// Candidates are the targets in order of preference.
-	Candidates []tries.Candidate
+	// Plan proposes the targets; the machine gets it too.
+	Plan Plan
 	// Submit is the template of what the sidecars get.
 	Submit *wire.Submit
 	// Revision is the one under which the candidates were chosen.
@@ -38,10 +38,6 @@
 
 	// incarnations are those under which attempts were claimed or buried.
 	incarnations map[ident.AttemptID]ident.Incarnation
-	// sent counts the attempts that were not joins.
-	sent int
-	// forwarded is the target that the last refusal named, if any.
-	forwarded ident.TargetName
 
 	answer Answer
 	held   *Answer
@@ -53,7 +49,9 @@
 	tries.Event
 	head *wire.Head
 	data []byte
-	held Held
+	// refusal is set with EventRefused.
+	refusal *wire.Refusal
+	held    Held
 }
 
 // Run carries the request out and returns once it has ended. When ctx ends
@@ -63,7 +61,6 @@
 		cfg:     cfg,
 		request: request,
 		caller:  caller,
-		machine: tries.New(request.Tries),
 		events:  make(chan event, eventBacklog),
 		done:    make(chan struct{}),
 
@@ -73,8 +70,9 @@
 	// The calls outlive the caller: what is not idempotent is seen through.
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	x.learnIncarnations(work)
-	x.step(work, event{Event: tries.Event{Kind: tries.EventStart, Candidates: x.request.Candidates}})
+	x.request.Tries.Plan = &plan{Plan: request.Plan, exchange: x, ctx: work}
+	x.machine = tries.New(x.request.Tries)
+	x.step(work, event{Event: tries.Event{Kind: tries.EventStart}})
 	x.loop(ctx, work)
 	x.closeStreams()
 	x.result.Record = x.machine.Record()
@@ -115,9 +113,7 @@
 	if e.head != nil {
 		x.keepHead(&e)
 	}
-	if e.Kind == tries.EventRefused {
-		x.forwarded = e.Forward
-	}
+	x.tellPlan(&e)
 	if e.held.Conflict {
 		x.result.Conflict = true
 	}
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -36,6 +36,8 @@
 	// Observe takes the load and incarnation that came with a reply, and the
 	// revision that is in force there.
 	Observe(target ident.TargetName, load *wire.Load, revision ident.Revision)
+	// Digest takes the load of a pool.
+	Digest(d *wire.LoadDigest)
 	// Failed takes an attempt whose sidecar did not answer.
 	Failed(target ident.TargetName)
 	// CatchUp returns once the records of this process stand at revision or
@@ -43,6 +45,23 @@
 	CatchUp(ctx context.Context, target ident.TargetName, revision ident.Revision)
 }
 
+// Plan proposes the targets of one request.
+type Plan interface {
+	tries.Plan
+	// Step returns what the sidecar of the last proposed target is told.
+	Step() Step
+	// Refused takes the refusal of a target, nil if it takes no work at all.
+	Refused(target ident.TargetName, refusal *wire.Refusal)
+}
+
+// Step is one proposal.
+type Step struct {
+	// Final marks the last offer: the target is to queue what it can't run.
+	Final bool
+	// Moved marks an offer to which a refusal has led.
+	Moved bool
+}
+
 // Ledger holds the claims of requests that are not idempotent.
 type Ledger interface {
 	Claim(ctx context.Context, claim Claim) Held
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -58,11 +58,9 @@
 	submit.Incarnation = uint64(action.Incarnation)
 	submit.ResumeOffset = action.Offset
 	submit.Join = action.Join
-	submit.Final = x.sent >= x.lastTry()
-	submit.Moved = action.Target == x.forwarded
-	if !action.Join {
-		x.sent++
-	}
+	step := x.request.Plan.Step()
+	submit.Final = step.Final
+	submit.Moved = step.Moved
 	return &wire.Call{
 		TraceParent: trace.Parent(ctx),
 		Revision:    uint64(x.request.Revision()),
@@ -70,15 +68,6 @@
 	}
 }
 
-// lastTry returns how many attempts precede the last one.
-func (x *exchange) lastTry() int {
-	limit := x.request.Tries.MaxTries
-	if limit == 0 {
-		limit = tries.DefaultMaxTries
-	}
-	return min(limit, len(x.request.Candidates)) - 1
-}
-
 // cancel closes a stream. With Stop the sidecar is told that nobody wants the
 // answer; without, it sees a broken link.
 func (x *exchange) cancel(action *tries.Action) {
@@ -179,6 +168,7 @@
 	switch body := reply.GetBody().(type) {
 	case *wire.Reply_Refusal:
 		x.cfg.Directory.Observe(s.target, body.Refusal.GetLoad(), revision)
+		x.cfg.Directory.Digest(body.Refusal.GetDigest())
 		if body.Refusal.GetReason() == wire.RefusalReason_REFUSAL_REASON_STALE_REVISION {
 			ctx, cancel := context.WithTimeout(ctx, askTimeout)
 			defer cancel()
@@ -186,6 +176,7 @@
 		}
 	case *wire.Reply_Head:
 		x.cfg.Directory.Observe(s.target, body.Head.GetLoad(), revision)
+		x.cfg.Directory.Digest(body.Head.GetDigest())
 	case *wire.Reply_End:
 		x.cfg.Directory.Observe(s.target, body.End.GetLoad(), revision)
 	}
@@ -206,10 +197,12 @@
 		e.RetryAfter = time.Duration(body.Refusal.GetRetryAfterMs()) * time.Millisecond
 		e.Forward = ident.TargetName(body.Refusal.GetForward())
 		e.Incarnation = ident.Incarnation(body.Refusal.GetLoad().GetIncarnation())
+		e.refusal = body.Refusal
 		return e, true
 	case *wire.Reply_Head:
 		e.Kind = tries.EventHead
 		e.Status = int(body.Head.GetStatus())
+		e.Incarnation = ident.Incarnation(body.Head.GetIncarnation())
 		e.head = body.Head
 		return e, false
 	case *wire.Reply_Data:
@@ -230,19 +223,6 @@
 	}
 }
 
-// learnIncarnations asks the sidecars for theirs where a claim of the ledger
-// needs one that is not known.
-func (x *exchange) learnIncarnations(ctx context.Context) {
-	for i := range x.request.Candidates {
-		c := &x.request.Candidates[i]
-		c.Incarnation = x.cfg.Directory.Incarnation(c.Target)
-		if c.Incarnation != 0 || !x.request.Tries.Once {
-			continue
-		}
-		c.Incarnation = x.probe(ctx, c.Target)
-	}
-}
-
 func (x *exchange) probe(ctx context.Context, target ident.TargetName) ident.Incarnation {
 	address, ok := x.cfg.Directory.Address(target)
 	if !ok {
--- a/internal/request/tries/config.go
+++ b/internal/request/tries/config.go
@@ -72,6 +72,9 @@
 	HedgeAfter time.Duration
 	// RetryAfter is told to the caller when no target gave a time.
 	RetryAfter time.Duration
+	// Plan proposes the targets; nil for the candidates of EventStart in their
+	// order, each once.
+	Plan Plan
 	// Retries may be nil: no limit.
 	Retries RetryBudget
 	// Random jitters RetryAfter; nil means no jitter.
--- a/internal/request/tries/machine.go
+++ b/internal/request/tries/machine.go
@@ -213,6 +213,9 @@
 		m.forward = Candidate{}
 		return candidate, true
 	}
+	if m.cfg.Plan != nil {
+		return m.proposed()
+	}
 	for len(m.remaining) > 0 {
 		candidate := m.remaining[0]
 		m.remaining = m.remaining[1:]
--- a/internal/request/tries/stream.go
+++ b/internal/request/tries/stream.go
@@ -118,7 +118,7 @@
 }
 
 func (m *Machine) noteForward(target ident.TargetName) {
-	if target != "" && !m.tried(target) {
+	if target != "" && m.cfg.Plan == nil && !m.tried(target) {
 		m.forwardTo(target, m.incarnationOf(target), "forwarded to the chat's context")
 	}
 }
