--- a/internal/process/ctrl/ctrl.go
+++ b/internal/process/ctrl/ctrl.go
@@ -15,8 +15,10 @@
 	"google.golang.org/protobuf/proto"
 
 	"cactusline.dev/cactusline/internal/conn/link"
+	"cactusline.dev/cactusline/internal/conn/remote"
 	"cactusline.dev/cactusline/internal/conn/watch"
 	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/process/group"
 	"cactusline.dev/cactusline/internal/process/trace"
 	"cactusline.dev/cactusline/internal/version/cmdpb"
 	"cactusline.dev/cactusline/internal/version/ident"
@@ -64,22 +66,25 @@
 	Tracer   *trace.Tracer
 	Log      Log
 	Store    Store
+	// Remote asks the other control processes.
+	Remote *remote.Client
 	// Receive takes messages of the replicated log.
-	Receive func(from string, message []byte)
+	Receive func(from group.MemberID, message []byte)
 	// Query answers questions other than those of this package.
 	Query func(ctx context.Context, query *wire.Query) *wire.QueryReply
 }
 
 // Control serves the other processes.
 type Control struct {
-	cfg    Config
-	hub    *hub
-	server *link.Server
+	cfg      Config
+	hub      *hub
+	balancer *balancer
+	server   *link.Server
 }
 
 // New returns a control process; Run starts it.
 func New(cfg Config) *Control {
-	c := &Control{cfg: cfg, hub: newHub(cfg)}
+	c := &Control{cfg: cfg, hub: newHub(cfg), balancer: newBalancer(cfg.Clock)}
 	c.server = link.NewServer(c)
 	return c
 }
@@ -89,7 +94,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.cfg.Listener.Close() })
 	defer stop()
 	go c.hub.confirm(ctx)
-	go c.hub.loads.run(ctx, c.cfg.Store.Set)
+	go c.balancer.run(ctx)
 	_ = level.Info(c.cfg.Logger).Log("msg", "control serves", "vm", c.cfg.VM, "address", c.cfg.Listener.Addr())
 	if err := c.server.Serve(ctx, c.cfg.Listener); err != nil {
 		return fmt.Errorf("serve calls: %w", err)
@@ -109,8 +114,10 @@
 		span.End()
 	case *wire.Call_Watch:
 		c.serveWatch(ctx, call, body.Watch, stream)
+	case *wire.Call_Balance:
+		c.balancer.serve(ctx, body.Balance, stream)
 	case *wire.Call_Query:
-		_ = stream.Send(c.cfg.Query(ctx, body.Query))
+		_ = stream.Send(c.query(ctx, body.Query))
 	case *wire.Call_Peer:
 		c.servePeer(body.Peer, stream)
 	case *wire.Call_Probe:
@@ -118,6 +125,14 @@
 	}
 }
 
+// query answers a question about the state of this process.
+func (c *Control) query(ctx context.Context, query *wire.Query) *wire.QueryReply {
+	if c.cfg.Query == nil {
+		return &wire.QueryReply{Error: "no answer to " + query.GetKind()}
+	}
+	return c.cfg.Query(ctx, query)
+}
+
 // command stamps a command with the time and proposes it.
 func (c *Control) command(ctx context.Context, command *wire.Command) *wire.CommandReply {
 	entry, err := Stamp(c.cfg.Clock.Now(), command.GetEntry())
@@ -131,19 +146,12 @@
 	return failure(err)
 }
 
-// Leader is an error that says where the leader is.
-type Leader interface {
-	error
-	// LeaderAddress returns the leader's host:port, empty if unknown.
-	LeaderAddress() string
-}
-
 // failure words an entry that was not committed, as far as is known.
 func failure(err error) *wire.CommandReply {
 	reply := &wire.CommandReply{Error: err.Error()}
-	var elsewhere Leader
+	var elsewhere *group.NotLeaderError
 	if errors.As(err, &elsewhere) {
-		reply.Leader = elsewhere.LeaderAddress()
+		reply.Leader = elsewhere.Address
 		reply.Retry = true
 		return reply
 	}
@@ -151,6 +159,32 @@
 	return reply
 }
 
+// Command proposes an encoded command here, or at the leader, and returns its
+// encoded result. It implements admin.Control.
+func (c *Control) Command(ctx context.Context, entry []byte) ([]byte, error) {
+	for {
+		reply := c.command(ctx, &wire.Command{Entry: entry})
+		if reply.GetError() == "" {
+			return reply.GetResult(), nil
+		}
+		if !reply.GetRetry() {
+			return nil, errors.New(reply.GetError())
+		}
+		if reply.GetLeader() != "" {
+			return c.cfg.Remote.Command(ctx, entry, trace.Parent(ctx))
+		}
+		if err := c.cfg.Clock.Sleep(ctx, leaderInterval); err != nil {
+			return nil, fmt.Errorf("await a leader: %w", err)
+		}
+	}
+}
+
+// leaderInterval is how often a process that knows no leader looks for one.
+const leaderInterval = 50 * time.Millisecond
+
+// Set returns the records in force. It implements admin.Control.
+func (c *Control) Set() *record.Set { return c.cfg.Store.Set() }
+
 // Stamp sets the time of an encoded command, so that every replica applies it
 // at the same time.
 func Stamp(now time.Time, entry []byte) ([]byte, error) {
@@ -173,7 +207,7 @@
 		if stream.Receive(message) != nil {
 			return
 		}
-		c.cfg.Receive(peer.GetFrom(), message.GetData())
+		c.cfg.Receive(group.MemberID(peer.GetFrom()), message.GetData())
 	}
 }
 
--- a/internal/process/router/view.go
+++ b/internal/process/router/view.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cactusline.dev/cactusline/internal/conn/digest"
+	"cactusline.dev/cactusline/internal/conn/watch"
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/request/rank"
 	"cactusline.dev/cactusline/internal/version/ident"
@@ -24,6 +25,8 @@
 	ranking *rank.Pool
 	digest  digest.PoolName
 	targets []*record.Target
+	// stamp is that of the newest digest.
+	stamp *atomic.Uint64
 }
 
 // view is what the router knows of the targets: their records, and what their
@@ -33,7 +36,7 @@
 	current atomic.Pointer[snapshot]
 	nodes   nodes
 
-	mu sync.Mutex // serialises rebuild
+	mu sync.Mutex // serializes rebuild
 }
 
 // snapshot is the view at one revision. It does not change.
@@ -78,7 +81,9 @@
 	p := &pool{targets: set.Candidates(route), digest: poolName(route)}
 	if before, ok := old.routes[route.Name]; ok {
 		p.ranking = before.ranking
+		p.stamp = before.stamp
 	} else {
+		p.stamp = new(atomic.Uint64)
 		p.ranking = rank.New(rank.Config{Domain: v.cfg.Domain, Bound: route.LoadBound, Seed: v.cfg.Seed})
 	}
 	targets := make([]rank.Target, 0, len(p.targets))
@@ -98,10 +103,15 @@
 	return digest.PoolName("service/" + route.Service)
 }
 
-// setDigest takes the load of a pool.
-func (v *view) setDigest(d digest.Digest) {
+// Digest implements relay.Directory.
+func (v *view) Digest(frame *wire.LoadDigest) {
+	if frame == nil {
+		return
+	}
+	d := watch.Digest(v.cfg.Clock.Now(), frame)
 	for _, p := range v.current.Load().routes {
-		if p.digest == d.Pool {
+		if p.digest == d.Pool && d.Stamp > p.stamp.Load() {
+			p.stamp.Store(d.Stamp)
 			p.ranking.SetDigest(d)
 		}
 	}
@@ -110,9 +120,6 @@
 // set returns the records in force.
 func (v *view) set() *record.Set { return v.current.Load().set }
 
-// pool returns what a route chooses from.
-func (v *view) pool(route *record.Route) *pool { return v.current.Load().routes[route.Name] }
-
 // Address implements relay.Directory.
 func (v *view) Address(target ident.TargetName) (string, bool) {
 	t, ok := v.set().Target(target)
@@ -137,15 +144,41 @@
 	}
 	now := v.cfg.Clock.Now()
 	for _, p := range v.current.Load().holding[target] {
-		p.ranking.Observe(now, target, digest.Load{
-			Requests: int(load.GetRequests()),
-			Tokens:   ident.Tokens(load.GetTokens()),
-			Queued:   int(load.GetQueued()),
-		})
+		p.ranking.Observe(now, target, watch.Load(load))
 	}
-	if revision > v.set().Revision() {
+	v.compare(now, target, revision)
+}
+
+// compare brings whoever is behind, this router or the sidecar, to the other
+// one's revision.
+func (v *view) compare(now time.Time, target ident.TargetName, revision ident.Revision) {
+	n := v.nodes.get(target)
+	own := v.set().Revision()
+	switch {
+	case revision > own:
 		v.pullFrom(target)
+	case revision == own:
+		n.behind.Store(0)
+	case n.behind.CompareAndSwap(0, now.UnixNano()):
+		// Control is given a moment to tell the sidecar.
+	case now.UnixNano()-n.behind.Load() > int64(pushDelay):
+		n.behind.Store(0)
+		v.pushTo(target)
+	}
+}
+
+// pushTo sends the records to a sidecar that control does not reach.
+func (v *view) pushTo(target ident.TargetName) {
+	address, ok := v.Address(target)
+	if !ok {
+		return
 	}
+	call := &wire.Call{Body: &wire.Call_Push{Push: watch.Encode(v.set().Full())}}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
+		defer cancel()
+		_ = v.cfg.Link.Ask(ctx, address, call, new(wire.PushReply))
+	}()
 }
 
 // Failed implements relay.Directory.
@@ -178,10 +211,18 @@
 	}()
 }
 
-const pullTimeout = 2 * time.Second
+const (
+	pullTimeout = 2 * time.Second
+	// pushDelay is how long a sidecar may be behind before this router tells
+	// it what it lacks.
+	pushDelay = time.Second
+)
 
 // node is what replies said of one sidecar.
 type node struct {
 	incarnation atomic.Uint64
-	pulling     atomic.Bool
+	// behind is when the sidecar was first seen at a lower revision, in Unix
+	// nanoseconds; zero if it is not.
+	behind  atomic.Int64
+	pulling atomic.Bool
 }
--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -15,8 +15,8 @@
 type Request struct {
 	// Tries describes the request to the state machine.
 	Tries tries.Config
-	// Candidates are the targets in order of preference.
-	Candidates []tries.Candidate
+	// Plan proposes the targets; the machine gets it too.
+	Plan Plan
 	// Submit is the template of what the sidecars get.
 	Submit *wire.Submit
 	// Revision is the one under which the candidates were chosen.
@@ -38,10 +38,6 @@
 
 	// incarnations are those under which attempts were claimed or buried.
 	incarnations map[ident.AttemptID]ident.Incarnation
-	// sent counts the attempts that were not joins.
-	sent int
-	// forwarded is the target that the last refusal named, if any.
-	forwarded ident.TargetName
 
 	answer Answer
 	held   *Answer
@@ -53,7 +49,9 @@
 	tries.Event
 	head *wire.Head
 	data []byte
-	held Held
+	// refusal is set with EventRefused.
+	refusal *wire.Refusal
+	held    Held
 }
 
 // Run carries the request out and returns once it has ended. When ctx ends
@@ -63,7 +61,6 @@
 		cfg:     cfg,
 		request: request,
 		caller:  caller,
-		machine: tries.New(request.Tries),
 		events:  make(chan event, eventBacklog),
 		done:    make(chan struct{}),
 
@@ -73,8 +70,9 @@
 	// The calls outlive the caller: what is not idempotent is seen through.
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	x.learnIncarnations(work)
-	x.step(work, event{Event: tries.Event{Kind: tries.EventStart, Candidates: x.request.Candidates}})
+	x.request.Tries.Plan = &plan{Plan: request.Plan, exchange: x, ctx: work}
+	x.machine = tries.New(x.request.Tries)
+	x.step(work, event{Event: tries.Event{Kind: tries.EventStart}})
 	x.loop(ctx, work)
 	x.closeStreams()
 	x.result.Record = x.machine.Record()
@@ -112,9 +110,10 @@
 }
 
 func (x *exchange) step(ctx context.Context, e event) {
-	if e.Kind == tries.EventRefused {
-		x.forwarded = e.Forward
+	if e.head != nil {
+		x.keepHead(&e)
 	}
+	x.tellPlan(&e)
 	if e.held.Conflict {
 		x.result.Conflict = true
 	}
@@ -132,7 +131,7 @@
 	case tries.ActionSend:
 		x.send(ctx, action)
 	case tries.ActionHead:
-		x.head(e.head)
+		x.head(action.Stream)
 	case tries.ActionDeliver:
 		x.deliver(e.data)
 	case tries.ActionCancel:
@@ -163,7 +162,11 @@
 	}
 }
 
-func (x *exchange) head(head *wire.Head) {
+// head writes the head that came on a stream. The machine asks for it only
+// once the first bytes have come, since until then the attempt may be run
+// again elsewhere.
+func (x *exchange) head(stream tries.StreamID) {
+	head := x.headOf(stream)
 	x.result.Started = true
 	x.result.WarmTokens = ident.Tokens(head.GetWarmTokens())
 	x.answer.Status = int(head.GetStatus())
@@ -171,6 +174,23 @@
 	x.caller.Head(x.answer.Status, x.answer.Headers)
 }
 
+func (x *exchange) headOf(stream tries.StreamID) *wire.Head {
+	for _, s := range x.streams {
+		if s.id == stream {
+			return s.head
+		}
+	}
+	return nil
+}
+
+func (x *exchange) keepHead(e *event) {
+	for _, s := range x.streams {
+		if s.id == e.Stream {
+			s.head = e.head
+		}
+	}
+}
+
 func (x *exchange) deliver(data []byte) {
 	if x.request.Tries.Once && ident.Bytes(len(x.answer.Body)+len(data)) <= x.cfg.MaxRecordedBytes {
 		x.answer.Body = append(x.answer.Body, data...)
