--- a/internal/version/record/record_test.go
+++ b/internal/version/record/record_test.go
@@ -200,3 +200,11 @@
 		}
 	})
 }
+
+func TestServiceRunsOnce(t *testing.T) {
+	s := &record.Service{NotRepeatable: []string{"POST /deposits", "POST /orders/*"}}
+	assert.Assert(t, s.RunsOnce("POST", "/deposits"))
+	assert.Assert(t, s.RunsOnce("POST", "/orders/7/ship"))
+	assert.Assert(t, !s.RunsOnce("GET", "/deposits"))
+	assert.Assert(t, !s.RunsOnce("POST", "/deposits/7"))
+}
--- a/internal/version/store/store_test.go
+++ b/internal/version/store/store_test.go
@@ -175,6 +175,15 @@
 	assert.Equal(t, r.store.Since(9).To, ident.Revision(7))
 }
 
+func TestRestoreNeverGoesBack(t *testing.T) {
+	r := newReplica(t, store.Config{})
+	r.apply(applyOf("", service("s", 0, "")))
+	old := r.snapshot()
+	r.apply(applyOf("", service("s", 1, "b")))
+	assert.ErrorContains(t, r.store.Restore(old), "below applied entry 2")
+	assert.Equal(t, r.store.Revision(), ident.Revision(2))
+}
+
 func TestAuditFollowsEveryStepAndIsExported(t *testing.T) {
 	sink := &auditSink{}
 	r := newReplica(t, store.Config{Sink: sink, Audit: audit.Config{Kept: 2048}})
