--- a/internal/process/audit/audit_test.go
+++ b/internal/process/audit/audit_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
@@ -152,3 +154,44 @@
 		assert.Assert(t, report.Entries <= bytes.Count(data, []byte("\n"))+1)
 	})
 }
+
+func TestFileSurvivesTornWrites(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "audit.jsonl")
+	chain := chainOf(10, 0)
+	entries, err := chain.After(0)
+	assert.NilError(t, err)
+	write := func(entries []audit.Entry) audit.Head {
+		file, err := audit.OpenFile(path)
+		assert.NilError(t, err)
+		assert.NilError(t, file.WriteAudit(entries))
+		assert.NilError(t, file.Close())
+		return file.Last()
+	}
+	assert.Equal(t, write(entries[:4]).Index, uint64(4))
+	whole, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	for cut := len(whole) - 1; cut > len(whole)-40; cut-- {
+		assert.NilError(t, os.WriteFile(path, whole[:cut], 0o600))
+		assert.Equal(t, write(entries), chain.Head(), "entries that the file has are skipped")
+		file, err := os.Open(path)
+		assert.NilError(t, err)
+		report, err := audit.Verifier{Known: chain.Head()}.Verify(file)
+		assert.NilError(t, err)
+		assert.Assert(t, report.Fault == nil && report.Entries == 10)
+		assert.NilError(t, file.Close())
+	}
+
+	file, err := audit.OpenFile(path)
+	assert.NilError(t, err)
+	other := chainOf(9, 0)
+	other.Append(audit.Event{Kind: audit.KindApply})
+	other.Append(audit.Event{Kind: audit.KindApply})
+	forked, err := other.After(10)
+	assert.NilError(t, err)
+	var fork *audit.ForkError
+	assert.Assert(t, errors.As(file.WriteAudit(forked), &fork))
+	assert.NilError(t, file.Close())
+	assert.NilError(t, os.WriteFile(path, []byte("{}\n"), 0o600))
+	_, err = audit.OpenFile(path)
+	assert.ErrorContains(t, err, "no sound entry")
+}
