--- a/internal/version/store/fleet_test.go
+++ b/internal/version/store/fleet_test.go
@@ -189,3 +189,29 @@
 		}
 	})
 }
+
+// BenchmarkFullSet measures how a process reads the whole set at the large
+// size, and what it takes.
+func BenchmarkFullSet(b *testing.B) {
+	contents := fleet(b, 920, 11, 700)
+	size := 0
+	for _, data := range contents {
+		size += len(data)
+	}
+	before := heap()
+	var set *record.Set
+	b.ResetTimer()
+	for range b.N {
+		records := make([]*record.Record, 0, len(contents))
+		for _, data := range contents {
+			r, err := record.Load(data)
+			assert.NilError(b, err)
+			records = append(records, r)
+		}
+		set = record.NewSet(1, records)
+	}
+	b.StopTimer()
+	b.ReportMetric(float64(size)/(1<<10), "JSON-KB")
+	b.ReportMetric(float64(heap()-before)/(1<<10), "heap-KB")
+	runtime.KeepAlive(set)
+}
