Judge targets by their traffic, and stop routers and control by plan

Cause: a target that fails now and then was passed over for a second and no more, and a stopping router or control process cut what was in flight. The health checker now ejects, probes within its budget and lets back in; a stopping router says so first, and control hands leadership over before it closes anything.

--- a/internal/process/cmds/control.go
+++ b/internal/process/cmds/control.go
@@ -86,15 +86,22 @@
 		Remote:   remotes,
 		Receive:  replicas.Receive,
 	})
-	go peers.Run(ctx)
+	// Leadership is handed over before anything is closed.
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	stop := context.AfterFunc(ctx, func() {
+		if closeErr := replicas.Close(); closeErr != nil {
+			_ = level.Warn(logger).Log("msg", "close data folder", "err", closeErr)
+		}
+		end()
+	})
+	defer stop()
+	go peers.Run(life)
 	api := admin.New(admin.Config{Control: control})
 	server := &http.Server{Handler: api.Handler(), ReadHeaderTimeout: standInHeaderTimeout}
 	go func() { _ = server.Serve(operators) }()
-	err = control.Run(ctx)
+	err = control.Run(life)
 	_ = server.Close()
-	if closeErr := replicas.Close(); closeErr != nil {
-		_ = level.Warn(logger).Log("msg", "close data folder", "err", closeErr)
-	}
 	return err
 }
 
--- a/internal/process/cmds/router.go
+++ b/internal/process/cmds/router.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"time"
 
 	"github.com/go-kit/log"
 
@@ -23,6 +24,9 @@
 	Listen    string           `help:"Address for callers." default:"127.0.0.1:8080"`
 	Control   []string         `help:"Addresses of the control processes." required:""`
 	BodyLimit ident.Bytes      `help:"Longest request body in bytes." default:"8388608"`
+
+	DrainDelay   time.Duration `help:"How long a stopping router takes callers while the balancer learns of it." default:"3s"`
+	DrainTimeout time.Duration `help:"How long a stopping router waits for requests in flight; 0 for no bound."`
 }
 
 // Run implements the command.
@@ -69,7 +73,13 @@
 		Follower:  follower,
 		Seed:      rand.Uint64(),
 		BodyLimit: c.BodyLimit,
+
+		DrainDelay:   c.DrainDelay,
+		DrainTimeout: c.DrainTimeout,
 	})
-	go follower.Run(ctx)
+	// The records are followed until the last request has ended.
+	following, stopFollowing := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopFollowing()
+	go follower.Run(following)
 	return r.Run(ctx)
 }
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -70,6 +71,11 @@
 	Seed uint64
 	// BodyLimit bounds a request's body.
 	BodyLimit ident.Bytes
+	// DrainDelay is how long a stopping router still takes callers while the
+	// balancer learns that it is not ready.
+	DrainDelay time.Duration
+	// DrainTimeout bounds the wait for requests in flight; 0 for no bound.
+	DrainTimeout time.Duration
 }
 
 // Router serves callers.
@@ -81,6 +87,7 @@
 	relay    relay.Config
 	requests requestNames
 	random   lockedRand
+	stopping atomic.Bool
 }
 
 // New returns a router. Run starts it; Update must be called with what the
@@ -148,8 +155,11 @@
 		MaxHeaderBytes:    headerLimit,
 	}
 	finished := make(chan error, 1)
-	stop := context.AfterFunc(ctx, func() { finished <- server.Shutdown(context.WithoutCancel(ctx)) })
+	stop := context.AfterFunc(ctx, func() { finished <- r.shutDown(ctx, server) })
 	defer stop()
+	probing, stopProbing := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopProbing()
+	go r.view.probe(probing)
 	_ = level.Info(r.cfg.Logger).Log("msg", "router serves", "address", r.cfg.Listener.Addr())
 	if err := server.Serve(r.cfg.Listener); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve callers: %w", err)
@@ -160,9 +170,27 @@
 	return nil
 }
 
+// shutDown says that the router is not ready, gives the balancer time to see
+// it, closes the listener and lets the requests in flight finish.
+func (r *Router) shutDown(ctx context.Context, server *http.Server) error {
+	r.stopping.Store(true)
+	_ = level.Info(r.cfg.Logger).Log("msg", "router finishes its requests")
+	ctx = context.WithoutCancel(ctx)
+	_ = r.cfg.Clock.Sleep(ctx, r.cfg.DrainDelay)
+	if r.cfg.DrainTimeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, r.cfg.DrainTimeout)
+		defer cancel()
+	}
+	if err := server.Shutdown(ctx); err != nil {
+		return fmt.Errorf("requests still in flight: %w", err)
+	}
+	return nil
+}
+
 // serveReady tells the balancer whether this router may get callers.
 func (r *Router) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !r.cfg.Follower.Leased() {
+	if r.stopping.Load() || !r.cfg.Follower.Leased() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/process/router/view.go
+++ b/internal/process/router/view.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cactusline.dev/cactusline/internal/conn/digest"
+	"cactusline.dev/cactusline/internal/conn/health"
 	"cactusline.dev/cactusline/internal/conn/watch"
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/request/rank"
@@ -14,11 +15,7 @@
 	"cactusline.dev/cactusline/internal/version/record"
 )
 
-const (
-	// ejectInterval is how long a sidecar that did not answer is passed over.
-	ejectInterval = time.Second
-	nodeShards    = 16
-)
+const nodeShards = 16
 
 // pool is what a route chooses from.
 type pool struct {
@@ -35,6 +32,7 @@
 	cfg     Config
 	current atomic.Pointer[snapshot]
 	nodes   nodes
+	health  *health.Checker
 
 	mu sync.Mutex // serializes rebuild
 }
@@ -48,7 +46,7 @@
 }
 
 func newView(cfg Config) *view {
-	v := &view{cfg: cfg}
+	v := &view{cfg: cfg, health: health.New(health.Config{})}
 	v.current.Store(&snapshot{set: new(record.Set)})
 	return v
 }
@@ -61,6 +59,7 @@
 	if set.Revision() <= old.set.Revision() {
 		return
 	}
+	v.enlist(old.set, set)
 	next := &snapshot{
 		set:     set,
 		routes:  make(map[string]*pool, len(set.Routes())),
@@ -139,6 +138,12 @@
 	if load == nil {
 		return
 	}
+	v.judge(target, health.Result{})
+	v.learn(target, load, revision)
+}
+
+// learn takes the load, incarnation and revision that a sidecar reports.
+func (v *view) learn(target ident.TargetName, load *wire.Load, revision ident.Revision) {
 	if load.GetIncarnation() != 0 {
 		v.nodes.get(target).incarnation.Store(load.GetIncarnation())
 	}
@@ -183,10 +188,7 @@
 
 // Failed implements relay.Directory.
 func (v *view) Failed(target ident.TargetName) {
-	until := v.cfg.Clock.Now().Add(ejectInterval)
-	for _, p := range v.current.Load().holding[target] {
-		p.ranking.Eject(target, until)
-	}
+	v.judge(target, health.Result{Failed: true})
 }
 
 // CatchUp implements relay.Directory.
