--- a/internal/request/rank/choose.go
+++ b/internal/request/rank/choose.go
@@ -72,9 +72,6 @@
 	if i, ok := c.state.byName[c.query.Forward]; ok && c.usable(i) {
 		c.add(i, Forwarded)
 	}
-	if c.query.Prefix == 0 {
-		c.lighterFirst(&r)
-	}
 	for n := range r.size {
 		i := r.best[n].index
 		if !c.full(i) || (n == 0 && c.query.Prefix > 0) {
@@ -87,15 +84,6 @@
 	}
 }
 
-// lighterFirst orders the ranking by cost: a new chat is warm nowhere.
-func (c *choice) lighterFirst(r *ranking) {
-	for n := 1; n < r.size; n++ {
-		for k := n; k > 0 && c.cost(r.best[k].index) < c.cost(r.best[k-1].index); k-- {
-			r.best[k], r.best[k-1] = r.best[k-1], r.best[k]
-		}
-	}
-}
-
 func reasonOf(rank int) Reason {
 	if rank == 0 {
 		return Home
--- a/internal/request/rank/rank.go
+++ b/internal/request/rank/rank.go
@@ -20,7 +20,7 @@
 // Defaults of Config.
 const (
 	DefaultBound      = 1.25
-	DefaultTries      = 2
+	DefaultTries      = 3
 	DefaultLimit      = 4
 	DefaultSlowStart  = 10 * time.Second
 	DefaultReturnHold = 5 * time.Minute
