--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -90,7 +90,7 @@
 	limit    int
 	leaving  bool
 	down     bool
-	forwards *forwards
+	forwards *table[ident.ChatKey, Forward]
 }
 
 // New returns a controller for an idle target.
@@ -103,7 +103,7 @@
 		cfg:      cfg,
 		bound:    bound{factor: min(cfg.Aim, cfg.Bound), sigmas: cfg.Sigmas},
 		running:  make(map[ident.AttemptID]Work),
-		forwards: newForwards(cfg.Forwards),
+		forwards: newTable[ident.ChatKey, Forward](cfg.Forwards),
 	}, nil
 }
 
--- /dev/null
+++ b/internal/request/rank/plan_test.go
@@ -0,0 +1,58 @@
+package rank_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cactusline.dev/cactusline/internal/conn/digest"
+	"cactusline.dev/cactusline/internal/request/rank"
+)
+
+func next(t *testing.T, p *rank.Plan) rank.Step {
+	t.Helper()
+	step, ok := p.Next()
+	assert.Assert(t, ok)
+	return step
+}
+
+func TestPlanFollowsTheChatAndComesBack(t *testing.T) {
+	plan := newPool(targets(10)).Plan(rank.Query{Now: start, Chat: 5, Prefix: 100})
+	home := next(t, plan)
+	assert.Equal(t, home.Reason, rank.Home)
+	other := targets(10)[(home.Index+1)%10].Name
+	plan.Refused(home, rank.Refusal{Forward: other, Moved: true})
+	moved := next(t, plan)
+	assert.Equal(t, moved.Target, other)
+	assert.Equal(t, moved.Reason, rank.Forwarded)
+	plan.Refused(moved, rank.Refusal{Load: digest.Load{Requests: 9}})
+	again := next(t, plan)
+	assert.Equal(t, again.Target, home.Target)
+	assert.Assert(t, again.Moved, "the home must not send the chat on again")
+}
+
+func TestPlanEndsWithTheLeastLoaded(t *testing.T) {
+	plan := newPool(targets(10)).Plan(rank.Query{Now: start, Chat: 5, Prefix: 100})
+	lightest := rank.Step{}
+	for try := range rank.DefaultTries {
+		step := next(t, plan)
+		assert.Assert(t, !step.Final)
+		refusal := rank.Refusal{Load: digest.Load{Requests: 10 - try}}
+		if try == rank.DefaultTries-1 {
+			refusal.Closed = true
+		} else {
+			lightest = step
+		}
+		plan.Refused(step, refusal)
+	}
+	final := next(t, plan)
+	assert.Assert(t, final.Final)
+	assert.Equal(t, final.Target, lightest.Target)
+	_, ok := plan.Next()
+	assert.Assert(t, !ok)
+}
+
+func TestPlanWithoutTargetsEnds(t *testing.T) {
+	_, ok := newPool(nil).Plan(rank.Query{Now: start, Chat: 5}).Next()
+	assert.Assert(t, !ok)
+}
