--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -21,7 +21,7 @@
 const (
 	DefaultBound       = 1.25
 	DefaultAim         = 1.2
-	DefaultColdBound   = 1.0
+	DefaultColdBound   = 1.05
 	DefaultSigmas      = 3.0
 	DefaultMaxRequests = 64
 	DefaultMaxQueue    = 64
@@ -90,7 +90,7 @@
 	limit    int
 	leaving  bool
 	down     bool
-	forwards *forwards
+	forwards *table[ident.ChatKey, Forward]
 }
 
 // New returns a controller for an idle target.
@@ -103,7 +103,7 @@
 		cfg:      cfg,
 		bound:    bound{factor: min(cfg.Aim, cfg.Bound), sigmas: cfg.Sigmas},
 		running:  make(map[ident.AttemptID]Work),
-		forwards: newForwards(cfg.Forwards),
+		forwards: newTable[ident.ChatKey, Forward](cfg.Forwards),
 	}, nil
 }
 
