Prove the whole path over real processes

The issue asks for chats and paid steps through control, sidecars and routers as separate processes. The harness builds the binary once, keeps every process on loopback and kills all of them at the end.

--- /dev/null
+++ b/cmd/cactusline/caller_test.go
@@ -0,0 +1,204 @@
+package main_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"cactusline.dev/cactusline/internal/process/engine"
+	"cactusline.dev/cactusline/internal/process/plain"
+	"cactusline.dev/cactusline/internal/request/chat"
+	"cactusline.dev/cactusline/internal/version/ident"
+)
+
+// Outcomes as routers name them.
+const (
+	outcomeRan     = "ran"
+	outcomeNotRun  = "not-run"
+	outcomeUnknown = "unknown"
+
+	headerOutcome = "Cactusline-Outcome"
+	callTimeout   = 60 * time.Second
+)
+
+// reply is what a caller got.
+type reply struct {
+	status  int
+	outcome string
+	// text is the answer's, joined from its events if it was streamed.
+	text string
+	// done says that a stream came to its last event, shownError that it held
+	// an error event.
+	done       bool
+	shownError bool
+	entry      plain.Entry
+	header     http.Header
+	// err broke the connection.
+	err  error
+	took time.Duration
+}
+
+// caller speaks to one router.
+type caller struct {
+	router string
+	client *http.Client
+}
+
+func newCaller(router string) *caller {
+	return &caller{router: router, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+}
+
+// newChat returns a request whose answer has the given number of tokens.
+func newChat(text string, tokens ident.Tokens, stream bool) *chat.Request {
+	return &chat.Request{
+		Model:     model,
+		Messages:  []chat.Message{{Role: chat.RoleUser, Content: chat.Text(text)}},
+		Stream:    stream,
+		MaxTokens: tokens,
+	}
+}
+
+// chat makes a chat request.
+func (c *caller) chat(ctx context.Context, request *chat.Request, header http.Header) *reply {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return &reply{err: err}
+	}
+	return c.send(ctx, "/v1/chat/completions", body, header, func(r *reply, resp *http.Response) {
+		if request.Stream && resp.StatusCode == http.StatusOK {
+			r.readEvents(resp.Body)
+			return
+		}
+		r.readAnswer(resp.Body)
+	})
+}
+
+// step makes a call that may run only once.
+func (c *caller) step(ctx context.Context, key string, header http.Header) *reply {
+	header = header.Clone()
+	if header == nil {
+		header = make(http.Header)
+	}
+	header.Set(plain.KeyHeader, key)
+	return c.send(ctx, "/services/registration/bibs", []byte(stepBody(key)), header, func(r *reply, resp *http.Response) {
+		body, err := io.ReadAll(resp.Body)
+		r.err = err
+		if err == nil && resp.StatusCode == http.StatusCreated {
+			r.err = json.Unmarshal(body, &r.entry)
+		}
+		r.text = string(body)
+	})
+}
+
+func stepBody(key string) string { return fmt.Sprintf(`{"Runner":%q}`, key) }
+
+func (c *caller) send(ctx context.Context, path string, body []byte, header http.Header, read func(*reply, *http.Response)) *reply {
+	begun := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.router+path, bytes.NewReader(body))
+	if err != nil {
+		return &reply{err: err}
+	}
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	req.Header.Set("Authorization", "Bearer "+callerKey)
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return &reply{err: err, took: time.Since(begun)}
+	}
+	defer resp.Body.Close()
+	r := &reply{status: resp.StatusCode, header: resp.Header}
+	read(r, resp)
+	r.outcome = resp.Header.Get(headerOutcome)
+	if r.outcome == "" {
+		r.outcome = resp.Trailer.Get(headerOutcome)
+	}
+	r.took = time.Since(begun)
+	return r
+}
+
+func (r *reply) readAnswer(body io.Reader) {
+	data, err := io.ReadAll(body)
+	r.err = err
+	r.text = string(data)
+	if err != nil || r.status != http.StatusOK {
+		return
+	}
+	var answer chat.Response
+	if r.err = json.Unmarshal(data, &answer); r.err == nil && len(answer.Choices) == 1 {
+		r.text = answer.Choices[0].Message.Content.Text
+		r.done = true
+	}
+}
+
+func (r *reply) readEvents(body io.Reader) {
+	var text strings.Builder
+	lines := bufio.NewScanner(body)
+	for lines.Scan() {
+		event, ok := strings.CutPrefix(lines.Text(), chat.EventPrefix)
+		if !ok {
+			continue
+		}
+		if event == "[DONE]" {
+			r.done = true
+			continue
+		}
+		var chunk struct {
+			chat.Chunk
+			Error json.RawMessage
+		}
+		if err := json.Unmarshal([]byte(event), &chunk); err != nil {
+			r.err = err
+			break
+		}
+		r.shownError = r.shownError || len(chunk.Error) > 0
+		for _, choice := range chunk.Choices {
+			text.WriteString(choice.Delta.Content)
+		}
+	}
+	r.text = text.String()
+	r.err = errors.Join(r.err, lines.Err())
+}
+
+// wrong returns what is wrong with the answer to a chat: that it is another
+// one's, or short with nothing to show it. An answer that ends in a visible
+// error is not wrong.
+func (r *reply) wrong(request *chat.Request) error {
+	want := engine.Answer(request, request.MaxTokens)
+	switch {
+	case r.status != http.StatusOK && r.err == nil && r.outcome == outcomeRan:
+		return fmt.Errorf("status %d says that it ran: %s", r.status, r.text)
+	case r.status != http.StatusOK:
+		return nil
+	case r.done && r.text != want:
+		return fmt.Errorf("whole answer %.60q..., want %.60q...", r.text, want)
+	case r.done && r.err == nil && r.outcome != outcomeRan:
+		return fmt.Errorf("whole answer with outcome %q", r.outcome)
+	case !strings.HasPrefix(want, r.text) && r.err == nil:
+		return fmt.Errorf("answer %.60q... is no part of %.60q...", r.text, want)
+	case !r.done && r.err == nil && !r.shownError:
+		return fmt.Errorf("%d bytes of %d without an error", len(r.text), len(want))
+	}
+	return nil
+}
+
+// whole reports whether the chat was answered in full.
+func (r *reply) whole(request *chat.Request) bool {
+	return r.status == http.StatusOK && r.done && r.err == nil && r.outcome == outcomeRan &&
+		r.text == engine.Answer(request, request.MaxTokens)
+}
+
+// String sums the reply up for a test's log.
+func (r *reply) String() string {
+	return fmt.Sprintf("status %d outcome %q done %v error %v after %v: %.200s", r.status, r.outcome, r.done, r.err, r.took, r.text)
+}
--- /dev/null
+++ b/cmd/cactusline/fleet_test.go
@@ -0,0 +1,379 @@
+package main_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cactusline.dev/cactusline/internal/version/ident"
+	"cactusline.dev/cactusline/internal/version/record"
+)
+
+const (
+	callerKey = "test-key"
+	model     = ident.ModelName("stand-in")
+	service   = ident.ServiceName("registration")
+
+	startTimeout = 20 * time.Second
+	stopTimeout  = 20 * time.Second
+	pollInterval = 10 * time.Millisecond
+	portTries    = 100
+)
+
+// binary is the program under test, built once.
+var binary string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "cactusline-test-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	binary = filepath.Join(folder, "cactusline")
+	build := exec.Command("go", "build", "-o", binary, ".")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "build:", err)
+		return 1
+	}
+	return m.Run()
+}
+
+// process is one process of the fleet, which can be killed and started again
+// with the same settings.
+type process struct {
+	t       *testing.T
+	name    string
+	args    []string
+	folder  string
+	cmd     *exec.Cmd
+	exited  chan struct{}
+	exitErr error
+}
+
+// start runs the process. It is killed when the test ends.
+func (p *process) start() {
+	p.t.Helper()
+	output, err := os.OpenFile(filepath.Join(p.folder, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	assert.NilError(p.t, err)
+	p.cmd = exec.Command(binary, p.args...)
+	p.cmd.Stdout = output
+	p.cmd.Stderr = output
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	assert.NilError(p.t, p.cmd.Start())
+	exited := make(chan struct{})
+	p.exited = exited
+	go func() {
+		p.exitErr = p.cmd.Wait()
+		_ = output.Close()
+		close(exited)
+	}()
+}
+
+// kill ends the process at once, also when it is frozen.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.exited
+}
+
+// stop asks the process to end and waits until it has, without error.
+func (p *process) stop() {
+	p.t.Helper()
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.exited:
+		assert.Check(p.t, p.exitErr, "%s ended with an error", p.name)
+	case <-time.After(stopTimeout):
+		p.kill()
+		p.t.Errorf("%s did not stop within %v", p.name, stopTimeout)
+	}
+}
+
+// freeze stops the process from running until thaw.
+func (p *process) freeze() { p.signal(syscall.SIGSTOP) }
+
+// thaw lets a frozen process run on.
+func (p *process) thaw() { p.signal(syscall.SIGCONT) }
+
+func (p *process) signal(signal syscall.Signal) {
+	select {
+	case <-p.exited:
+	default:
+		_ = p.cmd.Process.Signal(signal)
+	}
+}
+
+// fleetConfig says what a fleet consists of.
+type fleetConfig struct {
+	controls int
+	engines  int
+	routers  int
+	// engineArgs and serviceArgs are added to the stand-ins' settings.
+	engineArgs  []string
+	serviceArgs []string
+	// engineTime bounds the start of an answer's tokens; see EngineCommand.
+	// through returns the address by which a process reaches a control
+	// process, which may lead through a relay; nil means directly.
+	through func(process, control string) string
+}
+
+// fleet is a whole fleet of processes on loopback.
+type fleet struct {
+	t        *testing.T
+	cfg      fleetConfig
+	folder   string
+	controls []*process
+	sidecars []*process
+	engines  []*process
+	routers  []*process
+	service  *process
+
+	controlAddresses []string
+	adminAddresses   []string
+	routerAddresses  []string
+	serviceAddress   string
+	targets          []record.Target
+}
+
+// startFleet starts the processes, submits the records and returns once every
+// router is ready.
+func startFleet(t *testing.T, cfg fleetConfig) *fleet {
+	t.Helper()
+	f := &fleet{t: t, cfg: cfg, folder: t.TempDir()}
+	t.Cleanup(f.close)
+	f.startControls()
+	for i := range cfg.engines {
+		name := ident.TargetName(fmt.Sprintf("engine-%d", i+1))
+		address := freeAddress(t)
+		f.engines = append(f.engines, f.run(string(name), append([]string{"engine", "--listen", address}, cfg.engineArgs...)...))
+		f.startSidecar(record.Target{Name: name, Models: []record.TargetModel{{Name: model}}}, address)
+	}
+	f.serviceAddress = freeAddress(t)
+	f.service = f.run("registration-1", append([]string{"service", "--listen", f.serviceAddress}, cfg.serviceArgs...)...)
+	f.startSidecar(record.Target{Name: "registration-1", Service: service}, f.serviceAddress)
+	f.submit(f.records()...)
+	for i := range cfg.routers {
+		f.startRouter(fmt.Sprintf("router-%d", i+1))
+	}
+	for _, address := range f.routerAddresses {
+		f.awaitReady(address)
+	}
+	return f
+}
+
+func (f *fleet) startControls() {
+	peers := []string{}
+	for i := range f.cfg.controls {
+		address := freeAddress(f.t)
+		f.controlAddresses = append(f.controlAddresses, address)
+		f.adminAddresses = append(f.adminAddresses, freeAddress(f.t))
+		peers = append(peers, "--peer", fmt.Sprintf("control-%d=%s", i+1, address))
+	}
+	for i, address := range f.controlAddresses {
+		name := fmt.Sprintf("control-%d", i+1)
+		args := []string{
+			"control", "--vm", name, "--listen", address, "--admin", f.adminAddresses[i],
+			"--data", filepath.Join(f.folder, "data-"+name),
+		}
+		f.controls = append(f.controls, f.run(name, append(args, peers...)...))
+	}
+}
+
+// startSidecar starts the sidecar of a target and keeps the target's record.
+func (f *fleet) startSidecar(target record.Target, address string) {
+	listen := freeAddress(f.t)
+	target.VM = ident.VMName("vm-" + string(target.Name))
+	target.Domain = "domain-1"
+	target.Region = "region-1"
+	target.Address = listen
+	f.targets = append(f.targets, target)
+	name := "sidecar-" + string(target.Name)
+	args := []string{"sidecar", "--name", string(target.Name), "--target", "http://" + address, "--listen", listen}
+	f.sidecars = append(f.sidecars, f.run(name, append(args, f.controlArgs(name)...)...))
+}
+
+func (f *fleet) startRouter(name string) {
+	address := freeAddress(f.t)
+	f.routerAddresses = append(f.routerAddresses, address)
+	args := []string{"router", "--name", name, "--domain", "domain-1", "--listen", address}
+	f.routers = append(f.routers, f.run(name, append(args, f.controlArgs(name)...)...))
+}
+
+func (f *fleet) controlArgs(process string) []string {
+	var args []string
+	for _, address := range f.controlAddresses {
+		if f.cfg.through != nil {
+			address = f.cfg.through(process, address)
+		}
+		args = append(args, "--control", address)
+	}
+	return args
+}
+
+func (f *fleet) run(name string, args ...string) *process {
+	f.t.Helper()
+	args = append(args, "--trace-file", f.traceFile(name))
+	p := &process{t: f.t, name: name, args: args, folder: f.folder}
+	p.start()
+	return p
+}
+
+func (f *fleet) traceFile(name string) string { return filepath.Join(f.folder, name+".trace") }
+
+func (f *fleet) all() []*process {
+	all := append([]*process{f.service}, f.routers...)
+	all = append(all, f.sidecars...)
+	all = append(all, f.engines...)
+	return append(all, f.controls...)
+}
+
+// close kills every process. After a failure it keeps their logs.
+func (f *fleet) close() {
+	for _, p := range f.all() {
+		if p != nil && p.exited != nil {
+			p.kill()
+		}
+	}
+	if !f.t.Failed() {
+		return
+	}
+	kept, err := os.MkdirTemp("", "cactusline-failed-")
+	if err == nil {
+		err = os.CopyFS(kept, os.DirFS(f.folder))
+	}
+	f.t.Logf("logs and traces: %s (%v)", kept, err)
+}
+
+func (f *fleet) records() []any {
+	values := []any{
+		&record.Customer{Name: "customer-1", Keys: []record.KeyHash{record.HashKey(callerKey)}},
+		&record.Model{Name: model, Versions: []record.ModelVersion{{Name: "1"}}},
+		&record.Service{Name: service, NotRepeatable: []string{"POST /bibs"}},
+		&record.Route{Name: "chats", Model: model},
+		&record.Route{Name: "registrations", Service: service},
+	}
+	for i := range f.targets {
+		values = append(values, &f.targets[i])
+	}
+	return values
+}
+
+// submit commits records through the first control process that takes them.
+func (f *fleet) submit(values ...any) {
+	f.t.Helper()
+	records := make([]*record.Record, 0, len(values))
+	for _, value := range values {
+		r, err := record.New(value)
+		assert.NilError(f.t, err)
+		records = append(records, r)
+	}
+	body, err := json.Marshal(records)
+	assert.NilError(f.t, err)
+	change := fmt.Sprintf("%s-%d", f.t.Name(), time.Now().UnixNano())
+	deadline := time.Now().Add(startTimeout)
+	for i := 0; ; i++ {
+		err := post(f.adminAddresses[i%len(f.adminAddresses)], change, body)
+		if err == nil {
+			return
+		}
+		assert.Assert(f.t, time.Now().Before(deadline), "submit records: %v", err)
+		time.Sleep(pollInterval)
+	}
+}
+
+func post(address, change string, body []byte) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/records", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Cactusline-Change", change)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	answer, _ := io.ReadAll(resp.Body)
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: %s", resp.Status, answer)
+	}
+	return nil
+}
+
+func (f *fleet) awaitReady(address string) {
+	f.t.Helper()
+	await(f.t, startTimeout, "router "+address+" is ready", func() bool { return ready(address) })
+}
+
+func ready(address string) bool {
+	resp, err := http.Get("http://" + address + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// await polls until a condition holds and returns how long that took.
+func await(t *testing.T, limit time.Duration, what string, holds func() bool) time.Duration {
+	t.Helper()
+	begun := time.Now()
+	for !holds() {
+		if time.Since(begun) > limit {
+			t.Fatalf("not within %v: %s", limit, what)
+		}
+		time.Sleep(pollInterval)
+	}
+	return time.Since(begun)
+}
+
+// ports hands out ports below those that the system gives to clients.
+var ports struct {
+	mu   sync.Mutex
+	next int
+}
+
+const (
+	firstPort = 12_000
+	portCount = 18_000
+)
+
+// freeAddress returns a loopback address that nobody listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	ports.mu.Lock()
+	defer ports.mu.Unlock()
+	if ports.next == 0 {
+		ports.next = os.Getpid() * 131
+	}
+	for range portTries {
+		ports.next++
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+ports.next%portCount)
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			_ = listener.Close()
+			return address
+		}
+	}
+	t.Fatal("no free port")
+	return ""
+}
