Join the run that took a key over, and log what the ledger and sidecars refuse

Cause: with resends crossing on two routers, one router's refused attempt was proved void and replaced by the other's while the first was releasing it; the release then found another holder and the caller was told 'unknown' although the resend ran. The router now looks into that holder and joins its answer, or, where the holder is void too, releases it and says not-run.

Ruled out: the ledger (its claims and proofs were right) and the sidecar.

--- a/internal/process/router/ledger.go
+++ b/internal/process/router/ledger.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"google.golang.org/protobuf/proto"
 
 	"cactusline.dev/cactusline/internal/conn/remote"
@@ -27,6 +29,7 @@
 type ledger struct {
 	control *remote.Client
 	process string
+	logger  log.Logger
 }
 
 // Claim implements relay.Ledger.
@@ -48,6 +51,7 @@
 		}
 	}
 	result, err := l.command(ctx, &cmdpb.Command{Body: &cmdpb.Command_Claim{Claim: body}})
+	l.note("claim", claim.Attempt, result, err)
 	if err != nil {
 		return relay.Held{Event: tries.Event{Kind: tries.EventLedgerUnknown}}
 	}
@@ -65,9 +69,13 @@
 			Incarnation: uint64(incarnation),
 		},
 	}}})
-	if err != nil || result.GetStatus() != cmdpb.Status_STATUS_OK {
+	l.note("release", attempt, result, err)
+	if err != nil {
 		return relay.Held{Event: tries.Event{Kind: tries.EventLedgerUnknown}}
 	}
+	if result.GetStatus() != cmdpb.Status_STATUS_OK {
+		return heldOf(result)
+	}
 	return relay.Held{Event: tries.Event{Kind: tries.EventLedgerReleased, Attempt: attempt}}
 }
 
@@ -85,7 +93,17 @@
 			body.Answer.Headers = append(body.Answer.Headers, &cmdpb.HeaderField{Name: h.GetName(), Value: h.GetValue()})
 		}
 	}
-	_, _ = l.command(ctx, &cmdpb.Command{Body: &cmdpb.Command_Settle{Settle: body}})
+	result, err := l.command(ctx, &cmdpb.Command{Body: &cmdpb.Command_Settle{Settle: body}})
+	l.note("settle", attempt, result, err)
+}
+
+// note logs a step that the ledger did not take.
+func (l *ledger) note(step string, attempt ident.AttemptID, result *cmdpb.Result, err error) {
+	if err == nil && result.GetStatus() == cmdpb.Status_STATUS_OK {
+		return
+	}
+	_ = level.Warn(l.logger).Log("msg", "ledger step not taken", "step", step, "attempt", attempt,
+		"status", result.GetStatus(), "detail", result.GetDetail(), "err", err)
 }
 
 // command proposes one command and returns its result.
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -108,7 +108,7 @@
 		Tracer:           cfg.Tracer,
 		Links:            cfg.Link,
 		Directory:        r.view,
-		Ledger:           &ledger{control: cfg.Control, process: cfg.Process},
+		Ledger:           &ledger{control: cfg.Control, process: cfg.Process, logger: cfg.Logger},
 		MaxRecordedBytes: DefaultRecordedLimit,
 	}
 	return r
--- a/internal/process/side/submit.go
+++ b/internal/process/side/submit.go
@@ -6,6 +6,9 @@
 	"fmt"
 	"time"
 
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
 	"cactusline.dev/cactusline/internal/conn/link"
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/request/admit"
@@ -16,7 +19,7 @@
 // serveSubmit runs an attempt, or joins one that runs already, and relays its
 // answer.
 func (s *Sidecar) serveSubmit(call *wire.Call, submit *wire.Submit, stream *link.Stream) {
-	out := &answer{stream: stream, attempt: submit.GetAttempt(), offset: submit.GetResumeOffset(), revision: s.revision}
+	out := &answer{stream: stream, attempt: submit.GetAttempt(), offset: submit.GetResumeOffset(), revision: s.revision, logger: s.cfg.Logger}
 	ctx, cancel := context.WithCancel(s.life)
 	defer cancel()
 	watcher := &callerWatch{stream: stream, cancel: cancel}
@@ -197,11 +200,14 @@
 	attempt  string
 	offset   uint64
 	revision func() ident.Revision
+	logger   log.Logger
 	// digest goes with the head.
 	digest *wire.LoadDigest
 }
 
 func (a *answer) refuse(refusal *wire.Refusal) error {
+	_ = level.Debug(a.logger).Log("msg", "attempt refused", "attempt", a.attempt, "reason", refusal.GetReason(),
+		"running", refusal.GetLoad().GetRequests(), "queued", refusal.GetLoad().GetQueued())
 	return a.send(&wire.Reply{Body: &wire.Reply_Refusal{Refusal: refusal}})
 }
 
--- a/internal/request/tries/ledger.go
+++ b/internal/request/tries/ledger.go
@@ -59,9 +59,10 @@
 		m.onClaimed(now, e)
 		return
 	}
+	m.releasing = m.phase == phaseReleasing
 	m.claimed = false
 	m.holder = ""
-	if m.phase == phaseReleasing || m.gone || m.takeovers >= m.cfg.MaxTakeovers {
+	if m.gone || m.takeovers >= m.cfg.MaxTakeovers {
 		m.finishUnknown(now, http.StatusConflict)
 		return
 	}
@@ -137,5 +138,11 @@
 		return
 	}
 	m.holder = m.attempts[index].id
+	if m.releasing {
+		// The holder is void, so that its claim may be released like an own one.
+		m.claimed = true
+		m.finishNotRun(now)
+		return
+	}
 	m.claim()
 }
--- a/internal/request/tries/machine.go
+++ b/internal/request/tries/machine.go
@@ -72,8 +72,11 @@
 	refusal   refusal
 
 	claimed bool
-	doubt   bool
-	gone    bool
+	// releasing says that the request has no target left, and that a claim is
+	// looked into only for its answer.
+	releasing bool
+	doubt     bool
+	gone      bool
 	// stale says that a target was tried again with fresh news.
 	stale bool
 }
