Report and sum loads faster while work waits for the mean to rise

Cause: from idle, the bound lets each engine grow by a quarter of the mean a digest, one digest each 50 ms: 1, 2, 3, ... so 200 chats at once on 3 engines overran queues of 64 while no engine ran more than 3 (the sidecars' logs show refusals at running=1..3, queued up to 64). While work is queued, sidecars now report each 5 ms within a budget of 100 reports, and the summing process follows, more slowly the larger the pool.

Ruled out: longer queues (hide the ramp, callers still wait); a looser bound while the mean rises (breaks the invariant).

--- a/internal/process/ctrl/balance.go
+++ b/internal/process/ctrl/balance.go
@@ -12,9 +12,16 @@
 	"cactusline.dev/cactusline/internal/version/ident"
 )
 
-// digestInterval is how often the loads of a pool are summed and sent to its
-// sidecars.
-const digestInterval = 50 * time.Millisecond
+const (
+	// digestInterval is how often the loads of a pool are summed and sent to
+	// its sidecars.
+	digestInterval = 50 * time.Millisecond
+	// pressedInterval is how often they are while work waits for the mean to
+	// rise, and pressedTargetTime what each target of the pool adds to it, so
+	// that a large pool does not flood the summing process.
+	pressedInterval   = 5 * time.Millisecond
+	pressedTargetTime = 100 * time.Microsecond
+)
 
 // balancer sums the loads of the pools whose sidecars report here. Each pool
 // is summed by one control process, which the sidecars agree on by hashing.
@@ -31,6 +38,10 @@
 	table *digest.Table
 	last  digest.Digest
 	fresh chan struct{}
+	// summed is when last was made.
+	summed time.Time
+	// pressed says that work has been reported since to be waiting.
+	pressed bool
 }
 
 func newBalancer(clock Clock) *balancer {
@@ -52,11 +63,12 @@
 	return p
 }
 
-// run sums every pool at each interval until ctx ends.
+// run sums every pool when its time has come until ctx ends.
 func (b *balancer) run(ctx context.Context) {
-	for b.clock.Sleep(ctx, digestInterval) == nil {
+	for b.clock.Sleep(ctx, pressedInterval) == nil {
+		now := b.clock.Now()
 		for _, p := range b.list() {
-			p.sum(b.clock.Now())
+			p.sumIfDue(now)
 		}
 	}
 }
@@ -71,11 +83,21 @@
 	return list
 }
 
-// sum makes a new digest. Its stamp is the time, so that digests of a control
-// process that takes over a pool count as newer.
-func (p *poolLoad) sum(now time.Time) {
+// sumIfDue makes a new digest when the old one is due for it. Its stamp is the
+// time, so that digests of a control process that takes over a pool count as
+// newer.
+func (p *poolLoad) sumIfDue(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	interval := digestInterval
+	if p.pressed {
+		interval = min(interval, pressedInterval+time.Duration(p.last.Targets)*pressedTargetTime)
+	}
+	if now.Sub(p.summed) < interval {
+		return
+	}
+	p.summed = now
+	p.pressed = false
 	p.last = p.table.Sum(now)
 	p.last.Stamp = uint64(now.UnixNano())
 	close(p.fresh)
@@ -85,6 +107,7 @@
 func (p *poolLoad) put(now time.Time, target ident.TargetName, report *wire.LoadReport) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.pressed = p.pressed || report.GetLoad().GetQueued() > 0
 	p.table.Put(now, digest.Report{
 		Target:  target,
 		Load:    watch.Load(report.GetLoad()),
--- a/internal/process/side/balance.go
+++ b/internal/process/side/balance.go
@@ -18,6 +18,12 @@
 	// loadInterval is how often the load is reported to the control process
 	// that sums the pool's.
 	loadInterval = 50 * time.Millisecond
+	// pressedInterval is how often it is while work waits for the mean to
+	// rise, as far as pressedBurst reports, earned back at pressedRate a
+	// second, reach.
+	pressedInterval = 5 * time.Millisecond
+	pressedBurst    = 100
+	pressedRate     = 2
 	// sumRetryInterval is the pause before another control process is asked.
 	sumRetryInterval = 100 * time.Millisecond
 )
@@ -118,13 +124,31 @@
 
 func (s *Sidecar) sendLoads(ctx context.Context, cancel context.CancelFunc, pool digest.PoolName, stream *link.Stream) {
 	defer cancel()
+	var pace pace
 	for s.pool() == pool {
 		report := &wire.LoadReport{Load: s.Load(), Leaving: s.leaving.Load()}
 		if stream.Send(report) != nil {
 			return
 		}
-		if s.cfg.Clock.Sleep(ctx, loadInterval) != nil {
+		if s.cfg.Clock.Sleep(ctx, pace.next(s.cfg.Clock.Now(), report.GetLoad().GetQueued() > 0)) != nil {
 			return
 		}
 	}
 }
+
+// pace spaces the load reports. Its zero value may be used.
+type pace struct {
+	filled time.Time
+	tokens float64
+}
+
+// next returns the wait for the next report.
+func (p *pace) next(now time.Time, pressed bool) time.Duration {
+	p.tokens = min(pressedBurst, p.tokens+pressedRate*now.Sub(p.filled).Seconds())
+	p.filled = now
+	if !pressed || p.tokens < 1 {
+		return loadInterval
+	}
+	p.tokens--
+	return pressedInterval
+}
