--- a/internal/process/raft/election.go
+++ b/internal/process/raft/election.go
@@ -6,12 +6,20 @@
 	"cactusline.dev/cactusline/internal/process/raftpb"
 )
 
+// resetCampaign sets when to try again. Rivals that split the votes have all
+// lost their leader, so that the next try need not wait a whole timeout.
+func (n *Node) resetCampaign() {
+	span := n.cfg.ElectionTimeout
+	n.electAt = n.now.Add(span/2 + time.Duration(n.cfg.Rand.Int64N(int64(span))))
+}
+
 // campaign stands for election: first without a new term, to learn whether
 // a quorum would vote, unless the leader itself asked for it.
 func (n *Node) campaign(forced bool) {
 	n.votes = map[string]bool{}
 	n.leader = ""
 	n.forced = forced
+	n.resetCampaign()
 	if !forced {
 		n.role = PreCandidate
 		n.votes[n.cfg.ID] = true
@@ -33,7 +41,7 @@
 	n.vote = n.cfg.ID
 	n.leader = ""
 	n.votes = map[string]bool{}
-	n.resetElection()
+	n.resetCampaign()
 	n.askVotes(raftpb.MessageKind_VOTE, n.term)
 }
 
@@ -70,13 +78,26 @@
 
 func (n *Node) onPreVote(m *raftpb.Message) {
 	granted := m.GetTerm() > n.term && !n.leaderAlive() && n.log.upToDate(m.GetIndex(), m.GetLogTerm())
+	granted = granted && !n.precedes(m)
 	reply := &raftpb.Message{Kind: raftpb.MessageKind_PRE_VOTE_REPLY, To: m.GetFrom(), Reject: !granted}
 	if granted {
 		reply.Term = m.GetTerm()
+		soonest := n.now.Add(n.cfg.ElectionTimeout / 4)
+		if n.electAt.Before(soonest) {
+			n.electAt = soonest
+		}
 	}
 	n.afterSync(reply)
 }
 
+// precedes reports whether the own campaign goes before the rival's: of two
+// members with equal logs that ask at once, the one with the smaller identity
+// goes on, so that they don't split the votes.
+func (n *Node) precedes(m *raftpb.Message) bool {
+	equal := m.GetIndex() == n.log.last() && m.GetLogTerm() == n.log.lastTerm()
+	return n.role == PreCandidate && equal && n.cfg.ID < m.GetFrom()
+}
+
 func (n *Node) onVoteReply(m *raftpb.Message) {
 	switch {
 	case n.role == PreCandidate && m.GetKind() == raftpb.MessageKind_PRE_VOTE_REPLY:
--- a/internal/process/raft/form.go
+++ b/internal/process/raft/form.go
@@ -13,10 +13,12 @@
 }
 
 // Form gives an empty member the first snapshot of a group that it founds.
+// The member goes to the snapshot's term, so that all leaders have later ones.
 func (n *Node) Form(now time.Time, first *raftpb.Snapshot) {
 	n.now = now
 	n.assert(n.Empty(), "a group is formed once", "last entry %d", n.log.last())
 	n.restore(first)
+	n.term = first.GetTerm()
 	n.electAt = now
 }
 
--- a/internal/process/raft/raft.go
+++ b/internal/process/raft/raft.go
@@ -106,7 +106,7 @@
 	if hard == nil {
 		hard = &raftpb.HardState{}
 	}
-	n.term = hard.GetTerm()
+	n.term = max(hard.GetTerm(), state.Snapshot.GetTerm())
 	n.vote = hard.GetVote()
 	n.durableTerm = n.term
 	n.saved = proto.CloneOf(hard)
@@ -127,12 +127,14 @@
 		n.tickLeader()
 		return
 	}
-	if !now.Before(n.electAt) {
-		n.resetElection()
-		if n.isVoter(n.cfg.ID) {
-			n.campaign(false)
-		}
+	if now.Before(n.electAt) {
+		return
 	}
+	if n.isVoter(n.cfg.ID) {
+		n.campaign(false)
+		return
+	}
+	n.resetElection()
 }
 
 // Step takes a message from another member.
--- /dev/null
+++ b/internal/process/raft/raft_test.go
@@ -0,0 +1,188 @@
+package raft_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cactusline.dev/cactusline/internal/process/raft"
+	"cactusline.dev/cactusline/internal/process/raftpb"
+)
+
+const (
+	heartbeat = 20 * time.Millisecond
+	election  = 100 * time.Millisecond
+	tick      = 5 * time.Millisecond
+)
+
+// cluster holds members whose messages arrive at once, unless cut off.
+type cluster struct {
+	now   time.Time
+	ids   []string
+	nodes map[string]*raft.Node
+	cut   map[string]bool
+	reads map[string][]raft.ReadResult
+	// drop drops single messages.
+	drop func(m *raftpb.Message) bool
+}
+
+func newCluster(t *testing.T, voters, others int) *cluster {
+	c := &cluster{
+		now: time.Unix(100, 0), nodes: map[string]*raft.Node{}, cut: map[string]bool{},
+		reads: map[string][]raft.ReadResult{}, drop: func(*raftpb.Message) bool { return false },
+	}
+	list := &raftpb.Members{}
+	for i := range voters {
+		list.Members = append(list.Members, &raftpb.Member{Id: fmt.Sprintf("m%d", i+1)})
+	}
+	for i := range voters + others {
+		id := fmt.Sprintf("m%d", i+1)
+		state := raft.State{}
+		if i < voters {
+			state.Snapshot = &raftpb.Snapshot{Index: 1, Term: 1, Members: list}
+		}
+		c.ids = append(c.ids, id)
+		c.nodes[id] = raft.New(c.now, raft.Config{
+			ID: id, HeartbeatInterval: heartbeat, ElectionTimeout: election,
+			Rand:   rand.New(rand.NewPCG(uint64(i), 1)),
+			Assert: func(invariant, detail string) { t.Errorf("%s: %s", invariant, detail) },
+		}, state)
+	}
+	return c
+}
+
+// pump does what all cores ask for until none asks for more.
+func (c *cluster) pump() {
+	for busy := true; busy; {
+		busy = false
+		for _, id := range c.ids {
+			ready, ok := c.nodes[id].Ready(c.now)
+			if !ok {
+				continue
+			}
+			busy = true
+			c.reads[id] = append(c.reads[id], ready.Reads...)
+			if ready.Seq > 0 {
+				c.nodes[id].Persisted(c.now, ready.Seq)
+			}
+			for _, m := range append(ready.Messages, ready.AfterSync...) {
+				if to := c.nodes[m.GetTo()]; to != nil && !c.cut[id] && !c.cut[m.GetTo()] && !c.drop(m) {
+					to.Step(c.now, m)
+				}
+			}
+		}
+	}
+}
+
+func (c *cluster) run(d time.Duration) {
+	for end := c.now.Add(d); c.now.Before(end); {
+		c.now = c.now.Add(tick)
+		for _, id := range c.ids {
+			c.nodes[id].Tick(c.now)
+		}
+		c.pump()
+	}
+}
+
+func (c *cluster) leader(t *testing.T) (string, *raft.Node) {
+	t.Helper()
+	for _, id := range c.ids {
+		if !c.cut[id] && c.nodes[id].Status().Role == raft.Leader {
+			return id, c.nodes[id]
+		}
+	}
+	t.Fatal("no leader")
+	return "", nil
+}
+
+func TestPreVoteKeepsReturningMemberFromDisturbing(t *testing.T) {
+	c := newCluster(t, 3, 0)
+	c.run(time.Second)
+	id, leader := c.leader(t)
+	term := leader.Status().Term
+	for _, other := range c.ids {
+		if other == id {
+			continue
+		}
+		c.cut[other] = true
+		c.run(time.Second)
+		c.cut[other] = false
+		c.run(time.Second)
+		assert.Equal(t, c.nodes[other].Status().Leader, id)
+	}
+	assert.Equal(t, leader.Status().Role, raft.Leader)
+	assert.Equal(t, leader.Status().Term, term)
+}
+
+func TestLeaderWithoutQuorumStepsDownAndConfirmsNoRead(t *testing.T) {
+	c := newCluster(t, 3, 0)
+	c.run(time.Second)
+	id, leader := c.leader(t)
+	leader.ReadIndex(c.now, 1)
+	c.pump()
+	assert.Equal(t, len(c.reads[id]), 1)
+
+	c.cut[id] = true
+	leader.ReadIndex(c.now, 2)
+	c.run(election * 3 / 2)
+	assert.Equal(t, leader.Status().Role, raft.Follower)
+	assert.Equal(t, len(c.reads[id]), 1)
+	c.run(time.Second)
+	successor, _ := c.leader(t)
+	c.cut[id] = false
+	c.run(time.Second)
+	assert.Equal(t, leader.Status().Leader, successor)
+	assert.Equal(t, len(c.reads[id]), 1)
+}
+
+func TestMemberChangeWaitsForOwnTermThenForTheOneBefore(t *testing.T) {
+	c := newCluster(t, 3, 2)
+	add := func(id string) raft.Change {
+		return raft.Change{Kind: raft.AddLearner, Member: &raftpb.Member{Id: id}}
+	}
+	c.drop = func(m *raftpb.Message) bool { return m.GetKind() == raftpb.MessageKind_APPEND }
+	c.run(4 * election)
+	_, leader := c.leader(t)
+	_, _, refusal := leader.ProposeMember(c.now, add("m4"))
+	assert.Equal(t, refusal, raft.OwnTermUncommitted)
+
+	c.drop = func(*raftpb.Message) bool { return false }
+	c.run(time.Second)
+	_, leader = c.leader(t)
+	_, _, refusal = leader.ProposeMember(c.now, add("m4"))
+	assert.Equal(t, refusal, raft.Taken)
+	_, _, refusal = leader.ProposeMember(c.now, add("m5"))
+	assert.Equal(t, refusal, raft.ChangeInProgress)
+}
+
+func TestLearnerIsPromotedOnlyOnceCaughtUp(t *testing.T) {
+	c := newCluster(t, 3, 1)
+	c.run(time.Second)
+	_, leader := c.leader(t)
+	fresh := &raftpb.Member{Id: "m4"}
+	c.cut["m4"] = true
+	_, _, refusal := leader.ProposeMember(c.now, raft.Change{Kind: raft.AddLearner, Member: fresh})
+	assert.Equal(t, refusal, raft.Taken)
+	c.run(time.Second)
+	_, _, refusal = leader.ProposeMember(c.now, raft.Change{Kind: raft.Promote, Member: fresh})
+	assert.Equal(t, refusal, raft.NotCaughtUp)
+	c.cut["m4"] = false
+	c.run(time.Second)
+	_, _, refusal = leader.ProposeMember(c.now, raft.Change{Kind: raft.Promote, Member: fresh})
+	assert.Equal(t, refusal, raft.Taken)
+	c.run(time.Second)
+	assert.Equal(t, c.nodes["m4"].Status().LastIndex, leader.Status().LastIndex)
+}
+
+func TestMessagesForAnotherIdentityCountForNothing(t *testing.T) {
+	c := newCluster(t, 3, 0)
+	c.pump()
+	vote := &raftpb.Message{Kind: raftpb.MessageKind_VOTE, From: "m2", To: "m1-before-the-wipe", Term: 9, Index: 99, LogTerm: 8}
+	c.nodes["m1"].Step(c.now, vote)
+	_, ok := c.nodes["m1"].Ready(c.now)
+	assert.Assert(t, !ok)
+	assert.Equal(t, c.nodes["m1"].Status().Term, uint64(1))
+}
--- /dev/null
+++ b/internal/process/walog/walog_test.go
@@ -0,0 +1,200 @@
+package walog_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cactusline.dev/cactusline/internal/process/raftpb"
+	"cactusline.dev/cactusline/internal/process/walog"
+)
+
+func open(folder string, fs walog.FS) (*walog.Log, *walog.State, error) {
+	return walog.Open(walog.Config{
+		Folder: folder, FS: fs, Rand: rand.New(rand.NewPCG(1, 1)),
+		NewID: func(rng *rand.Rand) string { return fmt.Sprintf("c1/%x", rng.Uint64()) },
+	})
+}
+
+// entries returns entries from first to last with data of the size given.
+func entries(first, last uint64, size int) []*raftpb.Entry {
+	var list []*raftpb.Entry
+	for index := first; index <= last; index++ {
+		data := slices.Repeat([]byte{byte(index) | 1}, size)
+		list = append(list, &raftpb.Entry{Index: index, Term: 1, Data: data})
+	}
+	return list
+}
+
+// written makes a folder with three synced batches and returns the path of
+// the log and its length before the last batch.
+func written(t *testing.T) (folder, path string, before int64) {
+	folder = t.TempDir()
+	log, _, err := open(folder, nil)
+	assert.NilError(t, err)
+	path = filepath.Join(folder, "log-0000000000000001")
+	for batch := range uint64(3) {
+		info, err := os.Stat(path)
+		assert.NilError(t, err)
+		before = info.Size()
+		hard := &raftpb.HardState{Term: 1 + batch}
+		assert.NilError(t, log.Append(walog.Batch{HardState: hard, Entries: entries(1+2*batch, 2+2*batch, 400)}))
+	}
+	assert.NilError(t, log.Close())
+	return folder, path, before
+}
+
+func rewrite(t *testing.T, path string, change func(data []byte) []byte) (restore func()) {
+	data, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	assert.NilError(t, os.WriteFile(path, change(slices.Clone(data)), 0o600))
+	return func() { assert.NilError(t, os.WriteFile(path, data, 0o600)) }
+}
+
+func TestFlippedBitIsRefused(t *testing.T) {
+	for _, marked := range []bool{true, false} {
+		folder, path, _ := written(t)
+		if !marked {
+			assert.NilError(t, os.Remove(filepath.Join(folder, "mark")))
+		}
+		info, err := os.Stat(path)
+		assert.NilError(t, err)
+		rng := rand.New(rand.NewPCG(2, 2))
+		for at := int64(0); at < info.Size(); at += 1 + rng.Int64N(5) {
+			restore := rewrite(t, path, func(data []byte) []byte {
+				data[at] ^= 1 << rng.IntN(8)
+				return data
+			})
+			_, _, err := open(folder, nil)
+			var corrupt *walog.CorruptError
+			assert.Assert(t, errors.As(err, &corrupt), "byte %d, marked %t: %v", at, marked, err)
+			restore()
+		}
+	}
+}
+
+func TestTornTailOfUnsyncedWriteIsCut(t *testing.T) {
+	folder, path, before := written(t)
+	data, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	size := int64(len(data))
+	tears := map[string]func(data []byte) []byte{"sector": func(data []byte) []byte {
+		first := (before/512 + 1) * 512
+		clear(data[first : first+512])
+		return data
+	}}
+	for length := before; length < size; length += 37 {
+		tears[fmt.Sprint(length)] = func(data []byte) []byte { return data[:length] }
+	}
+	for name, tear := range tears {
+		t.Run(name, func(t *testing.T) {
+			rewrite(t, path, tear)
+			torn := t.TempDir()
+			assert.NilError(t, os.CopyFS(filepath.Join(torn, "copy"), os.DirFS(folder)))
+			assert.NilError(t, os.WriteFile(path, data, 0o600))
+			copied := filepath.Join(torn, "copy")
+
+			_, _, err := open(copied, nil)
+			var corrupt *walog.CorruptError
+			assert.Assert(t, errors.As(err, &corrupt), "cut although the mark shows it synced: %v", err)
+
+			assert.NilError(t, os.Remove(filepath.Join(copied, "mark")))
+			log, state, err := open(copied, nil)
+			assert.NilError(t, err)
+			defer log.Close()
+			assert.Assert(t, len(state.Entries) >= 4 && len(state.Entries) <= 5)
+			assert.Assert(t, state.HardState.GetTerm() >= 2)
+		})
+	}
+}
+
+// failing is a file system whose log fails once.
+type failing struct {
+	walog.OSFS
+	write, sync error
+}
+
+type failingFile struct {
+	walog.File
+	fs *failing
+}
+
+func (f *failing) Create(path string) (walog.File, error) {
+	file, err := f.OSFS.Create(path)
+	if !strings.Contains(path, "log-") {
+		return file, err
+	}
+	return &failingFile{file, f}, err
+}
+
+func (f *failingFile) Write(p []byte) (int, error) {
+	if err := f.fs.write; err != nil {
+		f.fs.write = nil
+		n, _ := f.File.Write(p[:len(p)/2])
+		return n, err
+	}
+	return f.File.Write(p)
+}
+
+func (f *failingFile) Sync() error {
+	if err := f.fs.sync; err != nil {
+		f.fs.sync = nil
+		return err
+	}
+	return f.File.Sync()
+}
+
+func TestFailureIsNeverRetried(t *testing.T) {
+	for name, fault := range map[string]failing{
+		"full disk": {write: syscall.ENOSPC}, "failed sync": {sync: syscall.EIO},
+	} {
+		t.Run(name, func(t *testing.T) {
+			folder := t.TempDir()
+			fs := &failing{}
+			log, _, err := open(folder, fs)
+			assert.NilError(t, err)
+			assert.NilError(t, log.Append(walog.Batch{Entries: entries(1, 1, 10)}))
+			fs.write, fs.sync = fault.write, fault.sync
+			first := log.Append(walog.Batch{Entries: entries(2, 2, 10)})
+			var failed *walog.FailedError
+			assert.Assert(t, errors.As(first, &failed), "%v", first)
+			assert.Assert(t, fs.write == nil && fs.sync == nil)
+			assert.Equal(t, log.Append(walog.Batch{Entries: entries(2, 2, 10)}), first)
+			assert.Equal(t, log.SaveSnapshot(&raftpb.Snapshot{Index: 1, Term: 1}), first)
+			assert.NilError(t, log.Close())
+			log, state, err := open(folder, nil)
+			assert.NilError(t, err)
+			defer log.Close()
+			assert.Equal(t, state.Entries[0].GetIndex(), uint64(1))
+		})
+	}
+}
+
+func TestFolderKeepsIdentityAndLog(t *testing.T) {
+	folder, _, _ := written(t)
+	log, first, err := open(folder, nil)
+	assert.NilError(t, err)
+	_, _, err = open(folder, nil)
+	var locked *walog.LockedError
+	assert.Assert(t, errors.As(err, &locked), "%v", err)
+	assert.NilError(t, log.SaveSnapshot(&raftpb.Snapshot{Index: 4, Term: 1, Data: []byte("state")}))
+	assert.NilError(t, log.Append(walog.Batch{Entries: entries(6, 7, 10)}))
+	assert.NilError(t, log.Close())
+
+	log, state, err := open(folder, nil)
+	assert.NilError(t, err)
+	defer log.Close()
+	assert.Equal(t, state.ID, first.ID)
+	assert.Equal(t, state.HardState.GetTerm(), uint64(3))
+	assert.Equal(t, string(state.Snapshot.GetData()), "state")
+	assert.Equal(t, len(state.Entries), 3)
+	assert.Equal(t, state.Entries[0].GetIndex(), uint64(5))
+}
