--- a/internal/request/replay/table_test.go
+++ b/internal/request/replay/table_test.go
@@ -142,3 +142,32 @@
 	table.Expire(epoch.Add(replay.DefaultKeepMark))
 	assert.DeepEqual(t, table.Stats(), replay.Stats{})
 }
+
+// BenchmarkAttempt runs attempts of 100 pieces of 20 bytes, each read once.
+func BenchmarkAttempt(b *testing.B) {
+	table := replay.New(replay.Config{MaxMarks: 1 << 30})
+	piece, buf := make([]byte, 20), make([]byte, 64)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		id := ident.AttemptID(fmt.Sprintf("request-of-twenty-%d", i))
+		table.Begin(epoch, id)
+		for offset := range uint64(100) {
+			table.Append(id, piece)
+			_, err := table.ReadFrom(id, offset*20, buf)
+			if err != nil {
+				b.Fatal(err)
+			}
+		}
+		table.Finish(epoch, id, &wire.End{})
+	}
+}
+
+// BenchmarkMark buries attempts; its bytes an operation are what one costs to
+// remember.
+func BenchmarkMark(b *testing.B) {
+	table := replay.New(replay.Config{MaxMarks: 1 << 30})
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		table.Bury(epoch, ident.AttemptID(fmt.Sprintf("request-of-twenty-%d", i)))
+	}
+}
--- a/internal/request/tries/machine_test.go
+++ b/internal/request/tries/machine_test.go
@@ -161,6 +161,19 @@
 	assert.Equal(t, allocations, 0.0)
 }
 
+func BenchmarkRequest(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		m := tries.New(tries.Config{Request: "r"})
+		m.Step(epoch, start())
+		m.Step(epoch, head(1, "r"))
+		for offset := range uint64(100) {
+			m.Step(epoch, data(1, "r", 5*offset))
+		}
+		m.Step(epoch, end(1, "r", 500))
+	}
+}
+
 // FuzzMachine feeds any events in any order. Whatever comes, a request ends at
 // most once, and as not-run only when no attempt may have run.
 func FuzzMachine(f *testing.F) {
--- a/internal/request/tries/random_test.go
+++ b/internal/request/tries/random_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 
+	"gotest.tools/v3/assert"
+
 	"cactusline.dev/cactusline/internal/process/seeds"
 )
 
@@ -12,9 +14,7 @@
 	span := seeds.FromEnv(seeds.Range{First: 1, Last: 800})
 	for seed := span.First; seed <= span.Last; seed++ {
 		w := newWorld(seed)
-		if violation := w.run(); violation != "" {
-			t.Fatalf("seed %d: %s; repeat with: %s", seed, violation, seeds.Command(t.Name(), seed))
-		}
+		assert.Equal(t, w.run(), "", "seed %d; repeat with: %s", seed, seeds.Command(t.Name(), seed))
 		steps += w.steps
 		joins += w.joins
 		for outcome, count := range w.settled {
