--- a/internal/request/rank/choose.go
+++ b/internal/request/rank/choose.go
@@ -34,6 +34,25 @@
 	return c.dst
 }
 
+// Home returns the target that the chat is to return to by rendezvous
+// hashing, whatever its load; false if there is none. It is where a router
+// sends word that another target served the chat.
+func (p *Pool) Home(q Query) (Candidate, bool) {
+	q.Prefix = max(q.Prefix, 1)
+	s := p.state.Load()
+	if len(s.targets) == 0 {
+		return Candidate{}, false
+	}
+	c := choice{pool: p, state: s, query: q}
+	var r ranking
+	c.rendezvous(&r)
+	if r.size == 0 {
+		return Candidate{}, false
+	}
+	i := r.best[0].index
+	return Candidate{Target: s.targets[i].Name, Reason: Home, Index: i}, true
+}
+
 // choice is one call of Choose.
 type choice struct {
 	pool     *Pool
@@ -55,7 +74,7 @@
 	}
 	for n := range r.size {
 		i := r.best[n].index
-		if !c.full(i) {
+		if !c.full(i) || (n == 0 && c.query.Prefix > 0) {
 			c.add(i, reasonOf(n))
 		}
 	}
@@ -128,6 +147,7 @@
 
 // held reports whether the slow start of target i keeps the chat from it. A
 // chat once let through stays let through as the target's share rises.
+// Returning chats, warm at an earlier home, are kept from it longer.
 func (c *choice) held(i int, score uint64) bool {
 	joined := c.state.targets[i].Joined
 	if joined.IsZero() {
@@ -135,6 +155,10 @@
 	}
 	span := c.pool.cfg.SlowStart
 	since := c.query.Now.Sub(joined)
+	if c.query.Prefix > 0 {
+		span = c.pool.cfg.ReturnHold
+		since -= span
+	}
 	if since >= span {
 		return false
 	}
