Never bury an attempt whose name the table has forgotten

A claim that was never settled could be looked into after its attempt's name had been dropped (an hour, or sooner when full): the table then buried what had run, and the ledger let it run again. Bloom filters now stand for dropped names, of fixed size; a filter that takes a stranger for one that ran only makes the answer unknown. Attempts of idempotent requests are forgotten with their answers (BeginIdempotent), so that a service with many calls does not fill the table and get refused.

--- a/internal/process/side/submit.go
+++ b/internal/process/side/submit.go
@@ -30,7 +30,11 @@
 		return
 	}
 	id := ident.AttemptID(submit.GetAttempt())
-	switch s.attempts.Begin(s.cfg.Clock.Now(), id) {
+	begin := s.attempts.BeginIdempotent
+	if submit.GetOnce() {
+		begin = s.attempts.Begin
+	}
+	switch begin(s.cfg.Clock.Now(), id) {
 	case replay.VerdictRun:
 		s.begin(ctx, call, submit, out, watcher)
 	case replay.VerdictJoin:
--- a/internal/request/replay/ring.go
+++ b/internal/request/replay/ring.go
@@ -1,7 +1,7 @@
 package replay
 
 // minRing is the least size of a ring that holds anything, in bytes.
-const minRing = 4 << 10
+const minRing = 512
 
 // ring holds the newest bytes of an answer by their offsets.
 type ring struct {
@@ -74,9 +74,3 @@
 	first = r.data[at:min(at+count, len(r.data))]
 	return first, r.data[:count-len(first)]
 }
-
-// drop frees the bytes and keeps the offsets.
-func (r *ring) drop() {
-	r.data = nil
-	r.held = 0
-}
--- a/internal/request/replay/table.go
+++ b/internal/request/replay/table.go
@@ -36,21 +36,29 @@
 	DefaultShards         = 16
 	DefaultKeepMark       = time.Hour
 	DefaultKeepAnswer     = 2 * time.Minute
-	DefaultMaxMarks       = 1 << 17
+	DefaultMaxMarks       = 1 << 15
 	DefaultMaxAnswerBytes = 256 << 10
 	DefaultMaxBytes       = 8 << 20
+	DefaultSeenFilter     = 4 << 20
+	DefaultBuriedFilter   = 1 << 20
 )
 
 // Config bounds a Table.
 type Config struct {
 	Shards int
-	// KeepMark is how long an ended or buried attempt is remembered. It must
-	// exceed the longest time for which a Submit can be on its way.
+	// KeepMark is how long an ended or buried attempt is remembered by name.
+	// After that a filter stands for it.
 	KeepMark time.Duration
 	// KeepAnswer is how long an answer stays readable after its end.
 	KeepAnswer time.Duration
-	// MaxMarks bounds the attempts that are remembered.
+	// MaxMarks bounds the attempts that are remembered by name.
 	MaxMarks int
+	// SeenFilter is the size of the filter of attempts that were begun. As it
+	// fills up, more attempts that were not begun can't be buried.
+	SeenFilter ident.Bytes
+	// BuriedFilter is the size of the filter of attempts that were buried before
+	// they came. As it fills up, more attempts are refused.
+	BuriedFilter ident.Bytes
 	// MaxAnswerBytes bounds what is kept of one answer; its oldest bytes go
 	// first.
 	MaxAnswerBytes int
@@ -71,7 +79,10 @@
 	// marks are the ended and buried attempts, oldest first.
 	marks queue
 	// answers are the ended attempts whose answers are kept, oldest first.
-	answers  queue
+	answers queue
+	// seen and buried stand for what is no longer remembered by name.
+	seen     filter
+	buried   filter
 	maxMarks int
 	maxBytes int
 	bytes    int
@@ -82,11 +93,29 @@
 const (
 	phaseRunning phase = iota
 	phaseEnded
+	// phaseDropped is an ended attempt whose answer is not kept.
+	phaseDropped
+	// phaseBuried is an attempt that may still come.
 	phaseBuried
+	// phaseWithdrawn is an attempt that came and was refused.
+	phaseWithdrawn
+)
+
+// never reports whether an attempt in this phase never runs.
+func (p phase) never() bool { return p == phaseBuried || p == phaseWithdrawn }
+
+// Entries without an answer are shared, which saves memory.
+var (
+	droppedEntry   = &entry{phase: phaseDropped}
+	buriedEntry    = &entry{phase: phaseBuried}
+	withdrawnEntry = &entry{phase: phaseWithdrawn}
 )
 
 type entry struct {
-	phase  phase
+	phase phase
+	// idempotent marks an attempt that may be forgotten with its answer.
+	idempotent bool
+
 	ring   ring
 	head   *wire.Head
 	end    *wire.End
@@ -101,11 +130,15 @@
 	cfg.MaxMarks = cmp.Or(cfg.MaxMarks, DefaultMaxMarks)
 	cfg.MaxAnswerBytes = cmp.Or(cfg.MaxAnswerBytes, DefaultMaxAnswerBytes)
 	cfg.MaxBytes = cmp.Or(cfg.MaxBytes, DefaultMaxBytes)
+	cfg.SeenFilter = cmp.Or(cfg.SeenFilter, DefaultSeenFilter)
+	cfg.BuriedFilter = cmp.Or(cfg.BuriedFilter, DefaultBuriedFilter)
 	t := &Table{cfg: cfg, shards: make([]shard, cfg.Shards)}
 	for i := range t.shards {
 		t.shards[i].entries = make(map[ident.AttemptID]*entry)
 		t.shards[i].maxMarks = max(1, cfg.MaxMarks/cfg.Shards)
 		t.shards[i].maxBytes = max(1, cfg.MaxBytes/cfg.Shards)
+		t.shards[i].seen.size = int(cfg.SeenFilter) / cfg.Shards
+		t.shards[i].buried.size = int(cfg.BuriedFilter) / cfg.Shards
 	}
 	return t
 }
@@ -117,37 +150,54 @@
 // Begin says what to do with an attempt that has come. Of all calls of Begin
 // and Bury for one attempt, exactly one gets VerdictRun or buries it.
 func (t *Table) Begin(now time.Time, id ident.AttemptID) Verdict {
+	return t.begin(now, id, false)
+}
+
+// BeginIdempotent is Begin for an attempt of an idempotent request, which is
+// forgotten with its answer.
+func (t *Table) BeginIdempotent(now time.Time, id ident.AttemptID) Verdict {
+	return t.begin(now, id, true)
+}
+
+func (t *Table) begin(now time.Time, id ident.AttemptID, idempotent bool) Verdict {
 	s := t.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t.expire(now, s)
 	if e, ok := s.entries[id]; ok {
-		if e.phase == phaseBuried {
+		if e.phase.never() {
 			return VerdictBuried
 		}
 		return VerdictJoin
 	}
-	if len(s.entries) >= s.maxMarks {
+	if s.buried.has(id) {
+		return VerdictBuried
+	}
+	if !s.makeRoom() {
 		return VerdictFull
 	}
-	s.entries[id] = &entry{}
+	s.entries[id] = &entry{idempotent: idempotent}
 	return VerdictRun
 }
 
 // Bury makes sure that an attempt never runs, and reports whether it could:
-// it can't if the attempt was begun, or if there is no room to remember it.
+// it can't if the attempt was begun or may have been, or if there is no room
+// to remember it.
 func (t *Table) Bury(now time.Time, id ident.AttemptID) bool {
 	s := t.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t.expire(now, s)
 	if e, ok := s.entries[id]; ok {
-		return e.phase == phaseBuried
+		return e.phase.never()
+	}
+	if s.buried.has(id) && !s.seen.has(id) {
+		return true
 	}
-	if len(s.entries) >= s.maxMarks {
+	if s.seen.has(id) || !s.makeRoom() {
 		return false
 	}
-	s.entries[id] = &entry{phase: phaseBuried}
+	s.entries[id] = buriedEntry
 	s.marks.push(now, id)
 	return true
 }
@@ -162,7 +212,7 @@
 	if !ok || e.phase != phaseRunning || e.ring.end() > 0 {
 		return false
 	}
-	e.phase = phaseBuried
+	s.entries[id] = withdrawnEntry
 	s.marks.push(now, id)
 	e.wake()
 	return true
@@ -204,8 +254,10 @@
 	}
 	e.phase = phaseEnded
 	e.end = end
-	s.marks.push(now, id)
 	s.answers.push(now, id)
+	if !e.idempotent {
+		s.marks.push(now, id)
+	}
 	e.wake()
 }
 
@@ -233,7 +285,7 @@
 	if !ok {
 		return Read{}, &UnseenError{Attempt: id}
 	}
-	if e.phase == phaseBuried || offset < e.ring.start() || offset > e.ring.end() {
+	if e.phase >= phaseDropped || offset < e.ring.start() || offset > e.ring.end() {
 		return Read{}, &GoneError{Attempt: id, Offset: offset}
 	}
 	read := Read{Head: e.head, Size: e.ring.readAt(offset, buf)}
@@ -282,20 +334,55 @@
 		s.dropAnswer(s.answers.pop())
 	}
 	for s.marks.due(now, t.cfg.KeepMark) {
-		id := s.marks.pop()
-		s.dropAnswer(id)
-		delete(s.entries, id)
+		s.forget(s.marks.pop())
 	}
 }
 
-// dropAnswer frees the bytes of an ended answer but remembers the attempt.
-func (s *shard) dropAnswer(id ident.AttemptID) {
+// makeRoom forgets what is oldest if the shard is full, and reports whether
+// one more attempt fits.
+func (s *shard) makeRoom() bool {
+	for len(s.entries) >= s.maxMarks {
+		switch {
+		case s.marks.len() > 0:
+			s.forget(s.marks.pop())
+		case s.answers.len() > 0:
+			s.dropAnswer(s.answers.pop())
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+// forget removes the name of an attempt that has ended or was buried.
+func (s *shard) forget(id ident.AttemptID) {
 	e, ok := s.entries[id]
 	if !ok {
 		return
 	}
+	switch e.phase {
+	case phaseEnded, phaseDropped:
+		s.seen.add(id)
+	case phaseBuried:
+		s.buried.add(id)
+	}
 	s.bytes -= e.ring.size()
-	e.ring.drop()
+	delete(s.entries, id)
+}
+
+// dropAnswer frees the bytes of an ended answer, and remembers the attempt
+// unless it is idempotent.
+func (s *shard) dropAnswer(id ident.AttemptID) {
+	e, ok := s.entries[id]
+	if !ok || e.phase != phaseEnded {
+		return
+	}
+	s.bytes -= e.ring.size()
+	if e.idempotent {
+		delete(s.entries, id)
+		return
+	}
+	s.entries[id] = droppedEntry
 }
 
 // reserve makes room for size more bytes of an answer, at the cost of older
