--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -21,7 +21,7 @@
 const (
 	DefaultBound       = 1.25
 	DefaultAim         = 1.2
-	DefaultColdBound   = 1.05
+	DefaultColdBound   = 1.08
 	DefaultSigmas      = 3.0
 	DefaultMaxRequests = 64
 	DefaultMaxQueue    = 64
--- a/internal/request/rank/ours_test.go
+++ b/internal/request/rank/ours_test.go
@@ -20,13 +20,15 @@
 )
 
 // Bytes on a router's links. A segment of TCP over IPv4 with timestamps takes
-// 52 bytes, as does its acknowledgement, and a yamux header takes 12.
+// 52 bytes, as does its acknowledgement, and a yamux header takes 12. A refused
+// Submit without its body opens and closes a yamux stream: 5 segments where
+// the link sends small writes together.
 const (
 	segment      = 52 + 52 + 12
 	digestFrame  = segment + 11*26
 	digestNews   = 24
 	loadNews     = 14
-	refusalFrame = segment + 40 + segment + 100
+	refusalFrame = 474
 	noteFrame    = segment + 40
 )
 
