Add the operators' verbs, in-force answers, explain and audit files

Operators had one POST without errors that a program could tell apart, and nothing answered when a change was in force, how a request was decided or where the audit chain was kept.

The administration API now has records, departures, members, status, explain and audit, with one shape of error that shows the winners of conflicts and every fault. A change is in force once no process that may hold a lease acts on an older revision: control processes remember watchers for a lease after they leave, and one that gives no answer, or started within a lease, counts as unknown until a lease has passed since the commit. Counting only connected watchers was ruled out, since one that changes its control process would be missed. Routers log each decision and send those that are not one clean attempt to control within a byte budget. Control writes audit entries to files under its data folder and goes on from there after a restart. The transport of the replicated log learns members that join, which it had only from its flags.

--- a/internal/process/admin/admin.go
+++ b/internal/process/admin/admin.go
@@ -1,42 +1,99 @@
 // Package admin is the administration API: operators submit, amend and retire
-// records over HTTP with JSON, and read what the fleet does.
+// records, plan departures and change the members of control over HTTP with
+// JSON, and the monitor reads what the fleet did.
 package admin
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"fmt"
 	"net/http"
+	"time"
 
-	"google.golang.org/protobuf/proto"
-
-	"cactusline.dev/cactusline/internal/version/cmdpb"
+	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/process/audit"
+	"cactusline.dev/cactusline/internal/process/ctrl"
+	"cactusline.dev/cactusline/internal/process/group"
 	"cactusline.dev/cactusline/internal/version/ident"
 	"cactusline.dev/cactusline/internal/version/record"
 )
 
 const (
-	// commandFormat is the format of the commands that this program writes.
-	commandFormat = 1
-	bodyLimit     = 16 << 20
-	headerChange  = "Cactusline-Change"
+	// HeaderChange carries the id of a change, under which it may be resent.
+	HeaderChange = "Cactusline-Change"
+
+	bodyLimit      ident.Bytes = 16 << 20
+	commandTimeout             = 10 * time.Second
+	// maxWait bounds how long a change waits to be in force.
+	maxWait = 10 * time.Minute
+	// freshTimeout bounds the wait for a quorum before a read.
+	freshTimeout = 2 * time.Second
 )
 
+// Clock is what the package needs of a clock.
+type Clock interface {
+	Now() time.Time
+}
+
 // Control is what the API needs of the control process.
 type Control interface {
-	// Command proposes an encoded command and returns its encoded result.
+	// Command proposes an encoded command and returns its encoded result. A
+	// *remote.RefusedError means that it was not committed, any other error
+	// that it may have been.
 	Command(ctx context.Context, entry []byte) ([]byte, error)
-	// Set returns the records in force.
+	// Set returns the records that this process has.
 	Set() *record.Set
+	// AwaitForce returns once a revision is in force or ctx ends.
+	AwaitForce(ctx context.Context, revision ident.Revision) ctrl.Force
+	// Fleet returns what the control processes know of the others.
+	Fleet(ctx context.Context) ctrl.Fleet
+	// ChangeMembers changes the control processes, at their leader.
+	ChangeMembers(ctx context.Context, change ctrl.MemberChange) error
+	// Decisions returns what the control processes keep of how a request was
+	// decided, each as JSON.
+	Decisions(ctx context.Context, request ident.RequestID) ctrl.Decisions
+}
+
+// Group is what the API needs of the replicated log.
+type Group interface {
+	// Barrier returns once this process has applied all that was committed
+	// before the call.
+	Barrier(ctx context.Context) (uint64, error)
+	Status() group.Status
+}
+
+// State is what the API reads of the replicated state.
+type State interface {
+	// Verdicts returns the requests that crash targets.
+	Verdicts() ([]*wire.CrashVerdict, uint64)
+	// Ledger returns the numbers of keys held in full and compacted.
+	Ledger() (full, compacted int)
+	AuditHead() audit.Head
+	AuditAfter(index uint64) ([]audit.Entry, error)
+	// Export hands all new audit entries to the folder.
+	Export() error
 }
 
-// Config makes an API.
+// Folder holds the exported audit entries.
+type Folder interface {
+	// Read hands each entry above an index to take, oldest first.
+	Read(after uint64, take func(audit.Entry) error) error
+}
+
+// Config makes an API. Group, State and Folder may be nil; what needs them
+// then answers that it is not available.
 type Config struct {
 	Control Control
+	Group   Group
+	State   State
+	Folder  Folder
+	Clock   Clock
+	// Tokens tells whose bearer token a request carries; nil lets everyone in
+	// as an operator.
+	Tokens Tokens
+	// NewChange draws the id of a change that came without one.
+	NewChange func() ident.ChangeID
 }
 
-// API serves operators.
+// API serves operators and the monitor.
 type API struct {
 	cfg Config
 }
@@ -47,104 +104,40 @@
 // Handler returns the operators' interface.
 func (a *API) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/records", a.apply)
-	mux.HandleFunc("GET /v1/records", a.list)
+	read := func(pattern string, serve handler) { mux.Handle(pattern, a.guard(RoleMonitor, serve)) }
+	change := func(pattern string, serve handler) { mux.Handle(pattern, a.guard(RoleOperator, serve)) }
+	change("POST /v1/records", a.apply)
+	read("GET /v1/records", a.list)
+	read("GET /v1/records/{kind}/{name...}", a.get)
+	change("DELETE /v1/records/{kind}/{name...}", a.retire)
+	change("POST /v1/targets/{name}/drain", a.drainTarget)
+	change("POST /v1/targets/{name}/undrain", a.undrainTarget)
+	change("POST /v1/vms/{name}/drain", a.drainVM)
+	change("POST /v1/vms/{name}/undrain", a.undrainVM)
+	read("GET /v1/status", a.status)
+	read("GET /v1/requests/{id}", a.explain)
+	read("GET /v1/audit", a.audit)
+	change("POST /v1/members/{verb}", a.changeMembers)
+	read("/", a.unknown)
 	return mux
 }
 
-// applied answers a change.
-type applied struct {
-	Revision ident.Revision
-	Records  []appliedRecord
-}
-
-type appliedRecord struct {
-	Kind    string
-	Name    string
-	Version ident.Version
-}
-
-// apply commits a file of records, all or none.
-func (a *API) apply(w http.ResponseWriter, req *http.Request) {
-	records, err := record.ReadFile("body", http.MaxBytesReader(w, req.Body, bodyLimit))
-	if err != nil {
-		writeError(w, http.StatusBadRequest, "InvalidRecords", err)
-		return
-	}
-	body := new(cmdpb.ApplyRecords)
-	for _, r := range records {
-		body.Records = append(body.Records, r.JSON())
-	}
-	result, err := a.command(req.Context(), &cmdpb.Command{
-		Change: req.Header.Get(headerChange),
-		Body:   &cmdpb.Command_Apply{Apply: body},
-	})
-	if err != nil {
-		writeError(w, http.StatusServiceUnavailable, "OutcomeUnknown", err)
-		return
-	}
-	writeResult(w, result)
+// unknown answers a path or method that the API does not have.
+func (a *API) unknown(_ http.ResponseWriter, req *http.Request, _ Actor) *Error {
+	return problem(http.StatusNotFound, CodeNotFound, "there is no "+req.Method+" "+req.URL.Path)
 }
 
-// command proposes a command and returns its result.
-func (a *API) command(ctx context.Context, command *cmdpb.Command) (*cmdpb.Result, error) {
-	command.Format = commandFormat
-	command.Actor = "operator"
-	entry, err := proto.Marshal(command)
-	if err != nil {
-		return nil, fmt.Errorf("encode command: %w", err)
-	}
-	reply, err := a.cfg.Control.Command(ctx, entry)
-	if err != nil {
-		return nil, fmt.Errorf("propose command: %w", err)
+// fresh waits until a quorum has confirmed that this process has all that was
+// committed before the call. The query "stale=true" skips that.
+func (a *API) fresh(req *http.Request) *Error {
+	if a.cfg.Group == nil || req.URL.Query().Get("stale") == "true" {
+		return nil
 	}
-	result := new(cmdpb.Result)
-	if err := proto.Unmarshal(reply, result); err != nil {
-		return nil, fmt.Errorf("decode result: %w", err)
-	}
-	return result, nil
-}
-
-// list answers with all records.
-func (a *API) list(w http.ResponseWriter, req *http.Request) {
-	writeJSON(w, http.StatusOK, a.cfg.Control.Set().List(record.Kind(req.URL.Query().Get("kind"))))
-}
-
-func writeResult(w http.ResponseWriter, result *cmdpb.Result) {
-	switch result.GetStatus() {
-	case cmdpb.Status_STATUS_OK:
-		answer := applied{Revision: ident.Revision(result.GetRevision())}
-		for _, r := range result.GetCommitted() {
-			answer.Records = append(answer.Records, appliedRecord{
-				Kind:    r.GetKind(),
-				Name:    r.GetName(),
-				Version: ident.Version(r.GetVersion()),
-			})
-		}
-		writeJSON(w, http.StatusOK, answer)
-	case cmdpb.Status_STATUS_CONFLICT, cmdpb.Status_STATUS_CHANGE_REUSED:
-		writeError(w, http.StatusConflict, "Conflict", errors.New(result.String()))
-	default:
-		writeError(w, http.StatusBadRequest, "InvalidRecords", errors.New(result.String()))
+	ctx, cancel := context.WithTimeout(req.Context(), freshTimeout)
+	defer cancel()
+	if _, err := a.cfg.Group.Barrier(ctx); err != nil {
+		return problem(http.StatusServiceUnavailable, CodeNoQuorum,
+			"no quorum of the control processes confirms the newest state; ask with stale=true for what this one has: "+err.Error())
 	}
-}
-
-// errorBody is the JSON of every error answer.
-type errorBody struct {
-	Error errorDetail
-}
-
-type errorDetail struct {
-	Code    string
-	Message string
-}
-
-func writeError(w http.ResponseWriter, status int, code string, err error) {
-	writeJSON(w, status, errorBody{Error: errorDetail{Code: code, Message: err.Error()}})
-}
-
-func writeJSON(w http.ResponseWriter, status int, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(value)
+	return nil
 }
--- /dev/null
+++ b/internal/process/admin/guard.go
@@ -0,0 +1,64 @@
+package admin
+
+import (
+	"net/http"
+	"strings"
+)
+
+// Role says what a token allows.
+type Role int
+
+// The roles, each allowing what the one before does.
+const (
+	// RoleMonitor reads.
+	RoleMonitor Role = iota + 1
+	// RoleOperator reads and changes.
+	RoleOperator
+)
+
+// Actor is who asks, as the audit log names them.
+type Actor struct {
+	Name string
+	Role Role
+}
+
+// Tokens tells whose a bearer token is.
+type Tokens interface {
+	Actor(token string) (Actor, bool)
+}
+
+// anyone is the actor where no tokens are configured.
+var anyone = Actor{Name: "operator", Role: RoleOperator}
+
+// handler serves one request of a known actor. An error that it returns is
+// written as the answer.
+type handler func(w http.ResponseWriter, req *http.Request, actor Actor) *Error
+
+// guard lets in those whose role is at least the needed one.
+func (a *API) guard(needed Role, serve handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		actor, failed := a.actor(req)
+		if failed == nil && actor.Role < needed {
+			failed = problem(http.StatusForbidden, CodeForbidden, actor.Name+" may read only")
+		}
+		if failed == nil {
+			failed = serve(w, req, actor)
+		}
+		if failed != nil {
+			writeError(w, failed)
+		}
+	})
+}
+
+func (a *API) actor(req *http.Request) (Actor, *Error) {
+	if a.cfg.Tokens == nil {
+		return anyone, nil
+	}
+	token, ok := strings.CutPrefix(req.Header.Get("Authorization"), "Bearer ")
+	if ok {
+		if actor, known := a.cfg.Tokens.Actor(token); known {
+			return actor, nil
+		}
+	}
+	return Actor{}, problem(http.StatusUnauthorized, CodeUnauthorized, "a known bearer token is needed")
+}
--- /dev/null
+++ b/internal/process/admin/records.go
@@ -0,0 +1,118 @@
+package admin
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+
+	"cactusline.dev/cactusline/internal/version/cmdpb"
+	"cactusline.dev/cactusline/internal/version/ident"
+	"cactusline.dev/cactusline/internal/version/record"
+)
+
+// Records answers a list of records.
+type Records struct {
+	Revision ident.Revision
+	Records  []*record.Record
+}
+
+// apply commits a file of records, all or none.
+func (a *API) apply(w http.ResponseWriter, req *http.Request, actor Actor) *Error {
+	records, err := record.ReadFile("", http.MaxBytesReader(w, req.Body, int64(bodyLimit)))
+	if err != nil {
+		return unreadable(err)
+	}
+	body := new(cmdpb.ApplyRecords)
+	for _, r := range records {
+		body.Records = append(body.Records, r.JSON())
+	}
+	return a.change(w, req, actor, &cmdpb.Command{Body: &cmdpb.Command_Apply{Apply: body}})
+}
+
+// unreadable words a body that holds no sound records.
+func unreadable(err error) *Error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return problem(http.StatusRequestEntityTooLarge, CodeTooLarge,
+			fmt.Sprintf("the body is larger than %d bytes; nothing was changed", bodyLimit))
+	}
+	var faults *record.Faults
+	if errors.As(err, &faults) {
+		e := problem(http.StatusBadRequest, CodeInvalidRecords,
+			fmt.Sprintf("%d faults in records; nothing was changed", len(faults.List)))
+		e.Faults = faults.List
+		return e
+	}
+	return problem(http.StatusBadRequest, CodeInvalid, err.Error()+"; nothing was changed")
+}
+
+// list answers with the records of one kind or all.
+func (a *API) list(w http.ResponseWriter, req *http.Request, _ Actor) *Error {
+	if failed := a.fresh(req); failed != nil {
+		return failed
+	}
+	set := a.cfg.Control.Set()
+	answer := Records{
+		Revision: set.Revision(),
+		Records:  set.List(record.Kind(req.URL.Query().Get("kind"))),
+	}
+	if answer.Records == nil {
+		answer.Records = []*record.Record{}
+	}
+	writeJSON(w, http.StatusOK, answer)
+	return nil
+}
+
+// get answers with one record.
+func (a *API) get(w http.ResponseWriter, req *http.Request, _ Actor) *Error {
+	if failed := a.fresh(req); failed != nil {
+		return failed
+	}
+	key := keyOf(req)
+	r, ok := a.cfg.Control.Set().Get(key)
+	if !ok {
+		return problem(http.StatusNotFound, CodeNotFound, "there is no record "+key.String())
+	}
+	writeJSON(w, http.StatusOK, r)
+	return nil
+}
+
+// retire takes away one version of a record.
+func (a *API) retire(w http.ResponseWriter, req *http.Request, actor Actor) *Error {
+	version, err := strconv.ParseUint(req.URL.Query().Get("version"), 10, 64)
+	if err != nil {
+		return problem(http.StatusBadRequest, CodeInvalid,
+			"version must name the version to retire; nothing was changed")
+	}
+	key := keyOf(req)
+	return a.change(w, req, actor, &cmdpb.Command{Body: &cmdpb.Command_Retire{Retire: &cmdpb.RetireRecords{
+		Records: []*cmdpb.RecordVersion{{Kind: string(key.Kind), Name: key.Name, Version: version}},
+	}}})
+}
+
+func keyOf(req *http.Request) record.Key {
+	return record.Key{Kind: record.Kind(req.PathValue("kind")), Name: req.PathValue("name")}
+}
+
+func (a *API) drainTarget(w http.ResponseWriter, req *http.Request, actor Actor) *Error {
+	return a.drain(w, req, actor, &cmdpb.Drain{Target: req.PathValue("name")})
+}
+
+func (a *API) undrainTarget(w http.ResponseWriter, req *http.Request, actor Actor) *Error {
+	return a.drain(w, req, actor, &cmdpb.Drain{Target: req.PathValue("name"), Cancel: true})
+}
+
+func (a *API) drainVM(w http.ResponseWriter, req *http.Request, actor Actor) *Error {
+	return a.drain(w, req, actor, &cmdpb.Drain{Vm: req.PathValue("name")})
+}
+
+func (a *API) undrainVM(w http.ResponseWriter, req *http.Request, actor Actor) *Error {
+	return a.drain(w, req, actor, &cmdpb.Drain{Vm: req.PathValue("name"), Cancel: true})
+}
+
+// drain plans or cancels a departure. The query "reason" goes to the record.
+func (a *API) drain(w http.ResponseWriter, req *http.Request, actor Actor, body *cmdpb.Drain) *Error {
+	body.Reason = req.URL.Query().Get("reason")
+	return a.change(w, req, actor, &cmdpb.Command{Body: &cmdpb.Command_Drain{Drain: body}})
+}
--- /dev/null
+++ b/internal/process/cmds/answer.go
@@ -0,0 +1,73 @@
+package cmds
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+
+	"cactusline.dev/cactusline/internal/process/admin"
+	"cactusline.dev/cactusline/internal/version/ident"
+)
+
+// usage marks an error as the operator's.
+func usage(err error) error { return &codedError{code: ExitUsage, err: err} }
+
+// refusedDial reports whether nothing was sent.
+func refusedDial(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// readError reads an error answer.
+func readError(resp *http.Response) error {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	if err != nil {
+		return &lostError{err: err}
+	}
+	var body admin.ErrorBody
+	if json.Unmarshal(data, &body) != nil || body.Error == nil {
+		return &admin.Error{Code: admin.CodeUnavailable, Message: fmt.Sprintf("status %s: %s", resp.Status, data)}
+	}
+	return body.Error
+}
+
+// exitCodes are the exit codes of the API's errors.
+var exitCodes = map[admin.Code]int{
+	admin.CodeInvalidRecords: ExitUsage,
+	admin.CodeInvalid:        ExitUsage,
+	admin.CodeTooLarge:       ExitUsage,
+	admin.CodeNotFound:       ExitNotFound,
+	admin.CodeConflict:       ExitConflict,
+	admin.CodeChangeReused:   ExitConflict,
+	admin.CodeUnauthorized:   ExitRefused,
+	admin.CodeForbidden:      ExitRefused,
+	admin.CodeRefused:        ExitRefused,
+}
+
+// explained words an error answer with all that it tells.
+func explained(e *admin.Error, change ident.ChangeID) error {
+	var text strings.Builder
+	text.WriteString(e.Message)
+	for _, fault := range e.Faults {
+		text.WriteString("\n  " + fault.String())
+	}
+	for _, conflict := range e.Conflicts {
+		winner := "there is no such record"
+		if len(conflict.Winner) > 0 && string(conflict.Winner) != "null" {
+			winner = "now stands: " + string(conflict.Winner)
+		}
+		fmt.Fprintf(&text, "\n  %s/%s: version %d was named; %s", conflict.Kind, conflict.Name, conflict.Wanted, winner)
+	}
+	if change != "" {
+		fmt.Fprintf(&text, "\n  change %s", change)
+	}
+	code, ok := exitCodes[e.Code]
+	if !ok {
+		code = ExitFailed
+	}
+	return &codedError{code: code, err: fmt.Errorf("%s: %s", e.Code, text.String())}
+}
--- a/internal/process/cmds/cmds.go
+++ b/internal/process/cmds/cmds.go
@@ -13,12 +13,27 @@
 
 // Exit codes.
 const (
-	ExitOK       = 0
-	ExitFailed   = 1
+	ExitOK     = 0
+	ExitFailed = 1
+	// ExitUsage: flags, settings or records are at fault; nothing was changed.
 	ExitUsage    = 2
 	ExitNotFound = 3
+	// ExitConflict: a record moved on, or a change id was used before; nothing
+	// was changed.
 	ExitConflict = 4
-	ExitRefused  = 5
+	// ExitRefused: a token is missing or allows too little, or the members of
+	// control can't be changed so.
+	ExitRefused = 5
+	// ExitUnknown: the change may have been made; a resend tells.
+	ExitUnknown = 6
+	// ExitUnavailable: control was not reached or has no quorum; nothing was
+	// changed.
+	ExitUnavailable = 7
+	// ExitPending: the change was accepted but was not in force everywhere in
+	// time.
+	ExitPending = 8
+	// ExitFault: an audit export is not sound.
+	ExitFault = 9
 )
 
 // commands is the whole command line.
@@ -32,6 +47,17 @@
 	Sidecar SidecarCommand `cmd:"" help:"Guard one target: admit, run and account for its work."`
 	Control ControlCommand `cmd:"" help:"Replicate records, claims and orders."`
 	Dev     DevCommand     `cmd:"" help:"Run a whole small fleet with stand-in targets in one process."`
+
+	Apply   ApplyCommand   `cmd:"" help:"Create and amend records, all of a file or none."`
+	Get     GetCommand     `cmd:"" help:"Show records."`
+	Retire  RetireCommand  `cmd:"" help:"Take a record away."`
+	Drain   DrainCommand   `cmd:"" help:"Plan the departure of a target or a VM: it takes no new work."`
+	Undrain UndrainCommand `cmd:"" help:"Cancel a planned departure."`
+	Status  StatusCommand  `cmd:"" help:"Show the state of the fleet."`
+	Explain ExplainCommand `cmd:"" help:"Show how a request was decided."`
+	Audit   AuditCommand   `cmd:"" help:"Export the audit log, or verify an export offline."`
+	Member  MemberCommand  `cmd:"" help:"Change the control processes."`
+
 	Engine  EngineCommand  `cmd:"" help:"Run a stand-in model engine, for trials."`
 	Service ServiceCommand `cmd:"" help:"Run a stand-in plain service, for trials."`
 	Version VersionCommand `cmd:"" help:"Print the program's version."`
--- a/internal/process/cmds/control.go
+++ b/internal/process/cmds/control.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"net"
 	"net/http"
+	"path/filepath"
 	"strings"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
 	"cactusline.dev/cactusline/internal/process/admin"
+	"cactusline.dev/cactusline/internal/process/audit"
 	"cactusline.dev/cactusline/internal/process/clock"
 	"cactusline.dev/cactusline/internal/process/ctrl"
 	"cactusline.dev/cactusline/internal/process/group"
@@ -25,7 +27,7 @@
 	Listen string       `help:"Address for the other processes." default:"127.0.0.1:7000"`
 	Admin  string       `help:"Address for operators." default:"127.0.0.1:8081"`
 	Data   string       `help:"Data folder." required:""`
-	Peer   []string     `help:"Control processes of a fresh fleet, this one too, as NAME=HOST:PORT. Empty for a process that joins."`
+	Peer   []string     `help:"All control processes, this one too, as NAME=HOST:PORT. Empty for a fleet with one."`
 }
 
 // Run implements the command.
@@ -59,7 +61,12 @@
 	if len(members) == 0 {
 		members = []group.Member{{VM: c.VM, Address: internal.Addr().String()}}
 	}
-	state := store.New(store.Config{})
+	folder, err := audit.OpenFolder(filepath.Join(c.Data, auditFolder))
+	if err != nil {
+		return fmt.Errorf("open %s: %w", c.Data, err)
+	}
+	defer func() { _ = folder.Close() }()
+	state := store.New(store.Config{Sink: folder, Exported: folder.Head().Index})
 	links, remotes := newLinks(string(c.VM), addressesOf(members))
 	defer func() { _ = links.Close() }()
 	peers := ctrl.NewPeers(ctrl.PeersConfig{Self: c.VM, Members: members, Link: links, Clock: clock.System{}})
@@ -84,10 +91,21 @@
 		Log:      replicas,
 		Store:    state,
 		Remote:   remotes,
+		Link:     links,
+		Group:    replicas,
 		Receive:  replicas.Receive,
 	})
 	go peers.Run(ctx)
-	api := admin.New(admin.Config{Control: control})
+	go learnPeers(ctx, peers, replicas)
+	go exportAudit(ctx, logger, state)
+	api := admin.New(admin.Config{
+		Control:   control,
+		Group:     replicas,
+		State:     state,
+		Folder:    folder,
+		Clock:     clock.System{},
+		NewChange: newChange,
+	})
 	server := &http.Server{Handler: api.Handler(), ReadHeaderTimeout: standInHeaderTimeout}
 	go func() { _ = server.Serve(operators) }()
 	err = control.Run(ctx)
@@ -95,6 +113,9 @@
 	if closeErr := replicas.Close(); closeErr != nil {
 		_ = level.Warn(logger).Log("msg", "close data folder", "err", closeErr)
 	}
+	if exportErr := state.Export(); exportErr != nil {
+		_ = level.Error(logger).Log("msg", "export audit log", "err", exportErr)
+	}
 	return err
 }
 
--- a/internal/process/cmds/router.go
+++ b/internal/process/cmds/router.go
@@ -57,6 +57,7 @@
 		Role:      "router",
 		OnUpdate:  func(update *wire.Update, set *record.Set) { r.Update(update, set) },
 	})
+	decisions := newDecisions(c.Name, logger, control)
 	r = router.New(router.Config{
 		Process:   startName(c.Name),
 		Domain:    c.Domain,
@@ -69,7 +70,9 @@
 		Follower:  follower,
 		Seed:      rand.Uint64(),
 		BodyLimit: c.BodyLimit,
+		Decided:   decisions.Decided,
 	})
+	go decisions.Run(ctx)
 	go follower.Run(ctx)
 	return r.Run(ctx)
 }
--- a/internal/process/ctrl/ctrl.go
+++ b/internal/process/ctrl/ctrl.go
@@ -20,6 +20,7 @@
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/process/group"
 	"cactusline.dev/cactusline/internal/process/trace"
+	"cactusline.dev/cactusline/internal/request/trail"
 	"cactusline.dev/cactusline/internal/version/cmdpb"
 	"cactusline.dev/cactusline/internal/version/ident"
 	"cactusline.dev/cactusline/internal/version/record"
@@ -68,6 +69,11 @@
 	Store    Store
 	// Remote asks the other control processes.
 	Remote *remote.Client
+	// Link asks one control process.
+	Link *link.Client
+	// Group lists and changes the control processes; without it this one is
+	// the only one.
+	Group Members
 	// Receive takes messages of the replicated log.
 	Receive func(from group.MemberID, message []byte)
 	// Query answers questions other than those of this package.
@@ -78,12 +84,13 @@
 type Control struct {
 	cfg    Config
 	hub    *hub
+	trail  *trail.Ring
 	server *link.Server
 }
 
 // New returns a control process; Run starts it.
 func New(cfg Config) *Control {
-	c := &Control{cfg: cfg, hub: newHub(cfg)}
+	c := &Control{cfg: cfg, hub: newHub(cfg), trail: trail.NewRing(0)}
 	c.server = link.NewServer(c)
 	return c
 }
@@ -124,6 +131,16 @@
 
 // query answers a question about the state of this process.
 func (c *Control) query(ctx context.Context, query *wire.Query) *wire.QueryReply {
+	switch query.GetKind() {
+	case queryProcesses:
+		return answerJSON(c.hub.watched())
+	case queryMembers:
+		return c.answerMembers(ctx, query.GetArgument())
+	case queryDecisions:
+		return answerJSON(c.trail.Get(ident.RequestID(query.GetName())))
+	case QueryDecided:
+		return c.keep(query.GetArgument())
+	}
 	if c.cfg.Query == nil {
 		return &wire.QueryReply{Error: "no answer to " + query.GetKind()}
 	}
@@ -157,21 +174,25 @@
 }
 
 // Command proposes an encoded command here, or at the leader, and returns its
-// encoded result. It implements admin.Control.
+// encoded result. A *remote.RefusedError means that it was not committed, any
+// other error that it may have been. It implements admin.Control.
 func (c *Control) Command(ctx context.Context, entry []byte) ([]byte, error) {
 	for {
 		reply := c.command(ctx, &wire.Command{Entry: entry})
 		if reply.GetError() == "" {
 			return reply.GetResult(), nil
 		}
+		if reply.GetUnknown() {
+			return nil, &remote.UnknownError{Err: errors.New(reply.GetError())}
+		}
 		if !reply.GetRetry() {
-			return nil, errors.New(reply.GetError())
+			return nil, &remote.RefusedError{Message: reply.GetError()}
 		}
 		if reply.GetLeader() != "" {
 			return c.cfg.Remote.Command(ctx, entry, trace.Parent(ctx))
 		}
 		if err := c.cfg.Clock.Sleep(ctx, leaderInterval); err != nil {
-			return nil, fmt.Errorf("await a leader: %w", err)
+			return nil, &remote.RefusedError{Message: fmt.Sprintf("no leader: %v", err)}
 		}
 	}
 }
--- a/internal/process/ctrl/hub.go
+++ b/internal/process/ctrl/hub.go
@@ -23,9 +23,13 @@
 type hub struct {
 	cfg   Config
 	loads *loads
+	// started is when this process began to serve.
+	started time.Time
 
 	mu       sync.Mutex
 	watchers map[*watcher]struct{}
+	// gone are watchers that left within a lease.
+	gone []*watcher
 	// confirmed is closed when a quorum has confirmed the newest revision.
 	confirmed chan struct{}
 	// since is when the last confirmed barrier began.
@@ -36,6 +40,7 @@
 type watcher struct {
 	mu       sync.Mutex
 	report   *wire.Watch
+	reported time.Time
 	sent     ident.Revision
 	verdicts uint64
 	// stamps are reports that no barrier has followed yet, oldest first.
@@ -52,6 +57,7 @@
 	return &hub{
 		cfg:       cfg,
 		loads:     newLoads(cfg.Clock),
+		started:   cfg.Clock.Now(),
 		watchers:  make(map[*watcher]struct{}),
 		confirmed: make(chan struct{}),
 	}
@@ -70,6 +76,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.watchers, w)
+	h.forget(h.cfg.Clock.Now())
+	h.gone = append(h.gone, w)
 }
 
 // take notes what a watcher reports.
@@ -81,6 +89,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.report = report
+	w.reported = now
 	if len(w.stamps) < maxStamps {
 		w.stamps = append(w.stamps, stamp{value: report.GetStamp(), received: now})
 	}
--- a/internal/process/ctrl/peers.go
+++ b/internal/process/ctrl/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"cactusline.dev/cactusline/internal/conn/link"
@@ -30,36 +31,79 @@
 // Peers carries the messages of the replicated log to the other control
 // processes, in a stream for each. It implements group.Transport.
 type Peers struct {
-	cfg    PeersConfig
-	queues map[ident.VMName]chan []byte
+	cfg PeersConfig
+
+	mu    sync.Mutex
+	ctx   context.Context
+	peers map[ident.VMName]*peer
+}
+
+// peer is one other control process.
+type peer struct {
+	address string
+	queue   chan []byte
+	// cancel ends the stream; nil before Run.
+	cancel context.CancelFunc
 }
 
 // NewPeers returns the transport; Run starts it.
 func NewPeers(cfg PeersConfig) *Peers {
-	p := &Peers{cfg: cfg, queues: make(map[ident.VMName]chan []byte)}
-	for _, member := range cfg.Members {
-		if member.VM != cfg.Self {
-			p.queues[member.VM] = make(chan []byte, peerBacklog)
+	p := &Peers{cfg: cfg, peers: make(map[ident.VMName]*peer)}
+	p.Learn(cfg.Members)
+	return p
+}
+
+// Learn takes in control processes that are new or have a new address.
+func (p *Peers) Learn(members []group.Member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, member := range members {
+		known := p.peers[member.VM]
+		if member.VM == p.cfg.Self || member.Address == "" || (known != nil && known.address == member.Address) {
+			continue
+		}
+		if known != nil && known.cancel != nil {
+			known.cancel()
 		}
+		fresh := &peer{address: member.Address, queue: make(chan []byte, peerBacklog)}
+		p.peers[member.VM] = fresh
+		p.start(fresh)
 	}
-	return p
+}
+
+// start begins to carry to a peer, once Run was called. The caller holds the
+// lock.
+func (p *Peers) start(to *peer) {
+	if p.ctx == nil {
+		return
+	}
+	var ctx context.Context
+	ctx, to.cancel = context.WithCancel(p.ctx)
+	go p.carry(ctx, to.address, to.queue)
 }
 
 // Send implements group.Transport.
 func (p *Peers) Send(to group.MemberID, message []byte) {
+	p.mu.Lock()
+	known := p.peers[to.VM()]
+	p.mu.Unlock()
+	if known == nil {
+		return
+	}
 	select {
-	case p.queues[to.VM()] <- message:
+	case known.queue <- message:
 	default:
 	}
 }
 
 // Run carries messages until ctx ends.
 func (p *Peers) Run(ctx context.Context) {
-	for _, member := range p.cfg.Members {
-		if queue, ok := p.queues[member.VM]; ok {
-			go p.carry(ctx, member.Address, queue)
-		}
+	p.mu.Lock()
+	p.ctx = ctx
+	for _, known := range p.peers {
+		p.start(known)
 	}
+	p.mu.Unlock()
 	<-ctx.Done()
 }
 
--- a/internal/process/router/chat.go
+++ b/internal/process/router/chat.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"net/http"
 
 	"cactusline.dev/cactusline/internal/conn/wire"
@@ -120,7 +121,7 @@
 		return
 	}
 	whole := new(buffered)
-	result := relay.Run(req.Context(), r.relay, request, whole)
+	result := r.run(req.Context(), request, whole)
 	if !result.Started || result.Truncated {
 		errorOf(result).write(w, c.id)
 		return
@@ -130,7 +131,7 @@
 
 func (r *Router) stream(w http.ResponseWriter, req *http.Request, request relay.Request) {
 	live := newStreamed(w)
-	result := relay.Run(req.Context(), r.relay, request, live)
+	result := r.run(req.Context(), request, live)
 	if !result.Started {
 		errorOf(result).write(w, request.Tries.Request)
 		return
@@ -138,6 +139,15 @@
 	live.finish(result)
 }
 
+// run carries a request through and tells how it was decided.
+func (r *Router) run(ctx context.Context, request relay.Request, caller relay.Caller) relay.Result {
+	result := relay.Run(ctx, r.relay, request, caller)
+	if r.cfg.Decided != nil && result.Record != nil {
+		r.cfg.Decided(result.Record)
+	}
+	return result
+}
+
 // candidates ranks the targets of the request's pool.
 func (r *Router) candidates(c *call) []tries.Candidate {
 	if c.pool == nil {
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -25,6 +25,7 @@
 	"cactusline.dev/cactusline/internal/request/budget"
 	"cactusline.dev/cactusline/internal/request/poison"
 	"cactusline.dev/cactusline/internal/request/relay"
+	"cactusline.dev/cactusline/internal/request/tries"
 	"cactusline.dev/cactusline/internal/version/ident"
 	"cactusline.dev/cactusline/internal/version/record"
 )
@@ -71,6 +72,8 @@
 	Seed uint64
 	// BodyLimit bounds a request's body.
 	BodyLimit ident.Bytes
+	// Decided takes the record of each request that has ended; nil drops them.
+	Decided func(*tries.Record)
 }
 
 // Router serves callers.
--- /dev/null
+++ b/internal/request/trail/trail.go
@@ -0,0 +1,139 @@
+// Package trail keeps how requests were decided: a router writes each decision
+// to its log and sends those worth explaining to control, which keeps the
+// newest in memory.
+package trail
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/request/tries"
+	"cactusline.dev/cactusline/internal/version/ident"
+	"cactusline.dev/cactusline/internal/version/record"
+)
+
+// Decision is how one request was decided, as JSON for people and programs.
+type Decision struct {
+	Request  ident.RequestID
+	Customer ident.CustomerName
+	// Router is the process that decided.
+	Router string
+	// Once says that the request is not repeatable.
+	Once       bool `json:",omitempty"`
+	Candidates []Candidate
+	Attempts   []Attempt
+	// Outcome is "ran", "not-run" or "unknown".
+	Outcome    string
+	Status     int             `json:",omitempty"`
+	RetryAfter record.Duration `json:",omitzero"`
+	// Truncated says that the caller got part of an answer, marked as such.
+	Truncated bool `json:",omitempty"`
+	// Delivered counts the answer bytes that went to the caller.
+	Delivered ident.Bytes
+	Started   time.Time
+	Finished  time.Time
+}
+
+// Candidate is a target that ranking proposed.
+type Candidate struct {
+	Target ident.TargetName
+	Reason string
+}
+
+// Attempt is one attempt at a target. Times are left out for what did not
+// happen.
+type Attempt struct {
+	Attempt ident.AttemptID
+	Target  ident.TargetName
+	Result  tries.Result
+	// Reason is the sidecar's, for an attempt that it refused.
+	Reason    string    `json:",omitempty"`
+	Hedge     bool      `json:",omitempty"`
+	Joined    bool      `json:",omitempty"`
+	Resumes   int       `json:",omitempty"`
+	Sent      time.Time `json:",omitzero"`
+	FirstByte time.Time `json:",omitzero"`
+	Ended     time.Time `json:",omitzero"`
+}
+
+// NewDecision returns the decision that a record tells of.
+func NewDecision(router string, r *tries.Record) *Decision {
+	d := &Decision{
+		Request:    r.Request,
+		Customer:   r.Customer,
+		Router:     router,
+		Once:       r.Once,
+		Candidates: make([]Candidate, 0, len(r.Candidates)),
+		Attempts:   make([]Attempt, 0, len(r.Attempts)),
+		Outcome:    outcomeName(r.Outcome),
+		Status:     r.Status,
+		RetryAfter: record.Duration{Duration: r.RetryAfter},
+		Truncated:  r.Truncated,
+		Delivered:  r.Delivered,
+		Started:    r.Started.UTC(),
+		Finished:   r.Finished.UTC(),
+	}
+	for _, c := range r.Candidates {
+		d.Candidates = append(d.Candidates, Candidate{Target: c.Target, Reason: c.Reason})
+	}
+	for i := range r.Attempts {
+		d.Attempts = append(d.Attempts, attemptOf(&r.Attempts[i]))
+	}
+	return d
+}
+
+func attemptOf(r *tries.AttemptRecord) Attempt {
+	a := Attempt{
+		Attempt:   r.Attempt,
+		Target:    r.Target,
+		Result:    r.Result,
+		Hedge:     r.Hedge,
+		Joined:    r.Joined,
+		Resumes:   r.Resumes,
+		Sent:      r.Sent.UTC(),
+		FirstByte: r.FirstByte.UTC(),
+		Ended:     r.Ended.UTC(),
+	}
+	if r.Result == tries.ResultRefused {
+		a.Reason = reasonName(r.Reason)
+	}
+	return a
+}
+
+// Plain reports whether the decision is one clean attempt of a repeatable
+// request, which nobody needs explained.
+func (d *Decision) Plain() bool {
+	return !d.Once && len(d.Attempts) == 1 && d.Attempts[0].Result == tries.ResultRan &&
+		d.Attempts[0].Resumes == 0 && d.Outcome == outcomeRan && !d.Truncated
+}
+
+// encode returns the decision as one line of JSON.
+func (d *Decision) encode() ([]byte, error) {
+	data, err := json.Marshal(d)
+	if err != nil {
+		return nil, fmt.Errorf("encode decision: %w", err)
+	}
+	return data, nil
+}
+
+const outcomeRan = "ran"
+
+func outcomeName(outcome wire.Outcome) string {
+	switch outcome {
+	case wire.Outcome_OUTCOME_RAN:
+		return outcomeRan
+	case wire.Outcome_OUTCOME_NOT_RUN:
+		return "not-run"
+	default:
+		return "unknown"
+	}
+}
+
+// reasonName words a sidecar's reason to refuse.
+func reasonName(reason wire.RefusalReason) string {
+	name := strings.TrimPrefix(reason.String(), "REFUSAL_REASON_")
+	return strings.ToLower(strings.ReplaceAll(name, "_", "-"))
+}
