--- a/internal/process/admin/status.go
+++ b/internal/process/admin/status.go
@@ -66,7 +66,7 @@
 	Leaving bool
 	// Reporting says that the target's sidecar reported within a lease.
 	Reporting bool
-	Load      *ctrl.Load `json:",omitempty"`
+	Load      *ctrl.TargetLoad `json:",omitempty"`
 }
 
 // Quarantined is a request that crashes targets.
@@ -95,7 +95,7 @@
 	answer.Quorum = a.confirmed(req.Context())
 	set := a.cfg.Control.Set()
 	answer.Revision = set.Revision()
-	answer.Targets = targetsOf(set, fleet.Processes)
+	answer.Targets = targetsOf(set, fleet)
 	if a.cfg.Group != nil {
 		answer.addGroup(a.cfg.Group.Status())
 	}
@@ -156,19 +156,20 @@
 	}
 }
 
-func targetsOf(set *record.Set, processes []ctrl.Process) []Target {
-	byTarget := make(map[ident.TargetName]*ctrl.Process, len(processes))
-	for i := range processes {
-		if processes[i].Target != "" {
-			byTarget[processes[i].Target] = &processes[i]
-		}
+func targetsOf(set *record.Set, fleet ctrl.Fleet) []Target {
+	leased := make(map[ident.TargetName]bool, len(fleet.Processes))
+	for i := range fleet.Processes {
+		leased[fleet.Processes[i].Target] = fleet.Processes[i].Leased
+	}
+	loads := make(map[ident.TargetName]*ctrl.TargetLoad, len(fleet.Loads))
+	for i := range fleet.Loads {
+		loads[fleet.Loads[i].Target] = &fleet.Loads[i]
 	}
 	targets := make([]Target, 0, len(set.Targets()))
 	for _, t := range set.Targets() {
-		target := Target{Name: t.Name, VM: t.VM, Domain: t.Domain, Leaving: set.Leaving(t.Name)}
-		if process := byTarget[t.Name]; process != nil {
-			target.Reporting = process.Leased
-			target.Load = process.Load
+		target := Target{
+			Name: t.Name, VM: t.VM, Domain: t.Domain, Leaving: set.Leaving(t.Name),
+			Reporting: leased[t.Name], Load: loads[t.Name],
 		}
 		targets = append(targets, target)
 	}
--- a/internal/process/cmds/control.go
+++ b/internal/process/cmds/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -56,29 +57,15 @@
 func (c *ControlCommand) serve(ctx context.Context, logger log.Logger, tracer *trace.Tracer, internal, operators net.Listener) error {
 	members, err := parsePeers(c.Peer)
 	if err != nil {
-		return &codedError{code: ExitUsage, err: err}
+		return usage(err)
 	}
 	if len(members) == 0 {
 		members = []group.Member{{VM: c.VM, Address: internal.Addr().String()}}
 	}
-	folder, err := audit.OpenFolder(filepath.Join(c.Data, auditFolder))
-	if err != nil {
-		return fmt.Errorf("open %s: %w", c.Data, err)
-	}
-	defer func() { _ = folder.Close() }()
-	state := store.New(store.Config{Sink: folder, Exported: folder.Head().Index})
 	links, remotes := newLinks(string(c.VM), addressesOf(members))
 	defer func() { _ = links.Close() }()
 	peers := ctrl.NewPeers(ctrl.PeersConfig{Self: c.VM, Members: members, Link: links, Clock: clock.System{}})
-	replicas, err := group.Open(group.Config{
-		VM:        c.VM,
-		Folder:    c.Data,
-		Bootstrap: members,
-		Machine:   state,
-		Transport: peers,
-		Clock:     clock.System{},
-		Logger:    logger,
-	})
+	disk, err := c.openDisk(logger, members, peers)
 	if err != nil {
 		return fmt.Errorf("open %s: %w", c.Data, err)
 	}
@@ -88,35 +75,77 @@
 		Clock:    clock.System{},
 		Logger:   logger,
 		Tracer:   tracer,
-		Log:      replicas,
-		Store:    state,
+		Log:      disk.replicas,
+		Store:    disk.state,
 		Remote:   remotes,
 		Link:     links,
-		Group:    replicas,
-		Receive:  replicas.Receive,
+		Group:    disk.replicas,
+		Receive:  disk.replicas.Receive,
 	})
-	go peers.Run(ctx)
-	go learnPeers(ctx, peers, replicas)
-	go exportAudit(ctx, logger, state)
-	api := admin.New(admin.Config{
-		Control:   control,
-		Group:     replicas,
-		State:     state,
-		Folder:    folder,
-		Clock:     clock.System{},
-		NewChange: newChange,
+	// Leadership is handed over before anything is closed.
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	stop := context.AfterFunc(ctx, func() {
+		disk.close(logger)
+		end()
 	})
-	server := &http.Server{Handler: api.Handler(), ReadHeaderTimeout: standInHeaderTimeout}
+	defer stop()
+	go peers.Run(life)
+	go learnPeers(life, peers, disk.replicas)
+	go exportAudit(life, logger, disk.state)
+	server := &http.Server{Handler: newAPI(control, disk).Handler(), ReadHeaderTimeout: standInHeaderTimeout}
 	go func() { _ = server.Serve(operators) }()
-	err = control.Run(ctx)
+	err = control.Run(life)
 	_ = server.Close()
-	if closeErr := replicas.Close(); closeErr != nil {
-		_ = level.Warn(logger).Log("msg", "close data folder", "err", closeErr)
+	return err
+}
+
+// controlDisk is what a control process keeps on disk.
+type controlDisk struct {
+	state    *store.Store
+	replicas *group.Group
+	folder   *audit.Folder
+}
+
+// openDisk opens the data folder.
+func (c *ControlCommand) openDisk(logger log.Logger, members []group.Member, peers *ctrl.Peers) (*controlDisk, error) {
+	folder, err := audit.OpenFolder(filepath.Join(c.Data, auditFolder))
+	if err != nil {
+		return nil, err
 	}
-	if exportErr := state.Export(); exportErr != nil {
-		_ = level.Error(logger).Log("msg", "export audit log", "err", exportErr)
+	state := store.New(store.Config{Sink: folder, Exported: folder.Head().Index})
+	replicas, err := group.Open(group.Config{
+		VM:        c.VM,
+		Folder:    c.Data,
+		Bootstrap: members,
+		Machine:   state,
+		Transport: peers,
+		Clock:     clock.System{},
+		Logger:    logger,
+	})
+	if err != nil {
+		return nil, errors.Join(err, folder.Close())
 	}
-	return err
+	return &controlDisk{state: state, replicas: replicas, folder: folder}, nil
+}
+
+// close hands leadership over, exports what is left and closes the files.
+func (d *controlDisk) close(logger log.Logger) {
+	err := errors.Join(d.replicas.Close(), d.state.Export(), d.folder.Close())
+	if err != nil {
+		_ = level.Warn(logger).Log("msg", "close data folder", "err", err)
+	}
+}
+
+func newAPI(control *ctrl.Control, disk *controlDisk) *admin.API {
+	return admin.New(admin.Config{
+		Control:   control,
+		Group:     disk.replicas,
+		State:     disk.state,
+		Folder:    disk.folder,
+		Clock:     clock.System{},
+		NewChange: newChange,
+	})
 }
 
 func addressesOf(members []group.Member) []string {
--- a/internal/process/cmds/print.go
+++ b/internal/process/cmds/print.go
@@ -144,7 +144,7 @@
 	t = newTable("\nTARGET", "VM", "DOMAIN", "REPORTING", "LEAVING", "REQUESTS", "TOKENS", "QUEUED")
 	for i := range status.Targets {
 		target := &status.Targets[i]
-		load := ctrl.Load{}
+		load := ctrl.TargetLoad{}
 		if target.Load != nil {
 			load = *target.Load
 		}
--- a/internal/process/ctrl/ctrl.go
+++ b/internal/process/ctrl/ctrl.go
@@ -82,15 +82,16 @@
 
 // Control serves the other processes.
 type Control struct {
-	cfg    Config
-	hub    *hub
-	trail  *trail.Ring
-	server *link.Server
+	cfg      Config
+	hub      *hub
+	balancer *balancer
+	trail    *trail.Ring
+	server   *link.Server
 }
 
 // New returns a control process; Run starts it.
 func New(cfg Config) *Control {
-	c := &Control{cfg: cfg, hub: newHub(cfg), trail: trail.NewRing(0)}
+	c := &Control{cfg: cfg, hub: newHub(cfg), balancer: newBalancer(cfg.Clock), trail: trail.NewRing(0)}
 	c.server = link.NewServer(c)
 	return c
 }
@@ -100,7 +101,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.cfg.Listener.Close() })
 	defer stop()
 	go c.hub.confirm(ctx)
-	go c.hub.loads.run(ctx, c.cfg.Store.Set)
+	go c.balancer.run(ctx)
 	_ = level.Info(c.cfg.Logger).Log("msg", "control serves", "vm", c.cfg.VM, "address", c.cfg.Listener.Addr())
 	if err := c.server.Serve(ctx, c.cfg.Listener); err != nil {
 		return fmt.Errorf("serve calls: %w", err)
@@ -120,6 +121,8 @@
 		span.End()
 	case *wire.Call_Watch:
 		c.serveWatch(ctx, call, body.Watch, stream)
+	case *wire.Call_Balance:
+		c.balancer.serve(ctx, body.Balance, stream)
 	case *wire.Call_Query:
 		_ = stream.Send(c.query(ctx, body.Query))
 	case *wire.Call_Peer:
@@ -133,7 +136,7 @@
 func (c *Control) query(ctx context.Context, query *wire.Query) *wire.QueryReply {
 	switch query.GetKind() {
 	case queryProcesses:
-		return answerJSON(c.hub.watched())
+		return answerJSON(c.watched())
 	case queryMembers:
 		return c.answerMembers(ctx, query.GetArgument())
 	case queryDecisions:
--- a/internal/process/ctrl/fleet.go
+++ b/internal/process/ctrl/fleet.go
@@ -37,22 +37,14 @@
 	Leased bool
 	// Connected says that the process still watches.
 	Connected bool
-	// Load is a sidecar's, nil for other processes.
-	Load *Load `json:",omitempty"`
-}
-
-// Load is the outstanding work that a sidecar reported.
-type Load struct {
-	Requests uint32
-	Tokens   ident.Tokens
-	Queued   uint32
-	Leaving  bool
 }
 
 // Fleet is what the control processes know of the others.
 type Fleet struct {
 	// Processes are sorted by role and name.
 	Processes []Process
+	// Loads are sorted by target.
+	Loads []TargetLoad
 	// Unreachable are the VMs of control processes that gave no answer.
 	Unreachable []ident.VMName
 	// Restarted are the VMs of control processes that started within a lease,
@@ -63,6 +55,7 @@
 // watched is what one control process knows of those that watch it.
 type watched struct {
 	Processes []Process
+	Loads     []TargetLoad
 	Restarted bool
 }
 
@@ -76,11 +69,12 @@
 	}
 	work.Wait()
 	var fleet Fleet
-	fleet.add(c.cfg.VM, c.hub.watched())
+	fleet.add(c.cfg.VM, c.watched())
 	for i, member := range members {
 		fleet.add(member.VM, answers[i])
 	}
 	fleet.Processes = newest(fleet.Processes)
+	fleet.Loads = youngest(fleet.Loads)
 	return fleet
 }
 
@@ -91,11 +85,19 @@
 		return
 	}
 	f.Processes = append(f.Processes, answer.Processes...)
+	f.Loads = append(f.Loads, answer.Loads...)
 	if answer.Restarted {
 		f.Restarted = append(f.Restarted, vm)
 	}
 }
 
+// watched returns what this process knows.
+func (c *Control) watched() *watched {
+	answer := c.hub.watched()
+	answer.Loads = c.balancer.loads()
+	return answer
+}
+
 // members returns the other control processes.
 func (c *Control) members() []group.Member {
 	if c.cfg.Group == nil {
@@ -198,13 +200,5 @@
 		Age:     record.Duration{Duration: now.Sub(w.reported).Round(time.Millisecond)},
 		Leased:  now.Sub(w.reported) < watch.DefaultLease,
 	}
-	if load := w.report.GetLoad(); load != nil {
-		process.Load = &Load{
-			Requests: load.GetRequests(),
-			Tokens:   ident.Tokens(load.GetTokens()),
-			Queued:   load.GetQueued(),
-			Leaving:  load.GetLeaving(),
-		}
-	}
 	return process
 }
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -10,13 +10,13 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"go.opentelemetry.io/otel/attribute"
 
-	"cactusline.dev/cactusline/internal/conn/digest"
 	"cactusline.dev/cactusline/internal/conn/link"
 	"cactusline.dev/cactusline/internal/conn/remote"
 	"cactusline.dev/cactusline/internal/conn/watch"
@@ -74,6 +74,11 @@
 	BodyLimit ident.Bytes
 	// Decided takes the record of each request that has ended; nil drops them.
 	Decided func(*tries.Record)
+	// DrainDelay is how long a stopping router still takes callers while the
+	// balancer learns that it is not ready.
+	DrainDelay time.Duration
+	// DrainTimeout bounds the wait for requests in flight; 0 for no bound.
+	DrainTimeout time.Duration
 }
 
 // Router serves callers.
@@ -85,6 +90,7 @@
 	relay    relay.Config
 	requests requestNames
 	random   lockedRand
+	stopping atomic.Bool
 }
 
 // New returns a router. Run starts it; Update must be called with what the
@@ -114,11 +120,8 @@
 // Update takes news from control.
 func (r *Router) Update(update *wire.Update, set *record.Set) {
 	r.view.rebuild(set)
-	for _, d := range update.GetDigests() {
-		r.view.setDigest(digestOf(r.cfg.Clock.Now(), d))
-	}
 	if update.GetVerdictsSet() {
-		r.poisoned.Replace(verdictsOf(update.GetVerdicts()))
+		r.poisoned.Replace(watch.Verdicts(update.GetVerdicts()))
 	}
 }
 
@@ -155,8 +158,11 @@
 		MaxHeaderBytes:    headerLimit,
 	}
 	finished := make(chan error, 1)
-	stop := context.AfterFunc(ctx, func() { finished <- server.Shutdown(context.WithoutCancel(ctx)) })
+	stop := context.AfterFunc(ctx, func() { finished <- r.shutDown(ctx, server) })
 	defer stop()
+	probing, stopProbing := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopProbing()
+	go r.view.probe(probing)
 	_ = level.Info(r.cfg.Logger).Log("msg", "router serves", "address", r.cfg.Listener.Addr())
 	if err := server.Serve(r.cfg.Listener); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve callers: %w", err)
@@ -167,37 +173,33 @@
 	return nil
 }
 
+// shutDown says that the router is not ready, gives the balancer time to see
+// it, closes the listener and lets the requests in flight finish.
+func (r *Router) shutDown(ctx context.Context, server *http.Server) error {
+	r.stopping.Store(true)
+	_ = level.Info(r.cfg.Logger).Log("msg", "router finishes its requests")
+	ctx = context.WithoutCancel(ctx)
+	_ = r.cfg.Clock.Sleep(ctx, r.cfg.DrainDelay)
+	if r.cfg.DrainTimeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, r.cfg.DrainTimeout)
+		defer cancel()
+	}
+	if err := server.Shutdown(ctx); err != nil {
+		return fmt.Errorf("requests still in flight: %w", err)
+	}
+	return nil
+}
+
 // serveReady tells the balancer whether this router may get callers.
 func (r *Router) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !r.cfg.Follower.Leased() {
+	if r.stopping.Load() || !r.cfg.Follower.Leased() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
-func digestOf(now time.Time, d *wire.LoadDigest) digest.Digest {
-	return digest.Digest{
-		Pool:     digest.PoolName(d.GetPool()),
-		Targets:  int(d.GetTargets()),
-		Requests: int(d.GetRequests()),
-		Tokens:   ident.Tokens(d.GetTokens()),
-		At:       now.Add(-time.Duration(d.GetAgeMs()) * time.Millisecond),
-		Stamp:    d.GetStamp(),
-	}
-}
-
-func verdictsOf(verdicts []*wire.CrashVerdict) []poison.Change {
-	changes := make([]poison.Change, 0, len(verdicts))
-	for _, v := range verdicts {
-		changes = append(changes, poison.Change{
-			Fingerprint: ident.Fingerprint(v.GetFingerprint()),
-			Verdict:     poison.Verdict(v.GetVerdict()),
-		})
-	}
-	return changes
-}
-
 // lockedRand draws numbers for several goroutines.
 type lockedRand struct {
 	mu     sync.Mutex
--- a/internal/process/router/view.go
+++ b/internal/process/router/view.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cactusline.dev/cactusline/internal/conn/digest"
+	"cactusline.dev/cactusline/internal/conn/health"
 	"cactusline.dev/cactusline/internal/conn/watch"
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/request/rank"
@@ -14,17 +15,15 @@
 	"cactusline.dev/cactusline/internal/version/record"
 )
 
-const (
-	// ejectInterval is how long a sidecar that did not answer is passed over.
-	ejectInterval = time.Second
-	nodeShards    = 16
-)
+const nodeShards = 16
 
 // pool is what a route chooses from.
 type pool struct {
 	ranking *rank.Pool
 	digest  digest.PoolName
 	targets []*record.Target
+	// stamp is that of the newest digest.
+	stamp *atomic.Uint64
 }
 
 // view is what the router knows of the targets: their records, and what their
@@ -33,6 +32,7 @@
 	cfg     Config
 	current atomic.Pointer[snapshot]
 	nodes   nodes
+	health  *health.Checker
 
 	mu sync.Mutex // serializes rebuild
 }
@@ -46,7 +46,7 @@
 }
 
 func newView(cfg Config) *view {
-	v := &view{cfg: cfg}
+	v := &view{cfg: cfg, health: health.New(health.Config{})}
 	v.current.Store(&snapshot{set: new(record.Set)})
 	return v
 }
@@ -59,6 +59,7 @@
 	if set.Revision() <= old.set.Revision() {
 		return
 	}
+	v.enlist(old.set, set)
 	next := &snapshot{
 		set:     set,
 		routes:  make(map[string]*pool, len(set.Routes())),
@@ -79,7 +80,9 @@
 	p := &pool{targets: set.Candidates(route), digest: poolName(route)}
 	if before, ok := old.routes[route.Name]; ok {
 		p.ranking = before.ranking
+		p.stamp = before.stamp
 	} else {
+		p.stamp = new(atomic.Uint64)
 		p.ranking = rank.New(rank.Config{Domain: v.cfg.Domain, Bound: route.LoadBound, Seed: v.cfg.Seed})
 	}
 	targets := make([]rank.Target, 0, len(p.targets))
@@ -99,10 +102,15 @@
 	return digest.PoolName("service/" + route.Service)
 }
 
-// setDigest takes the load of a pool.
-func (v *view) setDigest(d digest.Digest) {
+// Digest implements relay.Directory.
+func (v *view) Digest(frame *wire.LoadDigest) {
+	if frame == nil {
+		return
+	}
+	d := watch.Digest(v.cfg.Clock.Now(), frame)
 	for _, p := range v.current.Load().routes {
-		if p.digest == d.Pool {
+		if p.digest == d.Pool && d.Stamp > p.stamp.Load() {
+			p.stamp.Store(d.Stamp)
 			p.ranking.SetDigest(d)
 		}
 	}
@@ -111,9 +119,6 @@
 // set returns the records in force.
 func (v *view) set() *record.Set { return v.current.Load().set }
 
-// pool returns what a route chooses from.
-func (v *view) pool(route *record.Route) *pool { return v.current.Load().routes[route.Name] }
-
 // Address implements relay.Directory.
 func (v *view) Address(target ident.TargetName) (string, bool) {
 	t, ok := v.set().Target(target)
@@ -133,16 +138,18 @@
 	if load == nil {
 		return
 	}
+	v.judge(target, health.Result{})
+	v.learn(target, load, revision)
+}
+
+// learn takes the load, incarnation and revision that a sidecar reports.
+func (v *view) learn(target ident.TargetName, load *wire.Load, revision ident.Revision) {
 	if load.GetIncarnation() != 0 {
 		v.nodes.get(target).incarnation.Store(load.GetIncarnation())
 	}
 	now := v.cfg.Clock.Now()
 	for _, p := range v.current.Load().holding[target] {
-		p.ranking.Observe(now, target, digest.Load{
-			Requests: int(load.GetRequests()),
-			Tokens:   ident.Tokens(load.GetTokens()),
-			Queued:   int(load.GetQueued()),
-		})
+		p.ranking.Observe(now, target, watch.Load(load))
 	}
 	v.compare(now, target, revision)
 }
@@ -181,10 +188,7 @@
 
 // Failed implements relay.Directory.
 func (v *view) Failed(target ident.TargetName) {
-	until := v.cfg.Clock.Now().Add(ejectInterval)
-	for _, p := range v.current.Load().holding[target] {
-		p.ranking.Eject(target, until)
-	}
+	v.judge(target, health.Result{Failed: true})
 }
 
 // CatchUp implements relay.Directory.
