--- a/internal/process/cmds/control.go
+++ b/internal/process/cmds/control.go
@@ -2,15 +2,18 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"path/filepath"
 	"strings"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
 	"cactusline.dev/cactusline/internal/process/admin"
+	"cactusline.dev/cactusline/internal/process/audit"
 	"cactusline.dev/cactusline/internal/process/clock"
 	"cactusline.dev/cactusline/internal/process/ctrl"
 	"cactusline.dev/cactusline/internal/process/group"
@@ -25,7 +28,7 @@
 	Listen string       `help:"Address for the other processes." default:"127.0.0.1:7000"`
 	Admin  string       `help:"Address for operators." default:"127.0.0.1:8081"`
 	Data   string       `help:"Data folder." required:""`
-	Peer   []string     `help:"Control processes of a fresh fleet, this one too, as NAME=HOST:PORT. Empty for a process that joins."`
+	Peer   []string     `help:"All control processes, this one too, as NAME=HOST:PORT. Empty for a fleet with one."`
 }
 
 // Run implements the command.
@@ -54,24 +57,15 @@
 func (c *ControlCommand) serve(ctx context.Context, logger log.Logger, tracer *trace.Tracer, internal, operators net.Listener) error {
 	members, err := parsePeers(c.Peer)
 	if err != nil {
-		return &codedError{code: ExitUsage, err: err}
+		return usage(err)
 	}
 	if len(members) == 0 {
 		members = []group.Member{{VM: c.VM, Address: internal.Addr().String()}}
 	}
-	state := store.New(store.Config{})
 	links, remotes := newLinks(string(c.VM), addressesOf(members))
 	defer func() { _ = links.Close() }()
 	peers := ctrl.NewPeers(ctrl.PeersConfig{Self: c.VM, Members: members, Link: links, Clock: clock.System{}})
-	replicas, err := group.Open(group.Config{
-		VM:        c.VM,
-		Folder:    c.Data,
-		Bootstrap: members,
-		Machine:   state,
-		Transport: peers,
-		Clock:     clock.System{},
-		Logger:    logger,
-	})
+	disk, err := c.openDisk(logger, members, peers)
 	if err != nil {
 		return fmt.Errorf("open %s: %w", c.Data, err)
 	}
@@ -81,30 +75,79 @@
 		Clock:    clock.System{},
 		Logger:   logger,
 		Tracer:   tracer,
-		Log:      replicas,
-		Store:    state,
+		Log:      disk.replicas,
+		Store:    disk.state,
 		Remote:   remotes,
-		Receive:  replicas.Receive,
+		Link:     links,
+		Group:    disk.replicas,
+		Receive:  disk.replicas.Receive,
 	})
 	// Leadership is handed over before anything is closed.
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	stop := context.AfterFunc(ctx, func() {
-		if closeErr := replicas.Close(); closeErr != nil {
-			_ = level.Warn(logger).Log("msg", "close data folder", "err", closeErr)
-		}
+		disk.close(logger)
 		end()
 	})
 	defer stop()
 	go peers.Run(life)
-	api := admin.New(admin.Config{Control: control})
-	server := &http.Server{Handler: api.Handler(), ReadHeaderTimeout: standInHeaderTimeout}
+	go learnPeers(life, peers, disk.replicas)
+	go exportAudit(life, logger, disk.state)
+	server := &http.Server{Handler: newAPI(control, disk).Handler(), ReadHeaderTimeout: standInHeaderTimeout}
 	go func() { _ = server.Serve(operators) }()
 	err = control.Run(life)
 	_ = server.Close()
 	return err
 }
 
+// controlDisk is what a control process keeps on disk.
+type controlDisk struct {
+	state    *store.Store
+	replicas *group.Group
+	folder   *audit.Folder
+}
+
+// openDisk opens the data folder.
+func (c *ControlCommand) openDisk(logger log.Logger, members []group.Member, peers *ctrl.Peers) (*controlDisk, error) {
+	folder, err := audit.OpenFolder(filepath.Join(c.Data, auditFolder))
+	if err != nil {
+		return nil, err
+	}
+	state := store.New(store.Config{Sink: folder, Exported: folder.Head().Index})
+	replicas, err := group.Open(group.Config{
+		VM:        c.VM,
+		Folder:    c.Data,
+		Bootstrap: members,
+		Machine:   state,
+		Transport: peers,
+		Clock:     clock.System{},
+		Logger:    logger,
+	})
+	if err != nil {
+		return nil, errors.Join(err, folder.Close())
+	}
+	return &controlDisk{state: state, replicas: replicas, folder: folder}, nil
+}
+
+// close hands leadership over, exports what is left and closes the files.
+func (d *controlDisk) close(logger log.Logger) {
+	err := errors.Join(d.replicas.Close(), d.state.Export(), d.folder.Close())
+	if err != nil {
+		_ = level.Warn(logger).Log("msg", "close data folder", "err", err)
+	}
+}
+
+func newAPI(control *ctrl.Control, disk *controlDisk) *admin.API {
+	return admin.New(admin.Config{
+		Control:   control,
+		Group:     disk.replicas,
+		State:     disk.state,
+		Folder:    disk.folder,
+		Clock:     clock.System{},
+		NewChange: newChange,
+	})
+}
+
 func addressesOf(members []group.Member) []string {
 	addresses := make([]string, 0, len(members))
 	for _, member := range members {
--- a/internal/process/ctrl/balance.go
+++ b/internal/process/ctrl/balance.go
@@ -42,6 +42,8 @@
 	summed time.Time
 	// pressed says that work has been reported since to be waiting.
 	pressed bool
+	// shown are the last reports, for operators.
+	shown map[ident.TargetName]TargetLoad
 }
 
 func newBalancer(clock Clock) *balancer {
@@ -108,6 +110,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.pressed = p.pressed || report.GetLoad().GetQueued() > 0
+	p.note(now, target, report)
 	p.table.Put(now, digest.Report{
 		Target:  target,
 		Load:    watch.Load(report.GetLoad()),
