--- a/internal/process/ctrl/hub.go
+++ b/internal/process/ctrl/hub.go
@@ -22,9 +22,13 @@
 // hub feeds the processes that watch this one.
 type hub struct {
 	cfg Config
+	// started is when this process began to serve.
+	started time.Time
 
 	mu       sync.Mutex
 	watchers map[*watcher]struct{}
+	// gone are watchers that left within a lease.
+	gone []*watcher
 	// confirmed is closed when a quorum has confirmed the newest revision.
 	confirmed chan struct{}
 	// since is when the last confirmed barrier began.
@@ -35,6 +39,7 @@
 type watcher struct {
 	mu       sync.Mutex
 	report   *wire.Watch
+	reported time.Time
 	sent     ident.Revision
 	verdicts uint64
 	// stamps are reports that no barrier has followed yet, oldest first.
@@ -49,6 +54,7 @@
 func newHub(cfg Config) *hub {
 	return &hub{
 		cfg:       cfg,
+		started:   cfg.Clock.Now(),
 		watchers:  make(map[*watcher]struct{}),
 		confirmed: make(chan struct{}),
 	}
@@ -67,6 +73,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.watchers, w)
+	h.forget(h.cfg.Clock.Now())
+	h.gone = append(h.gone, w)
 }
 
 // take notes what a watcher reports.
@@ -75,6 +83,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.report = report
+	w.reported = now
 	if len(w.stamps) < maxStamps {
 		w.stamps = append(w.stamps, stamp{value: report.GetStamp(), received: now})
 	}
--- a/internal/request/tries/world_test.go
+++ b/internal/request/tries/world_test.go
@@ -92,6 +92,8 @@
 	sends       int
 	runs        []*execution
 	crashes     int
+	// orphans counts runs that began after the router of their send was lost.
+	orphans int
 }
 
 // execution is one run of an operation at a target.
@@ -121,9 +123,11 @@
 	got      []byte
 	headed   bool
 	ranAt    int
+	released bool
 	finished bool
 	outcome  wire.Outcome
-	ended    bool
+	// lost says that the router went down with the call.
+	lost bool
 }
 
 // frame is what travels to a router: the event and what it carries.
@@ -175,6 +179,9 @@
 		op.once = true
 	case kind == 6:
 		op.deadly = true
+		if w.chance(0.3) {
+			op.once, op.key = true, op.name
+		}
 	}
 	w.ops = append(w.ops, op)
 	w.after(w.between(0, 2*time.Second), func() { w.submit(op) })
@@ -209,7 +216,7 @@
 		if c.router != r || c.finished {
 			continue
 		}
-		c.finished, c.ended = true, true
+		c.finished, c.lost = true, true
 		for _, s := range c.streams {
 			s.dead = true
 		}
@@ -227,7 +234,6 @@
 		router:   r,
 		streams:  make(map[tries.StreamID]*stream),
 		attempts: make(map[ident.AttemptID]bool),
-		ranAt:    len(op.runs),
 	}
 	w.calls = append(w.calls, c)
 	verdict := r.set.Verdict(op.fingerprint)
@@ -270,6 +276,9 @@
 		}
 		candidates = append(candidates, tries.Candidate{Target: s.name, Incarnation: incarnation})
 	}
+	if w.bad(0.02) {
+		return nil
+	}
 	return candidates[:1+w.rng.IntN(len(candidates))]
 }
 
