--- a/internal/version/store/fuzz_test.go
+++ b/internal/version/store/fuzz_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"cactusline.dev/cactusline/internal/version/cmdpb"
+	"cactusline.dev/cactusline/internal/version/record"
 	"cactusline.dev/cactusline/internal/version/store"
 )
 
@@ -47,6 +48,9 @@
 		s := store.New(store.Config{})
 		if s.Restore(data) == nil {
 			snapshotOf(t, s)
+			_, err := (&record.Set{}).Apply(s.Since(0))
+			assert.NilError(t, err)
+			s.Since(s.Revision() - 1)
 		}
 	})
 }
--- a/internal/version/store/snapshot.go
+++ b/internal/version/store/snapshot.go
@@ -119,7 +119,11 @@
 		records = append(records, r)
 	}
 	s.set.Store(record.NewSet(ident.Revision(in.GetRevision()), records))
-	for _, saved := range in.GetHistory() {
+	first := in.GetRevision() + 1 - uint64(len(in.GetHistory()))
+	for i, saved := range in.GetHistory() {
+		if saved.GetRevision() != first+uint64(i) {
+			return fmt.Errorf("history holds revision %d in place of %d", saved.GetRevision(), first+uint64(i))
+		}
 		keys := make([]record.Key, 0, len(saved.GetKeys()))
 		for _, text := range saved.GetKeys() {
 			key, err := record.ParseKey(text)
