Test tokens, warm waits and urgency

The second limit, the wait for a warm prefix and the mark for customers below their share had no test of their own.

--- a/internal/request/admit/admit_test.go
+++ b/internal/request/admit/admit_test.go
@@ -67,6 +67,46 @@
 	assert.Equal(t, verdicts[0].Work.Customer, ident.CustomerName("quiet"))
 }
 
+func TestTokensAreASecondLimit(t *testing.T) {
+	c := newController(t, admit.Config{MaxTokens: 1000, Headroom: 0.5})
+	c.SetDigest(start, digest.Digest{Targets: 10, Requests: 80, Tokens: 6000, At: start, Stamp: 1})
+	for id := range 9 {
+		c.Offer(start, work(id, "club"))
+	}
+	assert.Equal(t, c.Load().Tokens, ident.Tokens(700), "the pool's mean is 600")
+	large := work(9, "club")
+	large.Tokens = 5000
+	idle := newController(t, admit.Config{MaxTokens: 1000})
+	d, _ := idle.Offer(start, large)
+	assert.Equal(t, d.Kind, admit.Admitted, "an idle target takes any one request")
+}
+
+func TestWarmWorkWaitsAsLongAsItsPrefixIsWorth(t *testing.T) {
+	c := newController(t, admit.Config{Prefill: 1000, WarmWait: 2})
+	c.SetDigest(start, digest.Digest{Targets: 10, Requests: 1, At: start, Stamp: 1})
+	c.Offer(start, work(0, "club"))
+	cold, warm := work(1, "club"), work(2, "club")
+	cold.Final, warm.Final, warm.Warm = false, false, 100
+	d, _ := c.Offer(start, cold)
+	assert.Equal(t, d.Kind, admit.Refused)
+	d, _ = c.Offer(start, warm)
+	assert.Equal(t, d.Kind, admit.Queued)
+	assert.Equal(t, len(c.Tick(start.Add(199*time.Millisecond))), 0)
+	verdicts := c.Tick(start.Add(200 * time.Millisecond))
+	assert.Equal(t, verdicts[0].Decision.Reason, admit.Overloaded)
+}
+
+func TestWorkBelowTheFairShareIsUrgent(t *testing.T) {
+	c := newController(t, admit.Config{})
+	c.SetDigest(start, digest.Digest{Targets: 1, Requests: 10, At: start, Stamp: 1})
+	for id := range 6 {
+		c.Offer(start, work(id, "surging"))
+	}
+	quiet, _ := c.Offer(start, work(7, "quiet"))
+	more, _ := c.Offer(start, work(8, "surging"))
+	assert.Assert(t, quiet.Urgent && !more.Urgent)
+}
+
 func TestLeavingTargetRefuses(t *testing.T) {
 	c := newController(t, admit.Config{})
 	c.SetDigest(start, digest.Digest{Targets: 1, Requests: 1, At: start, Stamp: 1})
--- a/internal/request/rank/bench_test.go
+++ b/internal/request/rank/bench_test.go
@@ -152,8 +152,9 @@
 	for seed := seedFromEnv(); seed < seedFromEnv()+2; seed++ {
 		for _, scenario := range scenarios {
 			for _, s := range sizes[:2] {
-				t.Run(fmt.Sprintf("%s/%s/seed=%d", scenario, s.name, seed), func(t *testing.T) {
-					m := runOnce(t, t.Name()[strings.Index(t.Name(), "/"):], func() *sim {
+				name := fmt.Sprintf("%s/%s/seed=%d", scenario, s.name, seed)
+				t.Run(name, func(t *testing.T) {
+					m := runOnce(t, name, func() *sim {
 						return newSim(s, scenario, ours, seed, func(err error) { t.Fatal(err) })
 					})
 					test, _, _ := strings.Cut(t.Name(), "/")
