Go by the target's own limits when nothing is known of the mean

Cause: with every control process lost, the digest ages until the allowance for ended requests has eaten it, and a target ends at one request at a time: a loss of control would take the fleet down with it. After 3 s without news admission goes by the target's own limits; the bound can't be promised then.

Ruled out: keeping the last mean (unbounded error either way); letting routers sum the loads (each sees a sliver).

Measured: TestWithoutNewsTheTargetGoesByItsOwnLimits fails with the mechanism off and passes with it.

--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -101,7 +101,7 @@
 	cfg.fill()
 	return &Controller{
 		cfg:      cfg,
-		bound:    bound{factor: min(cfg.Aim, cfg.Bound), sigmas: cfg.Sigmas},
+		bound:    bound{factor: min(cfg.Aim, cfg.Bound), sigmas: cfg.Sigmas, unseen: int(float64(cfg.MaxRequests) * cfg.Headroom)},
 		running:  make(map[ident.AttemptID]Work),
 		forwards: newTable[ident.ChatKey, Forward](cfg.Forwards),
 	}, nil
@@ -151,7 +151,7 @@
 		return c.refuse(w, Moved), nil
 	}
 	acc := c.accounts.get(w.Customer, w.Weight)
-	if len(acc.queue) == 0 && c.fits(now, acc, w) && c.welcome(w) {
+	if len(acc.queue) == 0 && c.fits(now, acc, w) && c.welcome(now, w) {
 		return c.admit(now, acc, w), nil
 	}
 	if c.patience(w) <= 0 || !c.worthQueueing(now, w) {
@@ -211,8 +211,8 @@
 
 // welcome reports whether work of which nothing is warm may run here rather
 // than at a less loaded target.
-func (c *Controller) welcome(w Work) bool {
-	if w.Final || w.Warm > 0 {
+func (c *Controller) welcome(now time.Time, w Work) bool {
+	if w.Final || w.Warm > 0 || c.bound.blind(now) {
 		return true
 	}
 	return c.load.Requests+1 <= c.bound.cold(c.load, c.cfg.ColdBound)
--- a/internal/request/admit/admit_test.go
+++ b/internal/request/admit/admit_test.go
@@ -52,6 +52,21 @@
 	assert.Assert(t, c.Load().Requests < 10, "load %d", c.Load().Requests)
 }
 
+func TestWithoutNewsTheTargetGoesByItsOwnLimits(t *testing.T) {
+	c := newController(t, admit.Config{MaxRequests: 8, Headroom: 1})
+	c.SetDigest(start, digest.Digest{Targets: 10, Requests: 80, At: start, Stamp: 1})
+	later := start.Add(admit.DefaultBlindAfter + time.Second)
+	for id := range 8 {
+		w := work(id, "club")
+		w.Final = false
+		c.Offer(later, w)
+	}
+	assert.Assert(t, c.Blind(later))
+	assert.Equal(t, c.Load().Requests, 8)
+	c.SetDigest(later, digest.Digest{Targets: 10, Requests: 10, At: later, Stamp: 2})
+	assert.Assert(t, !c.Blind(later))
+}
+
 func TestQueueIsFairBetweenCustomers(t *testing.T) {
 	c := newController(t, admit.Config{MaxRequests: 4, Headroom: 1, MaxQueue: 8})
 	c.SetDigest(start, digest.Digest{Targets: 1, Requests: 80, At: start, Stamp: 1})
--- a/internal/request/admit/bound.go
+++ b/internal/request/admit/bound.go
@@ -29,6 +29,10 @@
 	// departures and seconds are decaying sums over the target's own work.
 	departures, seconds float64
 	touched             time.Time
+	// born is when the bound was first asked, if there was no news yet.
+	born time.Time
+	// unseen is the limit while nothing is known of the mean.
+	unseen int
 }
 
 // advance accounts for own requests that ran until now.
@@ -72,6 +76,9 @@
 // limits returns the requests and tokens that the target may carry,
 // with the work that is offered counted in the mean.
 func (b *bound) limits(now time.Time, own digest.Load, tokens int64) (requests int, maxTokens int64) {
+	if b.blind(now) {
+		return max(1, b.unseen), math.MaxInt64
+	}
 	n := float64(b.news.Targets)
 	if n == 0 {
 		return 1, math.MaxInt64
