Hold customers to their limits at the routers

Cause: the records carry InFlight, RequestsPerSecond and TokensPerMinute, and nothing enforced them.

Ruled out: exact fleet-wide counts (a hop on every request).

--- a/internal/process/ctrl/ctrl.go
+++ b/internal/process/ctrl/ctrl.go
@@ -102,6 +102,7 @@
 	defer stop()
 	go c.hub.confirm(ctx)
 	go c.balancer.run(ctx)
+	go c.countRouters(ctx)
 	_ = level.Info(c.cfg.Logger).Log("msg", "control serves", "vm", c.cfg.VM, "address", c.cfg.Listener.Addr())
 	if err := c.server.Serve(ctx, c.cfg.Listener); err != nil {
 		return fmt.Errorf("serve calls: %w", err)
--- a/internal/process/ctrl/fleet.go
+++ b/internal/process/ctrl/fleet.go
@@ -202,3 +202,21 @@
 	}
 	return process
 }
+
+// countInterval is how often the routers of the fleet are counted.
+const countInterval = 5 * time.Second
+
+// countRouters keeps the number of routers that is told to all of them, by
+// which each works out its share of the customers' limits.
+func (c *Control) countRouters(ctx context.Context) {
+	for ctx.Err() == nil {
+		var routers uint32
+		for _, process := range c.Fleet(ctx).Processes {
+			if process.Role == "router" && process.Leased {
+				routers++
+			}
+		}
+		c.hub.routers.Store(routers)
+		_ = c.cfg.Clock.Sleep(ctx, countInterval)
+	}
+}
--- a/internal/process/ctrl/hub.go
+++ b/internal/process/ctrl/hub.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cactusline.dev/cactusline/internal/conn/link"
@@ -25,6 +26,9 @@
 	// started is when this process began to serve.
 	started time.Time
 
+	// routers counts the routers of the fleet.
+	routers atomic.Uint32
+
 	mu       sync.Mutex
 	watchers map[*watcher]struct{}
 	// gone are watchers that left within a lease.
@@ -175,6 +179,7 @@
 		update.Echo = echo
 		some = true
 	}
+	update.Routers = h.routers.Load()
 	if !some {
 		return nil
 	}
--- a/internal/process/router/chat.go
+++ b/internal/process/router/chat.go
@@ -127,6 +127,11 @@
 		return
 	}
 	c.tries.Watched = r.poisoned.Verdict(ident.Fingerprint(c.submit.GetFingerprint())) != poison.VerdictNone
+	if limited := r.limited(c); limited != nil {
+		limited.write(w, c.id)
+		return
+	}
+	defer r.limits.End(c.customer.Name)
 	r.budget.Request(c.query.Now, c.customer.Name)
 	request := relay.Request{
 		Tries:       c.tries,
--- a/internal/process/router/error.go
+++ b/internal/process/router/error.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math"
 	"net/http"
@@ -9,6 +10,7 @@
 	"time"
 
 	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/request/limit"
 	"cactusline.dev/cactusline/internal/version/ident"
 )
 
@@ -23,6 +25,7 @@
 	codeOutcomeUnknown = "OutcomeUnknown"
 	codeKeyConflict    = "IdempotencyKeyConflict"
 	codeQuarantined    = "Quarantined"
+	codeLimited        = "LimitReached"
 )
 
 // errorBody is the JSON of every error answer.
@@ -73,3 +76,18 @@
 		RetryAfter: e.retryAfter.Seconds(),
 	}})
 }
+
+// limited counts a request in, or returns why the customer's limits don't
+// allow it.
+func (r *Router) limited(c *call) *callerError {
+	share := 1 / float64(max(1, r.routers.Load()))
+	tokens := ident.Tokens(c.submit.GetPromptTokens()) + ident.Tokens(c.submit.GetOutputTokens())
+	err := r.limits.Begin(c.query.Now, c.customer, share, tokens)
+	var exceeded *limit.ExceededError
+	if !errors.As(err, &exceeded) {
+		return nil
+	}
+	failed := refusal(http.StatusTooManyRequests, codeLimited, exceeded.Error())
+	failed.retryAfter = exceeded.RetryAfter
+	return failed
+}
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -23,6 +23,7 @@
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/process/trace"
 	"cactusline.dev/cactusline/internal/request/budget"
+	"cactusline.dev/cactusline/internal/request/limit"
 	"cactusline.dev/cactusline/internal/request/poison"
 	"cactusline.dev/cactusline/internal/request/relay"
 	"cactusline.dev/cactusline/internal/request/tries"
@@ -91,6 +92,9 @@
 	requests requestNames
 	random   lockedRand
 	stopping atomic.Bool
+	limits   limit.Limiter
+	// routers counts the routers of the fleet; zero if not known yet.
+	routers atomic.Uint32
 }
 
 // New returns a router. Run starts it; Update must be called with what the
@@ -120,6 +124,9 @@
 // Update takes news from control.
 func (r *Router) Update(update *wire.Update, set *record.Set) {
 	r.view.rebuild(set)
+	if update.GetRouters() > 0 {
+		r.routers.Store(update.GetRouters())
+	}
 	if update.GetVerdictsSet() {
 		r.poisoned.Replace(watch.Verdicts(update.GetVerdicts()))
 	}
