Test overlapping quorums, lost sectors, wiped founders, five members

The test of the own-term rule showed only the refusal. The replaced member is now the founder, whose wiped disk is the dangerous one at bootstrap, and the randomised test runs three or five members by seed.

--- a/internal/process/group/group_test.go
+++ b/internal/process/group/group_test.go
@@ -195,16 +195,15 @@
 	assert.Equal(t, g.Status().ID, id)
 }
 
-func TestReplaceWipedMemberThenLoseAnother(t *testing.T) {
+func TestReplaceWipedFounderThenLoseAnother(t *testing.T) {
 	folder := t.TempDir()
 	net := newNetwork(t, time.Millisecond)
-	net.openAll(folder, 3)
+	founder := net.openAll(folder, 3)[0]
 	ctx := withTimeout(t, 20*time.Second)
-	first := net.awaitLeader(5 * time.Second)
-	_, err := first.Propose(ctx, add(5))
+	_, err := net.awaitLeader(5*time.Second).Propose(ctx, add(5))
 	assert.NilError(t, err)
 
-	wiped := first.Status().ID
+	wiped := founder.Status().ID
 	net.lose(wiped.VM())
 	leader := net.awaitLeader(5 * time.Second)
 	_, err = leader.Propose(ctx, add(6))
@@ -220,6 +219,7 @@
 	}
 	newcomer := leader.Status().Newcomers[0]
 	assert.Equal(t, newcomer.ID, fresh.Status().ID)
+	assert.Equal(t, len(fresh.Status().Members), 0)
 	assert.NilError(t, leader.Replace(ctx, wiped, newcomer))
 	assert.Assert(t, !slices.ContainsFunc(leader.Status().Members, func(m group.MemberStatus) bool { return m.ID == wiped || m.Learner }))
 
--- a/internal/process/group/sim_test.go
+++ b/internal/process/group/sim_test.go
@@ -100,7 +100,7 @@
 	s.calm = time.Duration(1 + 3*s.rng.IntN(2))
 	s.double = []float64{0, 0.1}[s.rng.IntN(2)]
 	s.first = &raftpb.Snapshot{Index: 1, Term: 1, Members: &raftpb.Members{}}
-	for vm := range 3 {
+	for vm := range 3 + 2*s.rng.IntN(2) {
 		m := &simMember{sim: s, vm: vm, disk: newDisk(s.rng)}
 		s.vms = append(s.vms, m)
 		m.start()
--- a/internal/process/raft/raft_test.go
+++ b/internal/process/raft/raft_test.go
@@ -25,6 +25,9 @@
 	nodes map[string]*raft.Node
 	cut   map[string]bool
 	reads map[string][]raft.ReadResult
+	// terms holds the term of each committed entry.
+	terms map[uint64]uint64
+	t     *testing.T
 	// drop drops single messages.
 	drop func(m *raftpb.Message) bool
 }
@@ -32,7 +35,7 @@
 func newCluster(t *testing.T, voters, others int) *cluster {
 	c := &cluster{
 		now: time.Unix(100, 0), nodes: map[string]*raft.Node{}, cut: map[string]bool{},
-		reads: map[string][]raft.ReadResult{}, drop: func(*raftpb.Message) bool { return false },
+		reads: map[string][]raft.ReadResult{}, terms: map[uint64]uint64{}, t: t, drop: func(*raftpb.Message) bool { return false },
 	}
 	list := &raftpb.Members{}
 	for i := range voters {
@@ -64,6 +67,7 @@
 				continue
 			}
 			busy = true
+			c.note(id, ready.Committed)
 			c.reads[id] = append(c.reads[id], ready.Reads...)
 			if ready.Seq > 0 {
 				c.nodes[id].Persisted(c.now, ready.Seq)
@@ -77,6 +81,15 @@
 	}
 }
 
+// note checks that all members commit the same entries.
+func (c *cluster) note(id string, committed []*raftpb.Entry) {
+	for _, entry := range committed {
+		term, ok := c.terms[entry.GetIndex()]
+		assert.Check(c.t, !ok || term == entry.GetTerm(), "%s committed another entry at %d", id, entry.GetIndex())
+		c.terms[entry.GetIndex()] = entry.GetTerm()
+	}
+}
+
 func (c *cluster) run(d time.Duration) {
 	for end := c.now.Add(d); c.now.Before(end); {
 		c.now = c.now.Add(tick)
@@ -158,6 +171,55 @@
 	assert.Equal(t, refusal, raft.ChangeInProgress)
 }
 
+// makeLeader hands leadership to a member.
+func (c *cluster) makeLeader(t *testing.T, id string) *raft.Node {
+	t.Helper()
+	if at, leader := c.leader(t); at != id {
+		assert.Assert(t, leader.TransferLeader(c.now, id))
+		c.run(election)
+	}
+	assert.Equal(t, c.nodes[id].Status().Role, raft.Leader)
+	return c.nodes[id]
+}
+
+// TestChangesOfTwoLeadersKeepQuorumsOverlapping lets one leader add a voter
+// and the next, before it has committed an entry of its own, remove the first
+// leader. The two lists would have quorums without a common member.
+func TestChangesOfTwoLeadersKeepQuorumsOverlapping(t *testing.T) {
+	c := newCluster(t, 4, 1)
+	c.run(time.Second)
+	m1 := c.makeLeader(t, "m1")
+	fresh := &raftpb.Member{Id: "m5"}
+	_, _, refusal := m1.ProposeMember(c.now, raft.Change{Kind: raft.AddLearner, Member: fresh})
+	assert.Equal(t, refusal, raft.Taken)
+	c.run(time.Second)
+
+	only := func(to string) func(m *raftpb.Message) bool {
+		return func(m *raftpb.Message) bool { return m.GetKind() == raftpb.MessageKind_APPEND && m.GetTo() != to }
+	}
+	c.drop = only("m5")
+	_, _, refusal = m1.ProposeMember(c.now, raft.Change{Kind: raft.Promote, Member: fresh})
+	assert.Equal(t, refusal, raft.Taken)
+	c.pump()
+
+	c.cut["m1"], c.cut["m5"] = true, true
+	c.drop = func(m *raftpb.Message) bool { return m.GetKind() == raftpb.MessageKind_APPEND }
+	c.run(time.Second)
+	second, leader := c.leader(t)
+	partner := map[string]string{"m2": "m3", "m3": "m4", "m4": "m2"}[second]
+	c.drop = only(partner)
+	_, _, refusal = leader.ProposeMember(c.now, raft.Change{Kind: raft.Remove, Member: &raftpb.Member{Id: "m1"}})
+	assert.Check(t, refusal == raft.OwnTermUncommitted, refusal)
+	c.run(election)
+
+	c.cut = map[string]bool{second: true, partner: true}
+	c.drop = func(*raftpb.Message) bool { return false }
+	c.run(2 * time.Second)
+	c.cut = map[string]bool{}
+	c.run(2 * time.Second)
+	c.leader(t)
+}
+
 func TestLearnerIsPromotedOnlyOnceCaughtUp(t *testing.T) {
 	c := newCluster(t, 3, 1)
 	c.run(time.Second)
--- a/internal/process/walog/walog_test.go
+++ b/internal/process/walog/walog_test.go
@@ -116,6 +116,19 @@
 	}
 }
 
+func TestLostSectorBeforeLaterBatchIsRefused(t *testing.T) {
+	folder, path, before := written(t)
+	assert.NilError(t, os.Remove(filepath.Join(folder, "mark")))
+	sector := (before/512 - 1) * 512
+	rewrite(t, path, func(data []byte) []byte {
+		clear(data[sector : sector+512])
+		return data
+	})
+	_, _, err := open(folder, nil)
+	var corrupt *walog.CorruptError
+	assert.Assert(t, errors.As(err, &corrupt), "%v", err)
+}
+
 // failing is a file system whose log fails once.
 type failing struct {
 	walog.OSFS
