--- a/internal/process/cmds/router.go
+++ b/internal/process/cmds/router.go
@@ -61,6 +61,7 @@
 		Role:      "router",
 		OnUpdate:  func(update *wire.Update, set *record.Set) { r.Update(update, set) },
 	})
+	decisions := newDecisions(c.Name, logger, control)
 	r = router.New(router.Config{
 		Process:   startName(c.Name),
 		Domain:    c.Domain,
@@ -73,6 +74,7 @@
 		Follower:  follower,
 		Seed:      rand.Uint64(),
 		BodyLimit: c.BodyLimit,
+		Decided:   decisions.Decided,
 
 		DrainDelay:   c.DrainDelay,
 		DrainTimeout: c.DrainTimeout,
@@ -80,6 +82,7 @@
 	// The records are followed until the last request has ended.
 	following, stopFollowing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopFollowing()
+	go decisions.Run(following)
 	go follower.Run(following)
 	return r.Run(ctx)
 }
--- a/internal/process/router/chat.go
+++ b/internal/process/router/chat.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"net/http"
 
 	"cactusline.dev/cactusline/internal/conn/wire"
@@ -139,7 +140,7 @@
 		return
 	}
 	whole := new(buffered)
-	result := relay.Run(req.Context(), r.relay, request, whole)
+	result := r.run(req.Context(), request, whole)
 	r.noteServed(c, result)
 	if !result.Started || result.Truncated {
 		errorOf(result).write(w, c.id)
@@ -150,7 +151,7 @@
 
 func (r *Router) stream(w http.ResponseWriter, req *http.Request, c *call, request relay.Request) {
 	live := newStreamed(w)
-	result := relay.Run(req.Context(), r.relay, request, live)
+	result := r.run(req.Context(), request, live)
 	r.noteServed(c, result)
 	if !result.Started {
 		errorOf(result).write(w, request.Tries.Request)
@@ -159,6 +160,15 @@
 	live.finish(result)
 }
 
+// run carries a request through and tells how it was decided.
+func (r *Router) run(ctx context.Context, request relay.Request, caller relay.Caller) relay.Result {
+	result := relay.Run(ctx, r.relay, request, caller)
+	if r.cfg.Decided != nil && result.Record != nil {
+		r.cfg.Decided(result.Record)
+	}
+	return result
+}
+
 // plan returns the plan of the request's offers.
 func (c *call) plan() *offers {
 	return &offers{plan: c.pool.ranking.Plan(c.query)}
