Plot reuse and skew over time

The table gives quantiles only; the plots show when reuse and skew move under churn and in the surge.

--- a/internal/request/rank/bench_test.go
+++ b/internal/request/rank/bench_test.go
@@ -28,6 +28,7 @@
 	skew              []float64
 	means             float64
 	over              int
+	trace             []tracePoint
 	admitted, overCap int
 	refused, control  int
 	turnedAway        [3]int
--- a/internal/request/rank/driver_test.go
+++ b/internal/request/rank/driver_test.go
@@ -286,6 +286,7 @@
 	mean := float64(sum) / float64(len(loads))
 	skew := float64(slices.Max(loads)) / mean
 	m.stats.skew = append(m.stats.skew, skew)
+	m.stats.trace = append(m.stats.trace, tracePoint{m.now, skew, m.stats.prefix, m.stats.warm})
 	if skew > rank.DefaultBound+1/mean {
 		m.stats.over++
 	}
