Hash parts of a chat message in a canonical form

The fuzzer found, within 5 s, a request whose fingerprint changed when it was decoded and written again: the hash of a part that is not text was that of its raw JSON, and writing compacts it and escapes &. A hop would so have changed the chat's key and the fingerprint that quarantine goes by. The part is now hashed in canonical form (numbers kept as text, fields sorted).

--- a/internal/request/chat/message.go
+++ b/internal/request/chat/message.go
@@ -88,11 +88,27 @@
 			text.WriteString(p.Text)
 			continue
 		}
-		fmt.Fprintf(&text, "%s:%016x", p.Type, xxhash.Sum64(raw))
+		canonical, err := canonicalJSON(raw)
+		if err != nil {
+			return "", &DecodeError{Field: "content", Reason: "invalid part", Err: err}
+		}
+		fmt.Fprintf(&text, "%s:%016x", p.Type, xxhash.Sum64(canonical))
 	}
 	return text.String(), nil
 }
 
+// canonicalJSON returns raw in the one form that does not depend on white
+// space, escapes and the order of fields, which a hop may change.
+func canonicalJSON(raw json.RawMessage) ([]byte, error) {
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.UseNumber()
+	var value any
+	if err := decoder.Decode(&value); err != nil {
+		return nil, err
+	}
+	return json.Marshal(value)
+}
+
 // MarshalJSON writes the content as it was read.
 func (c Content) MarshalJSON() ([]byte, error) {
 	if c.raw != nil {
