--- a/internal/process/cmds/control.go
+++ b/internal/process/cmds/control.go
@@ -93,6 +93,7 @@
 	go peers.Run(life)
 	go learnPeers(life, peers, disk.replicas)
 	go exportAudit(life, logger, disk.state)
+	_ = level.Info(logger).Log("msg", "administration serves", "address", operators.Addr())
 	server := &http.Server{Handler: newAPI(control, disk).Handler(), ReadHeaderTimeout: standInHeaderTimeout}
 	go func() { _ = server.Serve(operators) }()
 	err = control.Run(life)
