--- a/internal/request/admit/admit_test.go
+++ b/internal/request/admit/admit_test.go
@@ -52,6 +52,21 @@
 	assert.Assert(t, c.Load().Requests < 10, "load %d", c.Load().Requests)
 }
 
+func TestWithoutNewsTheTargetGoesByItsOwnLimits(t *testing.T) {
+	c := newController(t, admit.Config{MaxRequests: 8, Headroom: 1})
+	c.SetDigest(start, digest.Digest{Targets: 10, Requests: 80, At: start, Stamp: 1})
+	later := start.Add(admit.DefaultBlindAfter + time.Second)
+	for id := range 8 {
+		w := work(id, "club")
+		w.Final = false
+		c.Offer(later, w)
+	}
+	assert.Assert(t, c.Blind(later))
+	assert.Equal(t, c.Load().Requests, 8)
+	c.SetDigest(later, digest.Digest{Targets: 10, Requests: 10, At: later, Stamp: 2})
+	assert.Assert(t, !c.Blind(later))
+}
+
 func TestQueueIsFairBetweenCustomers(t *testing.T) {
 	c := newController(t, admit.Config{MaxRequests: 4, Headroom: 1, MaxQueue: 8})
 	c.SetDigest(start, digest.Digest{Targets: 1, Requests: 80, At: start, Stamp: 1})
@@ -67,6 +82,46 @@
 	assert.Equal(t, verdicts[0].Work.Customer, ident.CustomerName("quiet"))
 }
 
+func TestTokensAreASecondLimit(t *testing.T) {
+	c := newController(t, admit.Config{MaxTokens: 1000, Headroom: 0.5})
+	c.SetDigest(start, digest.Digest{Targets: 10, Requests: 80, Tokens: 6000, At: start, Stamp: 1})
+	for id := range 9 {
+		c.Offer(start, work(id, "club"))
+	}
+	assert.Equal(t, c.Load().Tokens, ident.Tokens(700), "the pool's mean is 600")
+	large := work(9, "club")
+	large.Tokens = 5000
+	idle := newController(t, admit.Config{MaxTokens: 1000})
+	d, _ := idle.Offer(start, large)
+	assert.Equal(t, d.Kind, admit.Admitted, "an idle target takes any one request")
+}
+
+func TestWarmWorkWaitsAsLongAsItsPrefixIsWorth(t *testing.T) {
+	c := newController(t, admit.Config{Prefill: 1000, WarmWait: 2})
+	c.SetDigest(start, digest.Digest{Targets: 10, Requests: 1, At: start, Stamp: 1})
+	c.Offer(start, work(0, "club"))
+	cold, warm := work(1, "club"), work(2, "club")
+	cold.Final, warm.Final, warm.Warm = false, false, 100
+	d, _ := c.Offer(start, cold)
+	assert.Equal(t, d.Kind, admit.Refused)
+	d, _ = c.Offer(start, warm)
+	assert.Equal(t, d.Kind, admit.Queued)
+	assert.Equal(t, len(c.Tick(start.Add(199*time.Millisecond))), 0)
+	verdicts := c.Tick(start.Add(200 * time.Millisecond))
+	assert.Equal(t, verdicts[0].Decision.Reason, admit.Overloaded)
+}
+
+func TestWorkBelowTheFairShareIsUrgent(t *testing.T) {
+	c := newController(t, admit.Config{})
+	c.SetDigest(start, digest.Digest{Targets: 1, Requests: 10, At: start, Stamp: 1})
+	for id := range 6 {
+		c.Offer(start, work(id, "surging"))
+	}
+	quiet, _ := c.Offer(start, work(7, "quiet"))
+	more, _ := c.Offer(start, work(8, "surging"))
+	assert.Assert(t, quiet.Urgent && !more.Urgent)
+}
+
 func TestLeavingTargetRefuses(t *testing.T) {
 	c := newController(t, admit.Config{})
 	c.SetDigest(start, digest.Digest{Targets: 1, Requests: 1, At: start, Stamp: 1})
