Refuse commands of a newer format before they reach the log

Cause: a replica panics, on purpose, on a committed command of a format that it does not know; nothing kept such a command out, so one process of a newer version would have stopped every control process. Control now checks each command before it proposes it.

Measured: TestStampRefusesCommandsOfANewerFormat failed before the check was added (no error) and passes with it.

--- a/internal/process/ctrl/ctrl.go
+++ b/internal/process/ctrl/ctrl.go
@@ -24,6 +24,7 @@
 	"cactusline.dev/cactusline/internal/version/cmdpb"
 	"cactusline.dev/cactusline/internal/version/ident"
 	"cactusline.dev/cactusline/internal/version/record"
+	"cactusline.dev/cactusline/internal/version/store"
 )
 
 // Clock is what the package needs of a clock.
@@ -210,6 +211,10 @@
 // Stamp sets the time of an encoded command, so that every replica applies it
 // at the same time.
 func Stamp(now time.Time, entry []byte) ([]byte, error) {
+	// An entry that this program can't apply must not get into the log.
+	if err := store.Check(entry); err != nil {
+		return nil, fmt.Errorf("check command: %w", err)
+	}
 	command := new(cmdpb.Command)
 	if err := proto.Unmarshal(entry, command); err != nil {
 		return nil, fmt.Errorf("decode command: %w", err)
--- /dev/null
+++ b/internal/process/ctrl/stamp_test.go
@@ -0,0 +1,35 @@
+package ctrl_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"cactusline.dev/cactusline/internal/process/ctrl"
+	"cactusline.dev/cactusline/internal/version/cmdpb"
+	"cactusline.dev/cactusline/internal/version/store"
+)
+
+func TestStampRefusesCommandsOfANewerFormat(t *testing.T) {
+	entry, err := proto.Marshal(&cmdpb.Command{
+		Format: store.Format + 1,
+		Body:   &cmdpb.Command_Tick{Tick: new(cmdpb.Tick)},
+	})
+	assert.NilError(t, err)
+	_, err = ctrl.Stamp(time.Unix(1, 0), entry)
+	var format *store.FormatError
+	assert.Assert(t, errors.As(err, &format), "%v", err)
+}
+
+func TestStampSetsTheTime(t *testing.T) {
+	entry, err := store.Encode(&cmdpb.Command{Body: &cmdpb.Command_Tick{Tick: new(cmdpb.Tick)}})
+	assert.NilError(t, err)
+	stamped, err := ctrl.Stamp(time.Unix(1, 5), entry)
+	assert.NilError(t, err)
+	command, err := store.Decode(stamped)
+	assert.NilError(t, err)
+	assert.Equal(t, command.GetTime(), time.Unix(1, 5).UnixNano())
+}
