Run the decisions over ranges of seeds

The randomised tests took a seed variable of their own; they now take the range that the other tests take.

--- a/internal/request/admit/admit_test.go
+++ b/internal/request/admit/admit_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"cactusline.dev/cactusline/internal/conn/digest"
+	"cactusline.dev/cactusline/internal/process/seeds"
 	"cactusline.dev/cactusline/internal/request/admit"
 	"cactusline.dev/cactusline/internal/version/ident"
 )
@@ -154,7 +155,7 @@
 // TestRandomisedQueueSettlesEverything offers, ends, cancels and expires work
 // at random and checks that each attempt gets exactly one answer in time.
 func TestRandomisedQueueSettlesEverything(t *testing.T) {
-	for seed := range uint64(20) {
+	seeds.Run(t, seeds.Range{First: 0, Last: 19}, func(t *testing.T, seed uint64) {
 		rng := rand.New(rand.NewPCG(seed, 1))
 		c := newController(t, admit.Config{Rand: rng, MaxRequests: 6, MaxQueue: 5})
 		now, open, running := start, map[ident.AttemptID]time.Time{}, []ident.AttemptID{}
@@ -192,5 +193,5 @@
 			assert.Equal(t, c.Load().Requests, len(running), "seed %d", seed)
 			assert.Equal(t, c.Load().Queued, len(open), "seed %d", seed)
 		}
-	}
+	})
 }
--- a/internal/request/admit/index_test.go
+++ b/internal/request/admit/index_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"cactusline.dev/cactusline/internal/process/seeds"
 	"cactusline.dev/cactusline/internal/request/admit"
 	"cactusline.dev/cactusline/internal/version/ident"
 )
@@ -14,7 +15,7 @@
 // are lost or repeated; what the index says must be the engine's state at the
 // last event that it took.
 func TestRandomisedIndexIsNeverTrustedAfterAGap(t *testing.T) {
-	for seed := range uint64(20) {
+	seeds.Run(t, seeds.Range{First: 0, Last: 19}, func(t *testing.T, seed uint64) {
 		rng := rand.New(rand.NewPCG(seed, 5))
 		index, cache := admit.NewIndex(admit.IndexConfig{}), map[ident.ChatKey]ident.Tokens{}
 		gaps, known := 0, 0
@@ -42,7 +43,7 @@
 			}
 		}
 		assert.Assert(t, gaps > 0 && known > 0)
-	}
+	})
 }
 
 func events(cache map[ident.ChatKey]ident.Tokens) []admit.CacheEvent {
--- a/internal/request/rank/bench_test.go
+++ b/internal/request/rank/bench_test.go
@@ -5,7 +5,6 @@
 	"os"
 	"slices"
 	"strconv"
-	"strings"
 	"testing"
 	"time"
 
@@ -13,6 +12,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"cactusline.dev/cactusline/internal/process/seeds"
 	"cactusline.dev/cactusline/internal/request/admit"
 	"cactusline.dev/cactusline/internal/request/rank"
 )
@@ -148,45 +148,43 @@
 }
 
 // eachRun runs ours in every scenario at the small sizes with a few seeds.
-func eachRun(t *testing.T, check func(t *testing.T, m *sim, repeat string)) {
+func eachRun(t *testing.T, check func(t *testing.T, m *sim)) {
 	ours := policies[slices.IndexFunc(policies, func(p policy) bool { return p.name == "ours" })]
-	for seed := seedFromEnv(); seed < seedFromEnv()+2; seed++ {
+	seeds.Run(t, seeds.Range{First: 1, Last: 2}, func(t *testing.T, seed uint64) {
 		for _, scenario := range scenarios {
 			for _, s := range sizes[:2] {
-				name := fmt.Sprintf("%s/%s/seed=%d", scenario, s.name, seed)
-				t.Run(name, func(t *testing.T) {
-					m := runOnce(t, name, func() *sim {
+				t.Run(scenario+"/"+s.name, func(t *testing.T) {
+					m := runOnce(t, fmt.Sprint(scenario, s.name, seed), func() *sim {
 						return newSim(s, scenario, ours, seed, func(err error) { t.Fatal(err) })
 					})
-					test, _, _ := strings.Cut(t.Name(), "/")
-					check(t, m, fmt.Sprintf("CACTUSLINE_TEST_SEED=%d go test -run %s ./internal/request/rank", seed, test))
+					check(t, m)
 				})
 			}
 		}
-	}
+	})
 }
 
 // TestRandomisedBoundHolds holds the load bound at each admission against the
 // true mean at that instant.
 func TestRandomisedBoundHolds(t *testing.T) {
-	eachRun(t, func(t *testing.T, m *sim, repeat string) {
-		assert.Check(t, m.stats.overCap == 0, "over the bound %d times of %d: %s", m.stats.overCap, m.stats.admitted, repeat)
+	eachRun(t, func(t *testing.T, m *sim) {
+		assert.Check(t, m.stats.overCap == 0, "over the bound %d times of %d", m.stats.overCap, m.stats.admitted)
 	})
 }
 
 // TestRandomisedFewRefused holds that the fleet does not starve behind the
 // bound.
 func TestRandomisedFewRefused(t *testing.T) {
-	eachRun(t, func(t *testing.T, m *sim, repeat string) {
-		assert.Check(t, m.stats.refused*100 <= m.stats.admitted, "%d refused of %d: %s", m.stats.refused, m.stats.admitted, repeat)
+	eachRun(t, func(t *testing.T, m *sim) {
+		assert.Check(t, m.stats.refused*100 <= m.stats.admitted, "%d refused of %d", m.stats.refused, m.stats.admitted)
 	})
 }
 
 // TestRandomisedSkewHolds holds the skew of the load over time against the
 // mean of the run.
 func TestRandomisedSkewHolds(t *testing.T) {
-	eachRun(t, func(t *testing.T, m *sim, repeat string) {
+	eachRun(t, func(t *testing.T, m *sim) {
 		limit := rank.DefaultBound + 1/m.stats.mean()
-		assert.Check(t, m.stats.skewAt(0.99) <= limit, "skew %.2f above %.2f: %s", m.stats.skewAt(0.99), limit, repeat)
+		assert.Check(t, m.stats.skewAt(0.99) <= limit, "skew %.2f above %.2f", m.stats.skewAt(0.99), limit)
 	})
 }
