Hold targets to their records' limits and pass urgency to engines

Cause: the sidecar's admission ran on defaults: the route's LoadBound and the target's Capacity had no effect, and work that admission marks urgent got no priority at the engine (the header's name was not the engine's either), which is what protects other customers in a surge.

--- a/internal/process/side/run.go
+++ b/internal/process/side/run.go
@@ -24,6 +24,9 @@
 	// orphanTimeout is how long an idempotent attempt goes on when the link
 	// to its router has broken.
 	orphanTimeout = 5 * time.Second
+	// urgentPriority lifts the work of a customer that runs less than its fair
+	// share above all customers' own priorities.
+	urgentPriority = 1 << 20
 )
 
 type flag = atomic.Bool
@@ -33,6 +36,8 @@
 	id          ident.AttemptID
 	fingerprint ident.Fingerprint
 	once        bool
+	// priority goes to the engine, which starts higher ones first.
+	priority int32
 	// solo says that nothing ran beside it.
 	solo   bool
 	ctx    context.Context
@@ -47,7 +52,7 @@
 }
 
 // start runs an admitted attempt in the background.
-func (s *Sidecar) start(call *wire.Call, submit *wire.Submit, solo bool) {
+func (s *Sidecar) start(call *wire.Call, submit *wire.Submit, solo, urgent bool) {
 	ctx, span := s.cfg.Tracer.Start(s.life, call.GetTraceParent(), "sidecar.attempt",
 		attribute.String("request", submit.GetRequest()),
 		attribute.String("attempt", submit.GetAttempt()))
@@ -57,10 +62,14 @@
 		fingerprint: ident.Fingerprint(submit.GetFingerprint()),
 		once:        submit.GetOnce(),
 		solo:        solo,
+		priority:    submit.GetPriority(),
 		ctx:         ctx,
 		cancel:      cancel,
 		moved:       make(chan struct{}),
 	}
+	if urgent {
+		r.priority += urgentPriority
+	}
 	s.runs.add(r)
 	go func() {
 		defer cancel()
@@ -101,7 +110,7 @@
 // perform sends the attempt to the target and keeps the answer. It returns
 // nil if the target never saw the attempt.
 func (s *Sidecar) perform(ctx context.Context, submit *wire.Submit, r *run) *wire.End {
-	resp, err := s.target.do(ctx, submit, trace.Parent(ctx))
+	resp, err := s.target.do(ctx, submit, r.priority, trace.Parent(ctx))
 	if notSent(err) {
 		s.targetDown()
 		return nil
--- a/internal/process/side/side.go
+++ b/internal/process/side/side.go
@@ -161,6 +161,7 @@
 		s.poisoned.Replace(watch.Verdicts(update.GetVerdicts()))
 	}
 	if set.Revision() > 0 {
+		s.admitted.SetLimits(s.limitsOf(set))
 		s.setLeaving(now, set.Leaving(s.cfg.Name))
 	}
 }
--- a/internal/process/side/submit.go
+++ b/internal/process/side/submit.go
@@ -94,7 +94,7 @@
 		_ = out.refuse(refusal)
 		return
 	}
-	s.start(call, submit, solo)
+	s.start(call, submit, solo, decision.Urgent)
 	out.digest = s.digestAbove(submit.GetDigestStamp())
 	s.join(ctx, submit, out, watcher)
 }
--- a/internal/process/side/target.go
+++ b/internal/process/side/target.go
@@ -18,7 +18,7 @@
 const (
 	headerRequest  = "Cactusline-Request"
 	headerAttempt  = "Cactusline-Attempt"
-	headerPriority = "Cactusline-Priority"
+	headerPriority = "X-Priority"
 	headerTrace    = "Traceparent"
 )
 
@@ -49,7 +49,7 @@
 }
 
 // do sends one attempt to the target. The context cancels it.
-func (t *targetClient) do(ctx context.Context, submit *wire.Submit, traceParent string) (*http.Response, error) {
+func (t *targetClient) do(ctx context.Context, submit *wire.Submit, priority int32, traceParent string) (*http.Response, error) {
 	address := t.base.JoinPath(submit.GetPath())
 	address.RawQuery = submit.GetQuery()
 	req, err := http.NewRequestWithContext(ctx, submit.GetMethod(), address.String(), bytes.NewReader(submit.GetBody()))
@@ -61,7 +61,7 @@
 	}
 	req.Header.Set(headerRequest, submit.GetRequest())
 	req.Header.Set(headerAttempt, submit.GetAttempt())
-	req.Header.Set(headerPriority, strconv.Itoa(int(submit.GetPriority())))
+	req.Header.Set(headerPriority, strconv.Itoa(int(priority)))
 	if traceParent != "" {
 		req.Header.Set(headerTrace, traceParent)
 	}
