--- a/internal/process/raft/raft_test.go
+++ b/internal/process/raft/raft_test.go
@@ -220,6 +220,42 @@
 	c.leader(t)
 }
 
+// TestOldTermsCommitOnlyUnderOwnEntry spreads an entry to a majority under a
+// later leader, none of whose own entries spreads. A member with a newer entry
+// at the same index may still replace it, so it must not count as committed.
+func TestOldTermsCommitOnlyUnderOwnEntry(t *testing.T) {
+	c := newCluster(t, 5, 0)
+	c.run(time.Second)
+	first := c.makeLeader(t, "m1")
+	c.run(time.Second)
+	large := make([]byte, 1<<19) // goes alone in its message
+	old := first.Status().Term
+	c.drop = func(m *raftpb.Message) bool { return m.GetKind() == raftpb.MessageKind_APPEND && m.GetTo() != "m2" }
+	_, _, ok := first.Propose(c.now, large)
+	assert.Assert(t, ok)
+	c.pump()
+
+	c.cut = map[string]bool{"m1": true, "m2": true}
+	c.drop = func(m *raftpb.Message) bool { return m.GetKind() == raftpb.MessageKind_APPEND }
+	c.run(time.Second)
+	second, _ := c.leader(t)
+
+	c.cut = map[string]bool{second: true}
+	c.drop = func(m *raftpb.Message) bool {
+		return len(m.GetEntries()) > 0 && m.GetEntries()[0].GetTerm() > old
+	}
+	c.run(2 * time.Second)
+	third, _ := c.leader(t)
+	assert.Assert(t, third == "m1" || third == "m2")
+
+	c.cut = map[string]bool{"m1": true, "m2": true}
+	c.drop = func(*raftpb.Message) bool { return false }
+	c.run(2 * time.Second)
+	fourth, leader := c.leader(t)
+	assert.Equal(t, fourth, second)
+	assert.Equal(t, leader.Status().Commit, leader.Status().LastIndex)
+}
+
 func TestLearnerIsPromotedOnlyOnceCaughtUp(t *testing.T) {
 	c := newCluster(t, 3, 1)
 	c.run(time.Second)
