--- a/internal/conn/watch/follow.go
+++ b/internal/conn/watch/follow.go
@@ -43,8 +43,6 @@
 	Role    string
 	// Target is a sidecar's, empty elsewhere.
 	Target string
-	// Load returns a sidecar's load, nil elsewhere.
-	Load func() *wire.Load
 	// ReportInterval is the time between two reports to control.
 	ReportInterval time.Duration
 	// Lease is how long the set counts as fresh once a quorum has confirmed
@@ -116,7 +114,7 @@
 	}
 	// A peer's word moves the set but never the lease.
 	update.Echo = 0
-	return f.take(update)
+	return f.Take(update)
 }
 
 // follow takes updates from one control process until it falls silent.
@@ -144,14 +142,14 @@
 		case heard <- struct{}{}:
 		default:
 		}
-		if err := f.take(update); err != nil {
+		if err := f.Take(update); err != nil {
 			return err
 		}
 	}
 }
 
-// take brings an update into force.
-func (f *Follower) take(update *wire.Update) error {
+// Take brings an update into force.
+func (f *Follower) Take(update *wire.Update) error {
 	if _, err := f.Apply(update); err != nil {
 		return err
 	}
@@ -198,17 +196,13 @@
 }
 
 func (f *Follower) report() *wire.Watch {
-	report := &wire.Watch{
+	return &wire.Watch{
 		Process: f.cfg.Process,
 		Role:    f.cfg.Role,
 		InForce: uint64(f.Set().Revision()),
 		Target:  f.cfg.Target,
 		Stamp:   f.stamp(),
 	}
-	if f.cfg.Load != nil {
-		report.Load = f.cfg.Load()
-	}
-	return report
 }
 
 // stamp returns the nanoseconds since the follower was made.
--- /dev/null
+++ b/internal/process/ctrl/peers.go
@@ -0,0 +1,137 @@
+package ctrl
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"cactusline.dev/cactusline/internal/conn/link"
+	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/process/group"
+	"cactusline.dev/cactusline/internal/version/ident"
+)
+
+const (
+	// peerBacklog is how many messages wait for one peer; more are dropped,
+	// which the replicated log makes good.
+	peerBacklog       = 256
+	peerRetryInterval = 100 * time.Millisecond
+)
+
+// PeersConfig makes Peers.
+type PeersConfig struct {
+	// Self is this process's VM.
+	Self ident.VMName
+	// Members are the control processes, this one too.
+	Members []group.Member
+	Link    *link.Client
+	Clock   Clock
+}
+
+// Peers carries the messages of the replicated log to the other control
+// processes, in a stream for each. It implements group.Transport.
+type Peers struct {
+	cfg PeersConfig
+
+	mu    sync.Mutex
+	ctx   context.Context
+	peers map[ident.VMName]*peer
+}
+
+// peer is one other control process.
+type peer struct {
+	address string
+	queue   chan []byte
+	// cancel ends the stream; nil before Run.
+	cancel context.CancelFunc
+}
+
+// NewPeers returns the transport; Run starts it.
+func NewPeers(cfg PeersConfig) *Peers {
+	p := &Peers{cfg: cfg, peers: make(map[ident.VMName]*peer)}
+	p.Learn(cfg.Members)
+	return p
+}
+
+// Learn takes in control processes that are new or have a new address.
+func (p *Peers) Learn(members []group.Member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, member := range members {
+		known := p.peers[member.VM]
+		if member.VM == p.cfg.Self || member.Address == "" || (known != nil && known.address == member.Address) {
+			continue
+		}
+		if known != nil && known.cancel != nil {
+			known.cancel()
+		}
+		fresh := &peer{address: member.Address, queue: make(chan []byte, peerBacklog)}
+		p.peers[member.VM] = fresh
+		p.start(fresh)
+	}
+}
+
+// start begins to carry to a peer, once Run was called. The caller holds the
+// lock.
+func (p *Peers) start(to *peer) {
+	if p.ctx == nil {
+		return
+	}
+	var ctx context.Context
+	ctx, to.cancel = context.WithCancel(p.ctx)
+	go p.carry(ctx, to.address, to.queue)
+}
+
+// Send implements group.Transport.
+func (p *Peers) Send(to group.MemberID, message []byte) {
+	p.mu.Lock()
+	known := p.peers[to.VM()]
+	p.mu.Unlock()
+	if known == nil {
+		return
+	}
+	select {
+	case known.queue <- message:
+	default:
+	}
+}
+
+// Run carries messages until ctx ends.
+func (p *Peers) Run(ctx context.Context) {
+	p.mu.Lock()
+	p.ctx = ctx
+	for _, known := range p.peers {
+		p.start(known)
+	}
+	p.mu.Unlock()
+	<-ctx.Done()
+}
+
+// carry keeps a stream to one peer and writes the queue to it.
+func (p *Peers) carry(ctx context.Context, address string, queue <-chan []byte) {
+	for ctx.Err() == nil {
+		stream, err := p.cfg.Link.Open(ctx, address, &wire.Call{
+			Body: &wire.Call_Peer{Peer: &wire.Peer{From: string(p.cfg.Self)}},
+		})
+		if err == nil {
+			stop := context.AfterFunc(ctx, stream.Abort)
+			p.write(ctx, stream, queue)
+			stop()
+			_ = stream.Close()
+		}
+		_ = p.cfg.Clock.Sleep(ctx, peerRetryInterval)
+	}
+}
+
+func (p *Peers) write(ctx context.Context, stream *link.Stream, queue <-chan []byte) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case message := <-queue:
+			if stream.Send(&wire.PeerMessage{Data: message}) != nil {
+				return
+			}
+		}
+	}
+}
--- a/internal/request/admit/bound.go
+++ b/internal/request/admit/bound.go
@@ -29,6 +29,10 @@
 	// departures and seconds are decaying sums over the target's own work.
 	departures, seconds float64
 	touched             time.Time
+	// born is when the bound was first asked, if there was no news yet.
+	born time.Time
+	// unseen is the limit while nothing is known of the mean.
+	unseen int
 }
 
 // advance accounts for own requests that ran until now.
@@ -50,18 +54,31 @@
 // share returns the part of the digest's load that is certain enough to be
 // running still.
 func (b *bound) share(now time.Time) float64 {
-	if b.news.Requests <= 0 {
-		return 0
+	total := float64(b.news.Requests)
+	exposed := total - float64(b.news.Backed)
+	if exposed <= 0 {
+		return 1
 	}
 	age := max(now.Sub(b.news.At), 0).Seconds()
-	ended := float64(b.news.Requests) * b.rate() * age
-	ended += b.sigmas * math.Sqrt(ended)
-	return max(0, 1-ended/float64(b.news.Requests))
+	ended := poissonBound(exposed*b.rate()*age, b.sigmas)
+	return 1 - min(ended, exposed)/total
+}
+
+// poissonBound returns a number that a Poisson variable exceeds as rarely as
+// a normal variable exceeds sigmas, by Bernstein's inequality.
+func poissonBound(mean, sigmas float64) float64 {
+	if mean == 0 {
+		return 0
+	}
+	return mean + sigmas*math.Sqrt(mean) + sigmas*sigmas/3
 }
 
 // limits returns the requests and tokens that the target may carry,
 // with the work that is offered counted in the mean.
 func (b *bound) limits(now time.Time, own digest.Load, tokens int64) (requests int, maxTokens int64) {
+	if b.blind(now) {
+		return max(1, b.unseen), math.MaxInt64
+	}
 	n := float64(b.news.Targets)
 	if n == 0 {
 		return 1, math.MaxInt64
@@ -73,3 +90,14 @@
 	maxTokens = int64(b.factor * (sumTokens + float64(tokens)) / n)
 	return max(1, requests), maxTokens
 }
+
+// cold returns the requests up to which cold work is admitted, a multiple of
+// the mean as it is believed, without allowance for what may have ended.
+func (b *bound) cold(own digest.Load, factor float64) int {
+	n := float64(b.news.Targets)
+	if n == 0 {
+		return 1
+	}
+	sum := max(float64(b.news.Requests), float64(own.Requests))
+	return max(1, int(math.Ceil(factor*(sum+1)/n)))
+}
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -9,6 +9,7 @@
 
 	"cactusline.dev/cactusline/internal/conn/link"
 	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/process/trace"
 	"cactusline.dev/cactusline/internal/request/tries"
 	"cactusline.dev/cactusline/internal/version/ident"
 )
@@ -35,6 +36,8 @@
 	// Observe takes the load and incarnation that came with a reply, and the
 	// revision that is in force there.
 	Observe(target ident.TargetName, load *wire.Load, revision ident.Revision)
+	// Digest takes the load of a pool.
+	Digest(d *wire.LoadDigest)
 	// Failed takes an attempt whose sidecar did not answer.
 	Failed(target ident.TargetName)
 	// CatchUp returns once the records of this process stand at revision or
@@ -42,10 +45,27 @@
 	CatchUp(ctx context.Context, target ident.TargetName, revision ident.Revision)
 }
 
+// Plan proposes the targets of one request.
+type Plan interface {
+	tries.Plan
+	// Step returns what the sidecar of the last proposed target is told.
+	Step() Step
+	// Refused takes the refusal of a target, nil if it takes no work at all.
+	Refused(target ident.TargetName, refusal *wire.Refusal)
+}
+
+// Step is one proposal.
+type Step struct {
+	// Final marks the last offer: the target is to queue what it can't run.
+	Final bool
+	// Moved marks an offer to which a refusal has led.
+	Moved bool
+}
+
 // Ledger holds the claims of requests that are not idempotent.
 type Ledger interface {
 	Claim(ctx context.Context, claim Claim) Held
-	Release(ctx context.Context, key Key, attempt ident.AttemptID) Held
+	Release(ctx context.Context, key Key, attempt ident.AttemptID, incarnation ident.Incarnation) Held
 	Settle(ctx context.Context, key Key, attempt ident.AttemptID, outcome wire.Outcome, answer *Answer)
 }
 
@@ -62,9 +82,11 @@
 	Attempt     ident.AttemptID
 	Target      ident.TargetName
 	Incarnation ident.Incarnation
-	// Replaces is an attempt whose claim is proved void, or empty.
-	Replaces    ident.AttemptID
-	Fingerprint ident.Fingerprint
+	// Replaces is an attempt whose claim is proved void, or empty, and
+	// ReplacesIncarnation that of the sidecar that proved it.
+	Replaces            ident.AttemptID
+	ReplacesIncarnation ident.Incarnation
+	Fingerprint         ident.Fingerprint
 }
 
 // Held is the ledger's reply, as an event for the state machine and, when the
@@ -109,6 +131,7 @@
 // Config is what all requests of a router share.
 type Config struct {
 	Clock     Clock
+	Tracer    *trace.Tracer
 	Links     Links
 	Directory Directory
 	Ledger    Ledger
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -5,10 +5,12 @@
 	"errors"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
 	"google.golang.org/protobuf/proto"
 
 	"cactusline.dev/cactusline/internal/conn/link"
 	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/process/trace"
 	"cactusline.dev/cactusline/internal/request/tries"
 	"cactusline.dev/cactusline/internal/version/ident"
 )
@@ -25,10 +27,15 @@
 	target  ident.TargetName
 	cancel  context.CancelFunc
 	stop    chan struct{}
+	// head came on the stream; only the loop touches it.
+	head *wire.Head
 }
 
 // send submits an attempt on a stream of its own.
 func (x *exchange) send(ctx context.Context, action *tries.Action) {
+	ctx, span := x.cfg.Tracer.Start(ctx, "", "router.attempt",
+		attribute.String("attempt", string(action.Attempt)),
+		attribute.String("target", string(action.Target)))
 	ctx, cancel := context.WithCancel(ctx)
 	s := &attemptStream{
 		id:      action.Stream,
@@ -38,18 +45,24 @@
 		stop:    make(chan struct{}),
 	}
 	x.streams = append(x.streams, s)
-	call := x.call(action)
-	go x.run(ctx, s, call)
+	call := x.call(ctx, action)
+	go func() {
+		defer span.End()
+		x.run(ctx, s, call)
+	}()
 }
 
-func (x *exchange) call(action *tries.Action) *wire.Call {
+func (x *exchange) call(ctx context.Context, action *tries.Action) *wire.Call {
 	submit := proto.CloneOf(x.request.Submit)
 	submit.Attempt = string(action.Attempt)
 	submit.Incarnation = uint64(action.Incarnation)
 	submit.ResumeOffset = action.Offset
 	submit.Join = action.Join
+	step := x.request.Plan.Step()
+	submit.Final = step.Final
+	submit.Moved = step.Moved
 	return &wire.Call{
-		TraceParent: x.request.TraceParent,
+		TraceParent: trace.Parent(ctx),
 		Revision:    uint64(x.request.Revision()),
 		Body:        &wire.Call_Submit{Submit: submit},
 	}
@@ -155,6 +168,7 @@
 	switch body := reply.GetBody().(type) {
 	case *wire.Reply_Refusal:
 		x.cfg.Directory.Observe(s.target, body.Refusal.GetLoad(), revision)
+		x.cfg.Directory.Digest(body.Refusal.GetDigest())
 		if body.Refusal.GetReason() == wire.RefusalReason_REFUSAL_REASON_STALE_REVISION {
 			ctx, cancel := context.WithTimeout(ctx, askTimeout)
 			defer cancel()
@@ -162,6 +176,7 @@
 		}
 	case *wire.Reply_Head:
 		x.cfg.Directory.Observe(s.target, body.Head.GetLoad(), revision)
+		x.cfg.Directory.Digest(body.Head.GetDigest())
 	case *wire.Reply_End:
 		x.cfg.Directory.Observe(s.target, body.End.GetLoad(), revision)
 	}
@@ -181,10 +196,13 @@
 		e.Reason = body.Refusal.GetReason()
 		e.RetryAfter = time.Duration(body.Refusal.GetRetryAfterMs()) * time.Millisecond
 		e.Forward = ident.TargetName(body.Refusal.GetForward())
+		e.Incarnation = ident.Incarnation(body.Refusal.GetLoad().GetIncarnation())
+		e.refusal = body.Refusal
 		return e, true
 	case *wire.Reply_Head:
 		e.Kind = tries.EventHead
 		e.Status = int(body.Head.GetStatus())
+		e.Incarnation = ident.Incarnation(body.Head.GetIncarnation())
 		e.head = body.Head
 		return e, false
 	case *wire.Reply_Data:
@@ -205,19 +223,6 @@
 	}
 }
 
-// learnIncarnations asks the sidecars for theirs where a claim of the ledger
-// needs one that is not known.
-func (x *exchange) learnIncarnations(ctx context.Context) {
-	for i := range x.request.Candidates {
-		c := &x.request.Candidates[i]
-		c.Incarnation = x.cfg.Directory.Incarnation(c.Target)
-		if c.Incarnation != 0 || !x.request.Tries.Once {
-			continue
-		}
-		c.Incarnation = x.probe(ctx, c.Target)
-	}
-}
-
 func (x *exchange) probe(ctx context.Context, target ident.TargetName) ident.Incarnation {
 	address, ok := x.cfg.Directory.Address(target)
 	if !ok {
--- a/internal/request/tries/config.go
+++ b/internal/request/tries/config.go
@@ -15,8 +15,9 @@
 // Defaults of Config.
 const (
 	DefaultMaxTries       = 4
-	DefaultMaxCrashes     = 2
-	DefaultMaxResumes     = 3
+	DefaultMaxRuns        = 2
+	DefaultMaxResumes     = 6
+	DefaultResumeDelay    = 100 * time.Millisecond
 	DefaultRetryAfter     = time.Second
 	DefaultAttemptTimeout = 30 * time.Second
 	DefaultTimeout        = 10 * time.Minute
@@ -52,11 +53,18 @@
 	AttemptTimeout time.Duration
 	// MaxTries bounds the targets that the request is sent to.
 	MaxTries int
-	// MaxCrashes is the number of targets that may crash under the request
-	// before it is given up.
-	MaxCrashes int
+	// MaxRuns bounds the targets that may have begun an idempotent request: all
+	// but those that provably did not run it. It is also the number of targets
+	// that one send can crash.
+	MaxRuns int
+	// Watched marks a request under which a target crashed before: a
+	// send of it is begun by one target only.
+	Watched bool
 	// MaxResumes bounds how often broken streams are joined again.
 	MaxResumes int
+	// ResumeDelay is the wait before a target that did not answer a join is
+	// asked again; it doubles each time.
+	ResumeDelay time.Duration
 	// MaxTakeovers bounds how many claims of other routers are looked into.
 	MaxTakeovers int
 	// HedgeAfter is the wait for the first byte after which an idempotent
@@ -64,6 +72,9 @@
 	HedgeAfter time.Duration
 	// RetryAfter is told to the caller when no target gave a time.
 	RetryAfter time.Duration
+	// Plan proposes the targets; nil for the candidates of EventStart in their
+	// order, each once.
+	Plan Plan
 	// Retries may be nil: no limit.
 	Retries RetryBudget
 	// Random jitters RetryAfter; nil means no jitter.
@@ -73,10 +84,14 @@
 func (c Config) withDefaults() Config {
 	c.AttemptTimeout = cmp.Or(c.AttemptTimeout, DefaultAttemptTimeout)
 	c.MaxTries = cmp.Or(c.MaxTries, DefaultMaxTries)
-	c.MaxCrashes = cmp.Or(c.MaxCrashes, DefaultMaxCrashes)
+	c.MaxRuns = cmp.Or(c.MaxRuns, DefaultMaxRuns)
 	c.MaxResumes = cmp.Or(c.MaxResumes, DefaultMaxResumes)
 	c.MaxTakeovers = cmp.Or(c.MaxTakeovers, DefaultMaxTakeovers)
+	c.ResumeDelay = cmp.Or(c.ResumeDelay, DefaultResumeDelay)
 	c.RetryAfter = cmp.Or(c.RetryAfter, DefaultRetryAfter)
+	if c.Watched {
+		c.MaxRuns = 1
+	}
 	c.MaxTries = min(c.MaxTries, LimitTries)
 	return c
 }
--- a/internal/request/tries/event.go
+++ b/internal/request/tries/event.go
@@ -14,14 +14,12 @@
 const (
 	// EventStart begins the request with Candidates.
 	EventStart EventKind = iota + 1
-	// EventRanked replaces the candidates that have not been tried.
-	EventRanked
 	// EventOpened reports that the Submit of Stream was written.
 	EventOpened
 	// EventRefused reports a Refusal: Stream, Attempt, Reason, RetryAfter,
-	// Forward.
+	// Forward and, if known, Incarnation.
 	EventRefused
-	// EventHead reports a Head: Stream, Attempt, Offset, Status.
+	// EventHead reports a Head: Stream, Attempt, Status, Incarnation.
 	EventHead
 	// EventData reports Length bytes at Offset: Stream, Attempt.
 	EventData
--- a/internal/request/tries/machine.go
+++ b/internal/request/tries/machine.go
@@ -1,11 +1,9 @@
 package tries
 
 import (
-	"net/http"
 	"strconv"
 	"time"
 
-	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/version/ident"
 )
 
@@ -29,11 +27,16 @@
 	status      int
 	// silentAt is when an idempotent attempt has been silent for too long.
 	silentAt time.Time
-	live     bool
-	head     bool
-	joined   bool
+	// joinAt is when a waiting attempt is joined again.
+	joinAt  time.Time
+	live    bool
+	waiting bool
+	head    bool
+	joined  bool
 	// foreign marks the attempt of another router under the same ledger key.
 	foreign bool
+	// void marks an attempt that provably does not run.
+	void bool
 	// again marks an attempt whose target may be tried once more.
 	again bool
 }
@@ -52,7 +55,6 @@
 	named    int
 	winner   int
 	resumes  int
-	crashes  int
 	deadline time.Time
 	hedgeAt  time.Time
 
@@ -67,16 +69,14 @@
 	takeovers int
 	refusal   refusal
 
-	claimed    bool
-	doubt      bool
-	gone       bool
-	staleTwice bool
-}
-
-// refusal is what the caller is told if no target takes the request.
-type refusal struct {
-	status     int
-	retryAfter time.Duration
+	claimed bool
+	// releasing says that the request has no target left, and that a claim is
+	// looked into only for its answer.
+	releasing bool
+	doubt     bool
+	gone      bool
+	// stale says that a target was tried again with fresh news.
+	stale bool
 }
 
 const nobody = -1
@@ -107,12 +107,12 @@
 // ended by then.
 func (m *Machine) Wake() time.Time {
 	wake := m.deadline
-	if m.cfg.Once {
-		return wake
-	}
 	for i := range m.attempts {
 		a := &m.attempts[i]
-		if a.live && a.silentAt.Before(wake) {
+		if a.waiting && a.joinAt.Before(wake) {
+			wake = a.joinAt
+		}
+		if a.live && !m.cfg.Once && a.silentAt.Before(wake) {
 			wake = a.silentAt
 		}
 	}
@@ -141,9 +141,6 @@
 	switch e.Kind {
 	case EventStart:
 		m.start(now, e.Candidates)
-	case EventRanked:
-		m.remaining = e.Candidates
-		m.record.Candidates = append(m.record.Candidates, e.Candidates...)
 	case EventTimeout:
 		m.onTimeout(now)
 	case EventCallerGone:
@@ -208,6 +205,9 @@
 		m.forward = Candidate{}
 		return candidate, true
 	}
+	if m.cfg.Plan != nil {
+		return m.proposed()
+	}
 	for len(m.remaining) > 0 {
 		candidate := m.remaining[0]
 		m.remaining = m.remaining[1:]
@@ -264,6 +264,7 @@
 	m.streams++
 	a.stream = m.streams
 	a.live = true
+	a.waiting = false
 	a.head = false
 	a.silentAt = now.Add(m.cfg.AttemptTimeout)
 	m.actions = append(m.actions, Action{
@@ -291,7 +292,7 @@
 
 func (m *Machine) anyLive() bool {
 	for i := range m.attempts {
-		if m.attempts[i].live {
+		if m.attempts[i].live || m.attempts[i].waiting {
 			return true
 		}
 	}
@@ -301,6 +302,8 @@
 // close ends the router's interest in a stream.
 func (m *Machine) close(now time.Time, index int, result Result) {
 	m.attempts[index].live = false
+	m.attempts[index].waiting = false
+	m.attempts[index].void = result == ResultRefused || result == ResultUnsent || result == ResultBuried
 	m.record.Attempts[index].Result = result
 	m.record.Attempts[index].Ended = now
 }
@@ -320,84 +323,16 @@
 
 func (m *Machine) cancelOthers(now time.Time, keep int, stop bool) {
 	for i := range m.attempts {
-		if i != keep && m.attempts[i].live {
+		if i == keep {
+			continue
+		}
+		if m.attempts[i].waiting {
+			m.doubt = true
+			m.close(now, i, ResultBroken)
+		}
+		if m.attempts[i].live {
 			m.doubt = true
 			m.cancel(now, i, ResultCanceled, stop)
 		}
 	}
 }
-
-// exhausted ends a request for which no candidate is left.
-func (m *Machine) exhausted(now time.Time) {
-	if m.anyLive() {
-		return
-	}
-	if m.doubt {
-		m.finish(now, wire.Outcome_OUTCOME_UNKNOWN, http.StatusBadGateway, m.cfg.RetryAfter)
-		return
-	}
-	m.finishNotRun(now)
-}
-
-// finishNotRun ends a request that provably was not run. A claim in the ledger
-// is withdrawn first: only then is it certain that nobody else ran the request
-// under the same key in the meantime.
-func (m *Machine) finishNotRun(now time.Time) {
-	switch {
-	case m.doubt || (m.keyed() && !m.claimed):
-		m.finish(now, wire.Outcome_OUTCOME_UNKNOWN, m.refusalStatus(), m.refusalRetryAfter())
-	case m.keyed():
-		m.phase = phaseReleasing
-		m.actions = append(m.actions, Action{Kind: ActionReleaseLedger, Attempt: m.holder})
-	default:
-		m.finish(now, wire.Outcome_OUTCOME_NOT_RUN, m.refusalStatus(), m.refusalRetryAfter())
-	}
-}
-
-func (m *Machine) refusalStatus() int {
-	if m.refusal.status == 0 {
-		return http.StatusServiceUnavailable
-	}
-	return m.refusal.status
-}
-
-func (m *Machine) refusalRetryAfter() time.Duration {
-	if m.refusal.retryAfter == 0 && m.refusal.status == 0 {
-		return m.cfg.RetryAfter
-	}
-	return m.refusal.retryAfter
-}
-
-// finishUnknown ends a request of which it is not known whether it ran.
-func (m *Machine) finishUnknown(now time.Time, status int) {
-	retryAfter := m.cfg.RetryAfter
-	if m.cfg.Once && !m.keyed() {
-		retryAfter = 0
-	}
-	m.finish(now, wire.Outcome_OUTCOME_UNKNOWN, status, retryAfter)
-}
-
-func (m *Machine) finish(now time.Time, outcome wire.Outcome, status int, retryAfter time.Duration) {
-	m.cancelOthers(now, nobody, !m.cfg.Once)
-	m.phase = phaseDone
-	m.record.Outcome = outcome
-	m.record.Status = status
-	m.record.RetryAfter = m.jitter(retryAfter)
-	m.record.Truncated = m.record.Delivered > 0 && outcome != wire.Outcome_OUTCOME_RAN
-	m.record.Finished = now
-	m.actions = append(m.actions, Action{
-		Kind:       ActionFinish,
-		Outcome:    outcome,
-		Status:     status,
-		RetryAfter: m.record.RetryAfter,
-		Truncated:  m.record.Truncated,
-	})
-}
-
-// jitter spreads callers that come back over half as long again.
-func (m *Machine) jitter(d time.Duration) time.Duration {
-	if m.cfg.Random == nil || d <= 0 {
-		return d
-	}
-	return d + time.Duration(m.cfg.Random.Int64N(int64(d)/2+1))
-}
