Sync what a killed process left in the cache, refuse after a failed sync

A process that ends between a write and its sync leaves frames that the next start reads from the cache. They counted as durable there, were acknowledged on, and were gone after a later power loss.

For the same reason a folder whose sync has failed is barred by a file: the cache may show as clean what never reached the disk. Its member has to be replaced. A full disk bars nothing, since its torn frame is cut at the next start.

--- a/internal/process/group/disk_test.go
+++ b/internal/process/group/disk_test.go
@@ -72,6 +72,13 @@
 	d.crashAt = 0
 }
 
+// kill leaves what the end of the process alone leaves: all that was written,
+// as little synced as it was.
+func (d *disk) kill() {
+	d.dead = false
+	d.crashAt = 0
+}
+
 // tear keeps the synced bytes and a random part of the sectors written since.
 func (d *disk) tear(f *memFile) {
 	if slices.Equal(f.data, f.synced) {
--- a/internal/process/group/sim_test.go
+++ b/internal/process/group/sim_test.go
@@ -211,7 +211,11 @@
 func (m *simMember) crash() {
 	m.up = false
 	m.life++
-	m.disk.crash()
+	if m.sim.rng.IntN(4) == 0 {
+		m.disk.kill()
+	} else {
+		m.disk.crash()
+	}
 	m.sim.crashes++
 	m.sim.clients.lost(m)
 	life := m.life
--- a/internal/process/walog/recover.go
+++ b/internal/process/walog/recover.go
@@ -41,6 +41,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("list data folder: %w", err)
 	}
+	if slices.Contains(names, unsyncedName) {
+		return nil, &CorruptError{File: unsyncedName, Reason: "a sync failed, so that the cache may hold what the disk does not"}
+	}
 	state := &State{}
 	if state.ID, err = l.identity(names); err != nil {
 		return nil, err
@@ -63,6 +66,9 @@
 // openTail begins a new segment. Where no entry follows the snapshot, older
 // segments may end elsewhere, so the new one says where it goes on from.
 func (l *Log) openTail(state *State) error {
+	if err := l.syncLast(); err != nil {
+		return fmt.Errorf("sync last segment: %w", err)
+	}
 	mark, err := l.fs.Create(l.path(markName))
 	if err != nil {
 		return fmt.Errorf("open mark: %w", err)
@@ -78,6 +84,19 @@
 	return l.writeSynced(l.frame(nil, &raftpb.Record{BatchStart: true, Base: base}))
 }
 
+// syncLast makes durable what was read from the last segment: a process that
+// ended between a write and its sync leaves bytes that only the cache holds.
+func (l *Log) syncLast() error {
+	if len(l.segments) == 0 {
+		return nil
+	}
+	file, err := l.fs.Open(l.path(numbered(segmentPrefix, l.segments[len(l.segments)-1].number)))
+	if err != nil {
+		return err
+	}
+	return errors.Join(file.Sync(), file.Close())
+}
+
 // identity returns the folder's identity, and draws one for a folder that
 // holds nothing. A folder that holds a log but no identity is refused.
 func (l *Log) identity(names []string) (string, error) {
--- a/internal/process/walog/walog.go
+++ b/internal/process/walog/walog.go
@@ -22,6 +22,7 @@
 	lockName     = "lock"
 	identityName = "identity"
 	markName     = "mark"
+	unsyncedName = "sync-failed"
 	tempSuffix   = ".tmp"
 )
 
@@ -173,11 +174,24 @@
 	}
 	l.size += int64(len(buf))
 	if err := l.file.Sync(); err != nil {
+		l.refuseReopen()
 		return fmt.Errorf("sync log: %w", err)
 	}
 	return l.writeMark()
 }
 
+// refuseReopen leaves a file that bars the folder after a failed sync: the
+// next process would read from the cache what never reached the disk. It is
+// best effort, since the disk has just failed.
+func (l *Log) refuseReopen() {
+	file, err := l.fs.Create(l.path(unsyncedName))
+	if err != nil {
+		return
+	}
+	_ = file.Close()
+	_ = l.fs.SyncFolder(l.cfg.Folder)
+}
+
 // SaveSnapshot makes a snapshot of the machine durable and drops the
 // segments whose entries all stand before it.
 func (l *Log) SaveSnapshot(snapshot *raftpb.Snapshot) error {
