--- a/internal/process/group/group.go
+++ b/internal/process/group/group.go
@@ -54,6 +54,7 @@
 	nextRead  uint64
 	forming   *formation
 	newcomers map[MemberID]Member
+	partial   partial
 	stopped   bool
 	failure   error
 }
@@ -246,17 +247,20 @@
 
 func (g *Group) send(messages []*raftpb.Message) {
 	for _, m := range messages {
-		data, err := proto.Marshal(m)
-		if err != nil {
-			g.cfg.Assert("messages encode", err.Error())
-			continue
+		for _, part := range split(m) {
+			data, err := proto.Marshal(part)
+			if err != nil {
+				g.cfg.Assert("messages encode", err.Error())
+				continue
+			}
+			g.cfg.Transport.Send(MemberID(m.GetTo()), data)
 		}
-		g.cfg.Transport.Send(MemberID(m.GetTo()), data)
 	}
 }
 
-// Receive takes a message that a transport brought. Messages that are
-// malformed, of another format or for another identity are dropped.
+// Receive takes a message that a transport brought from a member, of which
+// only the VM counts. Messages that are malformed, of another format, from
+// another VM or for another identity are dropped.
 func (g *Group) Receive(from MemberID, message []byte) {
 	m := &raftpb.Message{}
 	if err := proto.Unmarshal(message, m); err != nil || m.GetFormat() != raftpb.Format {
@@ -267,8 +271,11 @@
 		return
 	}
 	_ = g.do(func(now time.Time) {
-		if !g.meet(now, m) {
-			g.node.Step(now, m)
+		if g.meet(now, m) {
+			return
+		}
+		if whole := g.partial.join(m); whole != nil {
+			g.node.Step(now, whole)
 		}
 	})
 }
--- a/internal/process/group/group_test.go
+++ b/internal/process/group/group_test.go
@@ -22,9 +22,10 @@
 
 // counter adds up the entries that it applies.
 type counter struct {
-	mu    sync.Mutex
-	sum   uint64
-	delay time.Duration
+	mu      sync.Mutex
+	sum     uint64
+	delay   time.Duration
+	ballast int // bytes added to the snapshot
 }
 
 func (c *counter) Apply(_ uint64, entry []byte) []byte {
@@ -40,7 +41,7 @@
 func (c *counter) Snapshot() ([]byte, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return binary.BigEndian.AppendUint64(nil, c.sum), nil
+	return append(binary.BigEndian.AppendUint64(nil, c.sum), make([]byte, c.ballast)...), nil
 }
 
 func (c *counter) Restore(snapshot []byte) error {
@@ -77,7 +78,12 @@
 	vm  ident.VMName
 }
 
+const maxMessage = 2 << 20
+
 func (p port) Send(to group.MemberID, message []byte) {
+	if len(message) > maxMessage {
+		return
+	}
 	time.AfterFunc(p.net.delay, func() {
 		p.net.mu.Lock()
 		target := p.net.nodes[to.VM()]
@@ -233,6 +239,33 @@
 	}
 }
 
+func TestLargeSnapshotReachesNewcomer(t *testing.T) {
+	net := newNetwork(t, time.Millisecond)
+	folder := t.TempDir()
+	cfg := group.Config{VM: "c1", Folder: folder + "/c1", Bootstrap: bootstrap(1), SnapshotEvery: 10}
+	cfg.Machine = &counter{ballast: 5 << 20}
+	leader := net.open(cfg)
+	defer leader.Close()
+	net.awaitLeader(time.Second)
+	ctx := withTimeout(t, 20*time.Second)
+	for range 35 {
+		_, err := leader.Propose(ctx, add(2))
+		assert.NilError(t, err)
+	}
+	machine := &counter{}
+	fresh := net.open(group.Config{VM: "c2", Folder: folder + "/c2", Machine: machine})
+	defer fresh.Close()
+	member := group.Member{ID: fresh.Status().ID, VM: "c2"}
+	assert.NilError(t, leader.AddLearner(ctx, member))
+	for leader.Promote(ctx, member) != nil {
+		assert.NilError(t, ctx.Err())
+		time.Sleep(10 * time.Millisecond)
+	}
+	_, err := fresh.Barrier(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, machine.value(), uint64(70))
+}
+
 func TestProposeOnFollowerNamesLeaderAndTransferMovesIt(t *testing.T) {
 	net := newNetwork(t, time.Millisecond)
 	nodes := net.openAll(t.TempDir(), 3)
