Test that wiped VMs form no second group

The rule that all bootstrap folders must be empty had no test of its own. With a quorum of empty folders instead, on a scratch copy, the founder and one more wiped VM formed a second group while the third VM was away; with the rule they wait, also once the third is back.

--- a/internal/process/group/group_test.go
+++ b/internal/process/group/group_test.go
@@ -239,6 +239,30 @@
 	}
 }
 
+// TestWipedMajorityFormsNoSecondGroup wipes the founder and one more VM: with
+// the third away, and also with it back, they must not start afresh.
+func TestWipedMajorityFormsNoSecondGroup(t *testing.T) {
+	net := newNetwork(t, time.Millisecond)
+	folder := t.TempDir()
+	net.openAll(folder, 3)
+	_, err := net.awaitLeader(5*time.Second).Propose(withTimeout(t, 5*time.Second), add(5))
+	assert.NilError(t, err)
+	for _, member := range bootstrap(3) {
+		net.lose(member.VM)
+	}
+	reopen := func(vm ident.VMName, name string) {
+		g := net.open(group.Config{VM: vm, Folder: filepath.Join(folder, name), Bootstrap: bootstrap(3), Machine: &counter{}})
+		t.Cleanup(func() { g.Close() })
+	}
+	reopen("c1", "wiped1")
+	reopen("c2", "wiped2")
+	time.Sleep(4 * group.DefaultElectionTimeout)
+	assert.Assert(t, net.leader() == nil)
+	reopen("c3", "c3")
+	time.Sleep(4 * group.DefaultElectionTimeout)
+	assert.Assert(t, net.leader() == nil)
+}
+
 func TestLargeSnapshotReachesNewcomer(t *testing.T) {
 	net := newNetwork(t, time.Millisecond)
 	folder := t.TempDir()
