Hedge at another target and count a crash once

The two attempts of one request also made a crash look as if it had been in company, which delays the quarantine; the tracker now counts fingerprints, not attempts.

--- a/internal/request/poison/poison_test.go
+++ b/internal/request/poison/poison_test.go
@@ -35,6 +35,7 @@
 		"one target twice":              {[]poison.CrashReport{crash("a", 1, deadly), crash("a", 2, deadly)}, poison.VerdictWatched},
 		"one crash told twice":          {[]poison.CrashReport{crash("a", 1, deadly), crash("a", 1, deadly)}, poison.VerdictWatched},
 		"two targets, alone":            {[]poison.CrashReport{crash("a", 1, deadly), crash("b", 1, deadly)}, poison.VerdictQuarantined},
+		"two targets, twice each":       {[]poison.CrashReport{crash("a", 1, deadly, deadly), crash("b", 1, deadly, deadly)}, poison.VerdictQuarantined},
 		"two targets, in company":       {[]poison.CrashReport{crash("a", 1, deadly, bystander), crash("b", 1, deadly, 9)}, poison.VerdictSuspect},
 		"two targets, one told in part": {[]poison.CrashReport{crash("a", 1, deadly), router}, poison.VerdictSuspect},
 		"suspect, then alone": {
--- a/internal/request/poison/tracker.go
+++ b/internal/request/poison/tracker.go
@@ -68,15 +68,16 @@
 // of the fingerprints.
 func (t *Tracker) Crash(now time.Time, report CrashReport) []Change {
 	t.Expire(now)
+	inFlight := sorted(report.InFlight)
 	site := Site{
 		Target:      report.Target,
 		Incarnation: report.Incarnation,
 		Number:      report.Number,
-		Alone:       len(report.InFlight) == 1 && !report.Partial,
+		Alone:       len(inFlight) == 1 && !report.Partial,
 		At:          now,
 	}
 	var changes []Change
-	for _, fingerprint := range sorted(report.InFlight) {
+	for _, fingerprint := range inFlight {
 		entry := t.entry(fingerprint)
 		before := entry.Verdict()
 		if site.At.After(entry.Cleared) {
--- a/internal/request/tries/timer.go
+++ b/internal/request/tries/timer.go
@@ -56,6 +56,9 @@
 func (m *Machine) hedge(now time.Time) {
 	m.hedgeAt = m.deadline
 	candidate, ok := m.pick()
+	for ok && candidate.Target == m.attempts[0].target {
+		candidate, ok = m.pick()
+	}
 	if !ok || !m.spend(now) {
 		return
 	}
