--- a/internal/conn/httpd/httpd_test.go
+++ b/internal/conn/httpd/httpd_test.go
@@ -37,6 +37,17 @@
 	return resp.StatusCode
 }
 
+// until waits for a status, or for broken connections if that is 0.
+func until(t *testing.T, url string, want int) {
+	for range 5000 {
+		if status(url) == want {
+			return
+		}
+		_ = clock.System{}.Sleep(context.Background(), time.Millisecond)
+	}
+	t.Fatalf("%s never answered %d", url, want)
+}
+
 func TestShutdownCutsNothing(t *testing.T) {
 	for _, bound := range []time.Duration{0, time.Hour, 20 * time.Millisecond} {
 		started, finish := make(chan struct{}), make(chan struct{})
@@ -68,13 +79,9 @@
 		<-started
 		assert.Equal(t, status(url+"/readyz"), http.StatusOK)
 		stop()
-		for status(url+"/readyz") != http.StatusServiceUnavailable {
-			_ = clock.System{}.Sleep(context.Background(), time.Millisecond)
-		}
+		until(t, url+"/readyz", http.StatusServiceUnavailable)
 		assert.Equal(t, status(url+"/quick"), http.StatusOK)
-		for status(url+"/healthz") != 0 {
-			_ = clock.System{}.Sleep(context.Background(), time.Millisecond)
-		}
+		until(t, url+"/healthz", 0)
 		if bound == 20*time.Millisecond {
 			assert.Equal(t, <-got, "cut")
 			assert.Assert(t, <-done != nil)
--- a/internal/process/engine/engine_test.go
+++ b/internal/process/engine/engine_test.go
@@ -4,10 +4,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -211,3 +214,50 @@
 		assert.Equal(t, len(models.Data) == 2, check)
 	}
 }
+
+func BenchmarkStreamedChat(b *testing.B) {
+	e := engine.New(engine.Config{})
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go func() { _ = e.Run(ctx) }()
+	server := httptest.NewServer(e)
+	defer server.Close()
+	req := ask("hello", 32)
+	req.Stream = true
+	data, err := json.Marshal(req)
+	assert.NilError(b, err)
+	b.ReportAllocs()
+	for b.Loop() {
+		resp, err := http.Post(server.URL+chatPath, "", bytes.NewReader(data))
+		assert.NilError(b, err)
+		_, _ = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+	}
+}
+
+func TestServeRefusesConnectionsWhileDown(t *testing.T) {
+	e := engine.New(engine.Config{CrashTime: 100 * time.Millisecond})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- e.Serve(ctx, listener) }()
+	dial := func() error {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		if err == nil {
+			conn.Close()
+		}
+		return err
+	}
+	assert.NilError(t, dial())
+	e.Crash()
+	for dial() == nil {
+		pause(time.Millisecond)
+	}
+	assert.Assert(t, errors.Is(dial(), syscall.ECONNREFUSED))
+	for dial() != nil {
+		pause(time.Millisecond)
+	}
+	stop()
+	assert.NilError(t, <-done)
+}
