--- /dev/null
+++ b/internal/process/cmds/control.go
@@ -0,0 +1,171 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"path/filepath"
+	"strings"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"cactusline.dev/cactusline/internal/process/admin"
+	"cactusline.dev/cactusline/internal/process/audit"
+	"cactusline.dev/cactusline/internal/process/clock"
+	"cactusline.dev/cactusline/internal/process/ctrl"
+	"cactusline.dev/cactusline/internal/process/group"
+	"cactusline.dev/cactusline/internal/process/trace"
+	"cactusline.dev/cactusline/internal/version/ident"
+	"cactusline.dev/cactusline/internal/version/store"
+)
+
+// ControlCommand runs a control process.
+type ControlCommand struct {
+	VM     ident.VMName `name:"vm" help:"This VM's name, as in --peer." required:""`
+	Listen string       `help:"Address for the other processes." default:"127.0.0.1:7000"`
+	Admin  string       `help:"Address for operators." default:"127.0.0.1:8081"`
+	Data   string       `help:"Data folder." required:""`
+	Peer   []string     `help:"All control processes, this one too, as NAME=HOST:PORT. Empty for a fleet with one."`
+}
+
+// Run implements the command.
+func (c *ControlCommand) Run(s *scope) error {
+	logger, err := newLogger(s, "control", string(c.VM))
+	if err != nil {
+		return err
+	}
+	internal, err := listen("listen", c.Listen)
+	if err != nil {
+		return err
+	}
+	operators, err := listen("admin", c.Admin)
+	if err != nil {
+		return err
+	}
+	tracer, err := s.tracer(string(c.VM), "control")
+	if err != nil {
+		return err
+	}
+	defer closeTracer(tracer)
+	return c.serve(s.ctx, logger, tracer, internal, operators)
+}
+
+// serve runs the control process on its listeners until ctx ends.
+func (c *ControlCommand) serve(ctx context.Context, logger log.Logger, tracer *trace.Tracer, internal, operators net.Listener) error {
+	members, err := parsePeers(c.Peer)
+	if err != nil {
+		return usage(err)
+	}
+	if len(members) == 0 {
+		members = []group.Member{{VM: c.VM, Address: internal.Addr().String()}}
+	}
+	links, remotes := newLinks(string(c.VM), addressesOf(members))
+	defer func() { _ = links.Close() }()
+	peers := ctrl.NewPeers(ctrl.PeersConfig{Self: c.VM, Members: members, Link: links, Clock: clock.System{}})
+	disk, err := c.openDisk(logger, members, peers)
+	if err != nil {
+		return fmt.Errorf("open %s: %w", c.Data, err)
+	}
+	control := ctrl.New(ctrl.Config{
+		VM:       c.VM,
+		Listener: internal,
+		Clock:    clock.System{},
+		Logger:   logger,
+		Tracer:   tracer,
+		Log:      disk.replicas,
+		Store:    disk.state,
+		Remote:   remotes,
+		Link:     links,
+		Group:    disk.replicas,
+		Receive:  disk.replicas.Receive,
+	})
+	// Leadership is handed over before anything is closed.
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	stop := context.AfterFunc(ctx, func() {
+		disk.close(logger)
+		end()
+	})
+	defer stop()
+	go peers.Run(life)
+	go learnPeers(life, peers, disk.replicas)
+	go exportAudit(life, logger, disk.state)
+	_ = level.Info(logger).Log("msg", "administration serves", "address", operators.Addr())
+	server := &http.Server{Handler: newAPI(control, disk).Handler(), ReadHeaderTimeout: standInHeaderTimeout}
+	go func() { _ = server.Serve(operators) }()
+	err = control.Run(life)
+	_ = server.Close()
+	return err
+}
+
+// controlDisk is what a control process keeps on disk.
+type controlDisk struct {
+	state    *store.Store
+	replicas *group.Group
+	folder   *audit.Folder
+}
+
+// openDisk opens the data folder.
+func (c *ControlCommand) openDisk(logger log.Logger, members []group.Member, peers *ctrl.Peers) (*controlDisk, error) {
+	folder, err := audit.OpenFolder(filepath.Join(c.Data, auditFolder))
+	if err != nil {
+		return nil, err
+	}
+	state := store.New(store.Config{Sink: folder, Exported: folder.Head().Index})
+	replicas, err := group.Open(group.Config{
+		VM:        c.VM,
+		Folder:    c.Data,
+		Bootstrap: members,
+		Machine:   state,
+		Transport: peers,
+		Clock:     clock.System{},
+		Logger:    logger,
+	})
+	if err != nil {
+		return nil, errors.Join(err, folder.Close())
+	}
+	return &controlDisk{state: state, replicas: replicas, folder: folder}, nil
+}
+
+// close hands leadership over, exports what is left and closes the files.
+func (d *controlDisk) close(logger log.Logger) {
+	err := errors.Join(d.replicas.Close(), d.state.Export(), d.folder.Close())
+	if err != nil {
+		_ = level.Warn(logger).Log("msg", "close data folder", "err", err)
+	}
+}
+
+func newAPI(control *ctrl.Control, disk *controlDisk) *admin.API {
+	return admin.New(admin.Config{
+		Control:   control,
+		Group:     disk.replicas,
+		State:     disk.state,
+		Folder:    disk.folder,
+		Clock:     clock.System{},
+		NewChange: newChange,
+	})
+}
+
+func addressesOf(members []group.Member) []string {
+	addresses := make([]string, 0, len(members))
+	for _, member := range members {
+		addresses = append(addresses, member.Address)
+	}
+	return addresses
+}
+
+// parsePeers reads NAME=HOST:PORT pairs.
+func parsePeers(pairs []string) ([]group.Member, error) {
+	members := make([]group.Member, 0, len(pairs))
+	for _, pair := range pairs {
+		name, address, ok := strings.Cut(pair, "=")
+		if !ok || name == "" || address == "" {
+			return nil, fmt.Errorf("--peer %q is not NAME=HOST:PORT", pair)
+		}
+		members = append(members, group.Member{VM: ident.VMName(name), Address: address})
+	}
+	return members, nil
+}
--- /dev/null
+++ b/internal/process/cmds/router.go
@@ -0,0 +1,88 @@
+package cmds
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"cactusline.dev/cactusline/internal/conn/watch"
+	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/process/clock"
+	"cactusline.dev/cactusline/internal/process/router"
+	"cactusline.dev/cactusline/internal/process/trace"
+	"cactusline.dev/cactusline/internal/version/ident"
+	"cactusline.dev/cactusline/internal/version/record"
+)
+
+// RouterCommand runs a router.
+type RouterCommand struct {
+	Name      string           `help:"This router's name, unique in the fleet." required:""`
+	Domain    ident.DomainName `help:"This router's failure domain."`
+	Listen    string           `help:"Address for callers." default:"127.0.0.1:8080"`
+	Control   []string         `help:"Addresses of the control processes." required:""`
+	BodyLimit ident.Bytes      `help:"Longest request body in bytes." default:"8388608"`
+
+	DrainDelay   time.Duration `help:"How long a stopping router takes callers while the balancer learns of it." default:"3s"`
+	DrainTimeout time.Duration `help:"How long a stopping router waits for requests in flight; 0 for no bound."`
+}
+
+// Run implements the command.
+func (c *RouterCommand) Run(s *scope) error {
+	logger, err := newLogger(s, "router", c.Name)
+	if err != nil {
+		return err
+	}
+	listener, err := listen("listen", c.Listen)
+	if err != nil {
+		return err
+	}
+	tracer, err := s.tracer(c.Name, "router")
+	if err != nil {
+		return err
+	}
+	defer closeTracer(tracer)
+	return c.serve(s.ctx, logger, tracer, listener)
+}
+
+// serve runs the router on a listener until ctx ends.
+func (c *RouterCommand) serve(ctx context.Context, logger log.Logger, tracer *trace.Tracer, listener net.Listener) error {
+	links, control := newLinks(c.Name, c.Control)
+	defer func() { _ = links.Close() }()
+	var r *router.Router
+	follower := watch.NewFollower(watch.Config{
+		Addresses: c.Control,
+		Link:      links,
+		Clock:     clock.System{},
+		Logger:    logger,
+		Process:   c.Name,
+		Role:      "router",
+		OnUpdate:  func(update *wire.Update, set *record.Set) { r.Update(update, set) },
+	})
+	decisions := newDecisions(c.Name, logger, control)
+	r = router.New(router.Config{
+		Process:   startName(c.Name),
+		Domain:    c.Domain,
+		Listener:  listener,
+		Clock:     clock.System{},
+		Logger:    logger,
+		Tracer:    tracer,
+		Link:      links,
+		Control:   control,
+		Follower:  follower,
+		Seed:      rand.Uint64(),
+		BodyLimit: c.BodyLimit,
+		Decided:   decisions.Decided,
+
+		DrainDelay:   c.DrainDelay,
+		DrainTimeout: c.DrainTimeout,
+	})
+	// The records are followed until the last request has ended.
+	following, stopFollowing := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopFollowing()
+	go decisions.Run(following)
+	go follower.Run(following)
+	return r.Run(ctx)
+}
