Let the stand-in engine command refuse connections after a crash

The command served the engine's handler on a listener that stayed open through a crash, so a sidecar never met a refused connection. It now calls the engine's Serve.

--- a/internal/process/cmds/stand.go
+++ b/internal/process/cmds/stand.go
@@ -55,7 +55,7 @@
 func serveEngine(ctx context.Context, listener net.Listener, cfg engine.Config) error {
 	e := engine.New(cfg)
 	go func() { _ = e.Run(ctx) }()
-	return serveHTTP(ctx, listener, e)
+	return e.Serve(ctx, listener)
 }
 
 // ServiceCommand runs a stand-in plain service.
