Tell a transfer of leadership done, whoever leads after it

In a trial with five control processes, "member transfer d" answered that d is no member although d led by then: the entry that notes the end of the change was proposed to the log of the process that no longer led, so the change was asked again of d, which can't transfer to itself. The note now goes to the leader, and a transfer to the process that leads is done. Noting the end before the transfer was ruled out, since the audit log would tell of what may not come about.

--- a/internal/process/ctrl/member.go
+++ b/internal/process/ctrl/member.go
@@ -180,7 +180,6 @@
 // note records a change of members in the audit log.
 func (c *Control) note(ctx context.Context, change MemberChange, stage string) error {
 	entry, err := store.Encode(&cmdpb.Command{
-		Time:  c.cfg.Clock.Now().UnixNano(),
 		Actor: change.Actor,
 		Body: &cmdpb.Command_Note{Note: &cmdpb.Note{
 			Kind:    "Members",
@@ -191,7 +190,8 @@
 	if err != nil {
 		return fmt.Errorf("encode note: %w", err)
 	}
-	if _, err := c.cfg.Log.Propose(ctx, entry); err != nil {
+	// The change may have moved leadership elsewhere.
+	if _, err := c.Command(ctx, entry); err != nil {
 		return fmt.Errorf("record in the audit log: %w", err)
 	}
 	return nil
@@ -219,7 +219,7 @@
 	case MemberReplace:
 		err = c.replaceMember(ctx, old, fresh)
 	case MemberTransfer:
-		err = c.cfg.Group.Transfer(ctx, fresh.ID)
+		err = c.transfer(ctx, fresh.ID)
 	default:
 		return &MemberRefusedError{Message: fmt.Sprintf("members can't %q: add, remove, replace and transfer are known", change.Verb)}
 	}
@@ -236,6 +236,13 @@
 	return c.cfg.Group.Replace(ctx, old.ID, fresh)
 }
 
+func (c *Control) transfer(ctx context.Context, to group.MemberID) error {
+	if c.cfg.Group.Status().ID == to {
+		return nil
+	}
+	return c.cfg.Group.Transfer(ctx, to)
+}
+
 // addMember adds a learner and makes it a voter once it has caught up.
 func (c *Control) addMember(ctx context.Context, fresh group.Member) error {
 	if err := c.insist(ctx, c.cfg.Group.AddLearner, fresh); err != nil {
