Check all settings at once, and let operators in by token over TLS

Settings stopped at the first fault, and anyone who reached the address for operators could change everything. The command line now goes by package flags, and control takes a file of tokens of operators and the monitor and a certificate for operators, both read again as they change. An address that is open to the network without tokens is refused at the start. The verbs token and keys make what is needed. Exit codes follow those of package flags; a token that is refused has its own, 7.

--- a/internal/process/admin/admin.go
+++ b/internal/process/admin/admin.go
@@ -20,7 +20,8 @@
 	// HeaderChange carries the id of a change, under which it may be resent.
 	HeaderChange = "Cactusline-Change"
 
-	bodyLimit      ident.Bytes = 16 << 20
+	// BodyLimit bounds the body of a request.
+	BodyLimit      ident.Bytes = 16 << 20
 	commandTimeout             = 10 * time.Second
 	// maxWait bounds how long a change waits to be in force.
 	maxWait = 10 * time.Minute
@@ -28,11 +29,6 @@
 	freshTimeout = 2 * time.Second
 )
 
-// Clock is what the package needs of a clock.
-type Clock interface {
-	Now() time.Time
-}
-
 // Control is what the API needs of the control process.
 type Control interface {
 	// Command proposes an encoded command and returns its encoded result. A
@@ -85,7 +81,6 @@
 	Group   Group
 	State   State
 	Folder  Folder
-	Clock   Clock
 	// Tokens tells whose bearer token a request carries; nil lets everyone in
 	// as an operator.
 	Tokens Tokens
--- a/internal/process/admin/member.go
+++ b/internal/process/admin/member.go
@@ -15,7 +15,7 @@
 // changeMembers changes the control processes.
 func (a *API) changeMembers(w http.ResponseWriter, req *http.Request, actor Actor) *Error {
 	var change ctrl.MemberChange
-	decoder := json.NewDecoder(http.MaxBytesReader(w, req.Body, int64(bodyLimit)))
+	decoder := json.NewDecoder(http.MaxBytesReader(w, req.Body, int64(BodyLimit)))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&change); err != nil {
 		return problem(http.StatusBadRequest, CodeInvalid, "body: "+err.Error()+"; nothing was changed")
--- a/internal/process/admin/records.go
+++ b/internal/process/admin/records.go
@@ -19,7 +19,7 @@
 
 // apply commits a file of records, all or none.
 func (a *API) apply(w http.ResponseWriter, req *http.Request, actor Actor) *Error {
-	records, err := record.ReadFile("", http.MaxBytesReader(w, req.Body, int64(bodyLimit)))
+	records, err := record.ReadFile("", http.MaxBytesReader(w, req.Body, int64(BodyLimit)))
 	if err != nil {
 		return unreadable(err)
 	}
@@ -35,7 +35,7 @@
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return problem(http.StatusRequestEntityTooLarge, CodeTooLarge,
-			fmt.Sprintf("the body is larger than %d bytes; nothing was changed", bodyLimit))
+			fmt.Sprintf("the body is larger than %d bytes; nothing was changed", BodyLimit))
 	}
 	var faults *record.Faults
 	if errors.As(err, &faults) {
--- a/internal/process/admin/rig_test.go
+++ b/internal/process/admin/rig_test.go
@@ -55,7 +55,7 @@
 		Log: replicas, Store: state, Link: links, Group: replicas,
 	})}
 	api := admin.New(admin.Config{
-		Control: r.control, Group: replicas, State: state, Folder: folder, Clock: clock.System{}, Tokens: tokens,
+		Control: r.control, Group: replicas, State: state, Folder: folder, Tokens: tokens,
 		NewChange: func() ident.ChangeID { return ident.ChangeID(fmt.Sprintf("drawn-%d", r.changes.Add(1))) },
 	})
 	server := httptest.NewServer(api.Handler())
--- a/internal/process/cmds/answer.go
+++ b/internal/process/cmds/answer.go
@@ -43,9 +43,9 @@
 	admin.CodeNotFound:       ExitNotFound,
 	admin.CodeConflict:       ExitConflict,
 	admin.CodeChangeReused:   ExitConflict,
-	admin.CodeUnauthorized:   ExitRefused,
-	admin.CodeForbidden:      ExitRefused,
-	admin.CodeRefused:        ExitRefused,
+	admin.CodeUnauthorized:   ExitDenied,
+	admin.CodeForbidden:      ExitDenied,
+	admin.CodeRefused:        ExitDenied,
 }
 
 // explained words an error answer with all that it tells.
--- a/internal/process/cmds/client.go
+++ b/internal/process/cmds/client.go
@@ -3,10 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"os"
@@ -15,6 +18,7 @@
 
 	"cactusline.dev/cactusline/internal/process/admin"
 	"cactusline.dev/cactusline/internal/process/clock"
+	"cactusline.dev/cactusline/internal/process/flags"
 	"cactusline.dev/cactusline/internal/version/ident"
 )
 
@@ -28,10 +32,11 @@
 // Client reaches the administration API. It is embedded in the operators'
 // verbs.
 type Client struct {
-	Admin     []string      `help:"URLs of the administration API; the next one is tried when one gives no answer." default:"http://127.0.0.1:8081"`
-	TokenFile string        `help:"File with the bearer token." type:"path"`
+	Admin     []string      `help:"URLs of the administration API; the next one is tried when one gives no answer." default:"http://127.0.0.1:8081" env:"CACTUSLINE_ADMIN_URL"`
+	TokenFile flags.File    `help:"File with the bearer token."`
+	CAFile    flags.File    `name:"ca-file" help:"File with the authority that signs the API's certificate; the system's if empty."`
 	Output    string        `help:"Form of the answer." enum:"table,json" default:"table"`
-	Patience  time.Duration `help:"How long to go on while control can't be reached or has no quorum." default:"10s"`
+	Patience  time.Duration `help:"How long to go on while control can't be reached or has no quorum." default:"10s" min:"0s"`
 }
 
 // request is one call of the API.
@@ -67,6 +72,10 @@
 	if err != nil {
 		return nil, err
 	}
+	client, err := c.http()
+	if err != nil {
+		return nil, err
+	}
 	if len(c.Admin) == 0 {
 		return nil, usage(errors.New("--admin names no URL"))
 	}
@@ -74,7 +83,7 @@
 	defer cancel()
 	unknown := false
 	for turn := 0; ; turn++ {
-		data, err := c.once(s.ctx, c.Admin[turn%len(c.Admin)], token, r)
+		data, err := c.once(s.ctx, client, c.Admin[turn%len(c.Admin)], token, r)
 		if err == nil {
 			return data, nil
 		}
@@ -96,7 +105,7 @@
 		return &codedError{code: ExitUnknown, err: fmt.Errorf(
 			"it is not known whether the change was made; send it again with --change %s: %w", r.change, err)}
 	}
-	return &codedError{code: ExitUnavailable, err: fmt.Errorf("no answer; nothing was changed: %w", err)}
+	return &codedError{code: ExitRefused, err: fmt.Errorf("no answer; nothing was changed: %w", err)}
 }
 
 // lostError says that a call was sent and its answer lost.
@@ -111,7 +120,7 @@
 func (e *lostError) Unwrap() error { return e.err }
 
 // once makes a call at one URL.
-func (c *Client) once(ctx context.Context, base, token string, r request) ([]byte, error) {
+func (c *Client) once(ctx context.Context, client *http.Client, base, token string, r request) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout+r.within)
 	defer cancel()
 	target := strings.TrimSuffix(base, "/") + r.path
@@ -128,7 +137,7 @@
 	if token != "" {
 		req.Header.Set("Authorization", "Bearer "+token)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil && refusedDial(err) {
 		return nil, fmt.Errorf("ask %s: %w", base, err)
 	}
@@ -146,12 +155,30 @@
 	return data, nil
 }
 
+// http returns a client that trusts the configured authority.
+func (c *Client) http() (*http.Client, error) {
+	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}
+	if c.CAFile == "" {
+		return &http.Client{Transport: transport}, nil
+	}
+	text, err := os.ReadFile(string(c.CAFile))
+	if err != nil {
+		return nil, usage(fmt.Errorf("--ca-file: %w", err))
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(text) {
+		return nil, usage(fmt.Errorf("--ca-file: %s holds no certificate", c.CAFile))
+	}
+	transport.TLSClientConfig = &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: roots}
+	return &http.Client{Transport: transport}, nil
+}
+
 // token reads the bearer token, empty if no file is named.
 func (c *Client) token() (string, error) {
 	if c.TokenFile == "" {
 		return "", nil
 	}
-	data, err := os.ReadFile(c.TokenFile)
+	data, err := os.ReadFile(string(c.TokenFile))
 	if err != nil {
 		return "", usage(fmt.Errorf("--token-file: %w", err))
 	}
--- a/internal/process/cmds/cmds.go
+++ b/internal/process/cmds/cmds.go
@@ -4,31 +4,32 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 
 	"github.com/alecthomas/kong"
+
+	"cactusline.dev/cactusline/internal/process/flags"
 )
 
-// Exit codes.
+// Exit codes, those of package flags among them.
 const (
-	ExitOK     = 0
-	ExitFailed = 1
+	ExitOK     = flags.ExitOK
+	ExitFailed = flags.ExitFailed
 	// ExitUsage: flags, settings or records are at fault; nothing was changed.
-	ExitUsage    = 2
-	ExitNotFound = 3
+	ExitUsage    = flags.ExitUsage
+	ExitNotFound = flags.ExitNotFound
 	// ExitConflict: a record moved on, or a change id was used before; nothing
 	// was changed.
-	ExitConflict = 4
-	// ExitRefused: a token is missing or allows too little, or the members of
-	// control can't be changed so.
-	ExitRefused = 5
+	ExitConflict = flags.ExitConflict
+	// ExitRefused: control was not reached or has no quorum; nothing was
+	// changed, and the change may be sent again.
+	ExitRefused = flags.ExitRefused
 	// ExitUnknown: the change may have been made; a resend tells.
-	ExitUnknown = 6
-	// ExitUnavailable: control was not reached or has no quorum; nothing was
-	// changed.
-	ExitUnavailable = 7
+	ExitUnknown = flags.ExitUnknown
+	// ExitDenied: the token is not known or allows too little, or the members
+	// of control can't be changed so.
+	ExitDenied = 7
 	// ExitPending: the change was accepted but was not in force everywhere in
 	// time.
 	ExitPending = 8
@@ -58,6 +59,9 @@
 	Audit   AuditCommand   `cmd:"" help:"Export the audit log, or verify an export offline."`
 	Member  MemberCommand  `cmd:"" help:"Change the control processes."`
 
+	Token TokenCommand `cmd:"" help:"Draw a bearer token of the administration API."`
+	Keys  KeysCommand  `cmd:"" help:"Make certificates for the fleet."`
+
 	Engine  EngineCommand  `cmd:"" help:"Run a stand-in model engine, for trials."`
 	Service ServiceCommand `cmd:"" help:"Run a stand-in plain service, for trials."`
 	Version VersionCommand `cmd:"" help:"Print the program's version."`
@@ -75,25 +79,16 @@
 func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	cli := new(commands)
 	exited := -1
-	parser, err := kong.New(cli,
-		kong.Name("cactusline"),
+	parsed, err := flags.Parse(cli, args,
 		kong.Description("A router fleet for returning chats."),
-		kong.DefaultEnvars("CACTUSLINE"),
 		kong.Writers(stdout, stderr),
 		kong.Exit(func(code int) { exited = code }),
-		kong.UsageOnError(),
 	)
-	if err != nil {
-		_, _ = fmt.Fprintln(stderr, "cactusline:", err)
-		return ExitFailed
-	}
-	parsed, err := parser.Parse(args)
 	if exited >= 0 {
 		return exited
 	}
 	if err != nil {
-		_, _ = fmt.Fprintln(stderr, "cactusline:", err)
-		return ExitUsage
+		return exitCode(err, stderr)
 	}
 	err = parsed.Run(&scope{ctx: ctx, stdout: stdout, stderr: stderr, cli: cli})
 	return exitCode(err, stderr)
@@ -111,14 +106,12 @@
 // Unwrap returns the cause.
 func (e *codedError) Unwrap() error { return e.err }
 
+// ExitCode returns the code.
+func (e *codedError) ExitCode() int { return e.code }
+
 func exitCode(err error, stderr io.Writer) int {
-	if err == nil {
-		return ExitOK
-	}
-	_, _ = fmt.Fprintln(stderr, "cactusline:", err)
-	var coded *codedError
-	if errors.As(err, &coded) {
-		return coded.code
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, "cactusline:", err)
 	}
-	return ExitFailed
+	return flags.ExitCode(err)
 }
--- a/internal/process/cmds/control.go
+++ b/internal/process/cmds/control.go
@@ -5,17 +5,15 @@
 	"errors"
 	"fmt"
 	"net"
-	"net/http"
 	"path/filepath"
-	"strings"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"cactusline.dev/cactusline/internal/process/admin"
 	"cactusline.dev/cactusline/internal/process/audit"
 	"cactusline.dev/cactusline/internal/process/clock"
 	"cactusline.dev/cactusline/internal/process/ctrl"
+	"cactusline.dev/cactusline/internal/process/flags"
 	"cactusline.dev/cactusline/internal/process/group"
 	"cactusline.dev/cactusline/internal/process/trace"
 	"cactusline.dev/cactusline/internal/version/ident"
@@ -24,24 +22,31 @@
 
 // ControlCommand runs a control process.
 type ControlCommand struct {
-	VM     ident.VMName `name:"vm" help:"This VM's name, as in --peer." required:""`
-	Listen string       `help:"Address for the other processes." default:"127.0.0.1:7000"`
-	Admin  string       `help:"Address for operators." default:"127.0.0.1:8081"`
-	Data   string       `help:"Data folder." required:""`
-	Peer   []string     `help:"All control processes, this one too, as NAME=HOST:PORT. Empty for a fleet with one."`
+	VM     ident.VMName     `name:"vm" help:"This VM's name, as in --peer." required:""`
+	Listen flags.Address    `help:"Address for the other processes." default:"127.0.0.1:7000"`
+	Admin  flags.Address    `help:"Address for operators." default:"127.0.0.1:8081"`
+	Data   string           `help:"Data folder." required:""`
+	Peer   []flags.Endpoint `help:"All control processes, this one too, as NAME=IP:PORT. Empty for a fleet with one."`
+
+	Tokens    flags.File `help:"File with the tokens of operators and the monitor; needed unless --admin is a loopback address."`
+	AdminCert flags.File `help:"File with the certificate for operators."`
+	AdminKey  flags.File `help:"File with the key of that certificate."`
 }
 
 // Run implements the command.
 func (c *ControlCommand) Run(s *scope) error {
+	if err := c.check(); err != nil {
+		return usage(err)
+	}
 	logger, err := newLogger(s, "control", string(c.VM))
 	if err != nil {
 		return err
 	}
-	internal, err := listen("listen", c.Listen)
+	internal, err := listen("listen", string(c.Listen))
 	if err != nil {
 		return err
 	}
-	operators, err := listen("admin", c.Admin)
+	operators, err := listen("admin", string(c.Admin))
 	if err != nil {
 		return err
 	}
@@ -55,10 +60,7 @@
 
 // serve runs the control process on its listeners until ctx ends.
 func (c *ControlCommand) serve(ctx context.Context, logger log.Logger, tracer *trace.Tracer, internal, operators net.Listener) error {
-	members, err := parsePeers(c.Peer)
-	if err != nil {
-		return usage(err)
-	}
+	members := membersOf(c.Peer)
 	if len(members) == 0 {
 		members = []group.Member{{VM: c.VM, Address: internal.Addr().String()}}
 	}
@@ -93,12 +95,14 @@
 	go peers.Run(life)
 	go learnPeers(life, peers, disk.replicas)
 	go exportAudit(life, logger, disk.state)
+	server, err := c.adminServer(logger, control, disk)
+	if err != nil {
+		disk.close(logger)
+		return errors.Join(err, internal.Close(), operators.Close())
+	}
 	_ = level.Info(logger).Log("msg", "administration serves", "address", operators.Addr())
-	server := &http.Server{Handler: newAPI(control, disk).Handler(), ReadHeaderTimeout: standInHeaderTimeout}
-	go func() { _ = server.Serve(operators) }()
-	err = control.Run(life)
-	_ = server.Close()
-	return err
+	go func() { _ = server.Serve(life, operators) }()
+	return control.Run(life)
 }
 
 // controlDisk is what a control process keeps on disk.
@@ -138,17 +142,6 @@
 	}
 }
 
-func newAPI(control *ctrl.Control, disk *controlDisk) *admin.API {
-	return admin.New(admin.Config{
-		Control:   control,
-		Group:     disk.replicas,
-		State:     disk.state,
-		Folder:    disk.folder,
-		Clock:     clock.System{},
-		NewChange: newChange,
-	})
-}
-
 func addressesOf(members []group.Member) []string {
 	addresses := make([]string, 0, len(members))
 	for _, member := range members {
@@ -157,15 +150,10 @@
 	return addresses
 }
 
-// parsePeers reads NAME=HOST:PORT pairs.
-func parsePeers(pairs []string) ([]group.Member, error) {
-	members := make([]group.Member, 0, len(pairs))
-	for _, pair := range pairs {
-		name, address, ok := strings.Cut(pair, "=")
-		if !ok || name == "" || address == "" {
-			return nil, fmt.Errorf("--peer %q is not NAME=HOST:PORT", pair)
-		}
-		members = append(members, group.Member{VM: ident.VMName(name), Address: address})
+func membersOf(peers []flags.Endpoint) []group.Member {
+	members := make([]group.Member, 0, len(peers))
+	for _, peer := range peers {
+		members = append(members, group.Member{VM: ident.VMName(peer.Name), Address: string(peer.Address)})
 	}
-	return members, nil
+	return members
 }
--- a/internal/process/cmds/dev.go
+++ b/internal/process/cmds/dev.go
@@ -13,6 +13,7 @@
 
 	"cactusline.dev/cactusline/internal/conn/remote"
 	"cactusline.dev/cactusline/internal/process/engine"
+	"cactusline.dev/cactusline/internal/process/flags"
 	"cactusline.dev/cactusline/internal/process/plain"
 	"cactusline.dev/cactusline/internal/process/trace"
 	"cactusline.dev/cactusline/internal/version/ident"
@@ -33,9 +34,9 @@
 
 // DevCommand runs a whole small fleet in one process.
 type DevCommand struct {
-	Callers string `help:"Address for callers." default:"127.0.0.1:8080"`
-	Admin   string `help:"Address for operators." default:"127.0.0.1:8081"`
-	Data    string `help:"Data folder; a temporary one that is removed at the end if empty."`
+	Callers flags.Address `help:"Address for callers." default:"127.0.0.1:8080"`
+	Admin   flags.Address `help:"Address for operators." default:"127.0.0.1:8081"`
+	Data    string        `help:"Data folder; a temporary one that is removed at the end if empty."`
 }
 
 // Run implements the command.
@@ -49,11 +50,11 @@
 		return err
 	}
 	defer closeTracer(tracer)
-	callers, err := listen("callers", c.Callers)
+	callers, err := listen("callers", string(c.Callers))
 	if err != nil {
 		return err
 	}
-	operators, err := listen("admin", c.Admin)
+	operators, err := listen("admin", string(c.Admin))
 	if err != nil {
 		return err
 	}
@@ -154,7 +155,7 @@
 		return err
 	}
 	f.run("router", func() error {
-		command := &RouterCommand{Name: "dev", Domain: "dev", Control: []string{control}}
+		command := &RouterCommand{Name: "dev", Domain: "dev", Control: []flags.Address{flags.Address(control)}}
 		return command.serve(f.ctx, log.With(f.logger, "part", "router"), f.tracer, callers)
 	})
 	return f.awaitReady(callers.Addr().String())
@@ -206,7 +207,7 @@
 		command := &SidecarCommand{
 			Name:    name,
 			Target:  &url.URL{Scheme: "http", Host: back.Addr().String()},
-			Control: []string{control},
+			Control: []flags.Address{flags.Address(control)},
 		}
 		return command.serve(f.ctx, log.With(f.logger, "part", "sidecar "+string(name)), f.tracer, front)
 	})
--- /dev/null
+++ b/internal/process/cmds/operate.go
@@ -0,0 +1,121 @@
+package cmds
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"slices"
+
+	"github.com/go-kit/log"
+
+	"cactusline.dev/cactusline/internal/conn/httpd"
+	"cactusline.dev/cactusline/internal/process/admin"
+	"cactusline.dev/cactusline/internal/process/clock"
+	"cactusline.dev/cactusline/internal/process/ctrl"
+	"cactusline.dev/cactusline/internal/process/flags"
+	"cactusline.dev/cactusline/internal/process/keys"
+)
+
+// check finds all settings that don't fit each other.
+func (c *ControlCommand) check() error {
+	var faults []error
+	named := func(peer flags.Endpoint) bool { return peer.Name == string(c.VM) }
+	if len(c.Peer) > 0 && !slices.ContainsFunc(c.Peer, named) {
+		faults = append(faults, fmt.Errorf("--peer does not name this VM, %s", c.VM))
+	}
+	if (c.AdminCert == "") != (c.AdminKey == "") {
+		faults = append(faults, errors.New("--admin-cert and --admin-key go together"))
+	}
+	address, err := netip.ParseAddrPort(string(c.Admin))
+	if err == nil && !address.Addr().IsLoopback() && c.Tokens == "" {
+		faults = append(faults, fmt.Errorf("--admin %s is open to the network; set --tokens", c.Admin))
+	}
+	return errors.Join(faults...)
+}
+
+// adminServer returns the server of the administration API.
+func (c *ControlCommand) adminServer(logger log.Logger, control *ctrl.Control, disk *controlDisk) (*httpd.Server, error) {
+	cfg := admin.Config{
+		Control:   control,
+		Group:     disk.replicas,
+		State:     disk.state,
+		Folder:    disk.folder,
+		NewChange: newChange,
+	}
+	server := httpd.Config{Logger: logger, BodyLimit: admin.BodyLimit}
+	if c.Tokens != "" {
+		tokens, err := keys.OpenTokens(keys.TokensConfig{File: string(c.Tokens), Logger: logger, Clock: clock.System{}})
+		if err != nil {
+			return nil, usage(fmt.Errorf("--tokens: %w", err))
+		}
+		cfg.Tokens = grants{tokens: tokens}
+	}
+	if c.AdminCert != "" {
+		pair, err := keys.Open(keys.Config{
+			Files:  keys.Files{Cert: string(c.AdminCert), Key: string(c.AdminKey)},
+			Logger: logger,
+			Clock:  clock.System{},
+		})
+		if err != nil {
+			return nil, usage(fmt.Errorf("--admin-cert, --admin-key: %w", err))
+		}
+		server.TLS = pair.Server()
+	}
+	server.Handler = admin.New(cfg).Handler()
+	return httpd.New(server), nil
+}
+
+// grants tells the API whose tokens are whose.
+type grants struct {
+	tokens *keys.Tokens
+}
+
+// Actor implements admin.Tokens.
+func (g grants) Actor(token string) (admin.Actor, bool) {
+	grant, ok := g.tokens.Lookup(token)
+	actor := admin.Actor{Name: grant.Name, Role: admin.RoleMonitor}
+	if grant.Access.MayChange() {
+		actor.Role = admin.RoleOperator
+	}
+	return actor, ok
+}
+
+// TokenCommand draws a token.
+type TokenCommand struct {
+	Name   string `arg:"" help:"Whose token it is, as the audit log names them."`
+	Access string `help:"What it allows." enum:"Operator,Monitor" default:"Operator"`
+}
+
+// Run implements the command.
+func (c *TokenCommand) Run(s *scope) error {
+	token := keys.NewToken()
+	grant := keys.Grant{Name: c.Name, Access: keys.Access(c.Access), Hash: keys.Hash(token)}
+	_, _ = fmt.Fprintf(s.stderr, "entry for the token file:\n")
+	if err := printJSON(&scope{stdout: s.stderr}, keys.TokenFile{Tokens: []keys.Grant{grant}}); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintln(s.stdout, token)
+	return err
+}
+
+// KeysCommand makes the certificate and key of one process.
+type KeysCommand struct {
+	Role string   `arg:"" help:"Role of the process: router, sidecar or control."`
+	Name string   `arg:"" help:"Name of the process."`
+	Dir  string   `help:"Folder of the authority, which is made if there is none." required:""`
+	Host []string `help:"IP numbers and host names by which callers and operators reach it."`
+}
+
+// Run implements the command.
+func (c *KeysCommand) Run(s *scope) error {
+	files, err := keys.Issue(keys.IssueConfig{
+		Dir:     c.Dir,
+		Process: keys.Identity{Role: keys.Role(c.Role), Name: c.Name},
+		Hosts:   c.Host,
+		Clock:   clock.System{},
+	})
+	if err != nil {
+		return err
+	}
+	return printJSON(s, files)
+}
--- a/internal/process/cmds/router.go
+++ b/internal/process/cmds/router.go
@@ -11,6 +11,7 @@
 	"cactusline.dev/cactusline/internal/conn/watch"
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/process/clock"
+	"cactusline.dev/cactusline/internal/process/flags"
 	"cactusline.dev/cactusline/internal/process/router"
 	"cactusline.dev/cactusline/internal/process/trace"
 	"cactusline.dev/cactusline/internal/version/ident"
@@ -21,12 +22,12 @@
 type RouterCommand struct {
 	Name      string           `help:"This router's name, unique in the fleet." required:""`
 	Domain    ident.DomainName `help:"This router's failure domain."`
-	Listen    string           `help:"Address for callers." default:"127.0.0.1:8080"`
-	Control   []string         `help:"Addresses of the control processes." required:""`
-	BodyLimit ident.Bytes      `help:"Longest request body in bytes." default:"8388608"`
+	Listen    flags.Address    `help:"Address for callers." default:"127.0.0.1:8080"`
+	Control   []flags.Address  `help:"Addresses of the control processes." required:""`
+	BodyLimit ident.Bytes      `help:"Longest request body in bytes." default:"8388608" min:"1"`
 
-	DrainDelay   time.Duration `help:"How long a stopping router takes callers while the balancer learns of it." default:"3s"`
-	DrainTimeout time.Duration `help:"How long a stopping router waits for requests in flight; 0 for no bound."`
+	DrainDelay   time.Duration `help:"How long a stopping router takes callers while the balancer learns of it." default:"3s" min:"0s"`
+	DrainTimeout time.Duration `help:"How long a stopping router waits for requests in flight; 0 for no bound." min:"0s"`
 }
 
 // Run implements the command.
@@ -35,7 +36,7 @@
 	if err != nil {
 		return err
 	}
-	listener, err := listen("listen", c.Listen)
+	listener, err := listen("listen", string(c.Listen))
 	if err != nil {
 		return err
 	}
@@ -49,11 +50,11 @@
 
 // serve runs the router on a listener until ctx ends.
 func (c *RouterCommand) serve(ctx context.Context, logger log.Logger, tracer *trace.Tracer, listener net.Listener) error {
-	links, control := newLinks(c.Name, c.Control)
+	links, control := newLinks(c.Name, texts(c.Control))
 	defer func() { _ = links.Close() }()
 	var r *router.Router
 	follower := watch.NewFollower(watch.Config{
-		Addresses: c.Control,
+		Addresses: texts(c.Control),
 		Link:      links,
 		Clock:     clock.System{},
 		Logger:    logger,
--- a/internal/process/cmds/sidecar.go
+++ b/internal/process/cmds/sidecar.go
@@ -14,6 +14,7 @@
 	"cactusline.dev/cactusline/internal/conn/remote"
 	"cactusline.dev/cactusline/internal/conn/watch"
 	"cactusline.dev/cactusline/internal/process/clock"
+	"cactusline.dev/cactusline/internal/process/flags"
 	"cactusline.dev/cactusline/internal/process/side"
 	"cactusline.dev/cactusline/internal/process/trace"
 	"cactusline.dev/cactusline/internal/version/cmdpb"
@@ -24,8 +25,8 @@
 type SidecarCommand struct {
 	Name    ident.TargetName `help:"The target's name, as in its record." required:""`
 	Target  *url.URL         `help:"Base URL of the target." required:""`
-	Listen  string           `help:"Address for routers." default:"127.0.0.1:9000"`
-	Control []string         `help:"Addresses of the control processes." required:""`
+	Listen  flags.Address    `help:"Address for routers." default:"127.0.0.1:9000"`
+	Control []flags.Address  `help:"Addresses of the control processes." required:""`
 }
 
 // Run implements the command.
@@ -34,7 +35,7 @@
 	if err != nil {
 		return err
 	}
-	listener, err := listen("listen", c.Listen)
+	listener, err := listen("listen", string(c.Listen))
 	if err != nil {
 		return err
 	}
@@ -48,7 +49,7 @@
 
 // serve runs the sidecar on a listener until ctx ends.
 func (c *SidecarCommand) serve(ctx context.Context, logger log.Logger, tracer *trace.Tracer, listener net.Listener) error {
-	links, control := newLinks(string(c.Name), c.Control)
+	links, control := newLinks(string(c.Name), texts(c.Control))
 	defer func() { _ = links.Close() }()
 	incarnation, err := register(ctx, control, "sidecar/"+string(c.Name))
 	if err != nil {
@@ -64,7 +65,7 @@
 		Control:  control,
 		Link:     links,
 
-		ControlAddresses: c.Control,
+		ControlAddresses: texts(c.Control),
 		Incarnation:      incarnation,
 		Seed:             rand.Uint64(),
 	})
@@ -72,7 +73,7 @@
 		return fmt.Errorf("make sidecar: %w", err)
 	}
 	follower := watch.NewFollower(watch.Config{
-		Addresses: c.Control,
+		Addresses: texts(c.Control),
 		Link:      links,
 		Clock:     clock.System{},
 		Logger:    logger,
--- a/internal/process/cmds/stand.go
+++ b/internal/process/cmds/stand.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cactusline.dev/cactusline/internal/process/engine"
+	"cactusline.dev/cactusline/internal/process/flags"
 	"cactusline.dev/cactusline/internal/process/plain"
 	"cactusline.dev/cactusline/internal/version/ident"
 )
@@ -17,7 +18,7 @@
 
 // EngineCommand runs a stand-in model engine.
 type EngineCommand struct {
-	Listen        string            `help:"Address for requests." default:"127.0.0.1:9100"`
+	Listen        flags.Address     `help:"Address for requests." default:"127.0.0.1:9100"`
 	Model         []ident.ModelName `help:"Models that it serves." default:"stand-in"`
 	Batch         int               `help:"Requests that run at one time." default:"64"`
 	StepTime      time.Duration     `help:"Time of one step, in which each running request gains a token."`
@@ -31,7 +32,7 @@
 
 // Run implements the command.
 func (c *EngineCommand) Run(s *scope) error {
-	listener, err := listen("listen", c.Listen)
+	listener, err := listen("listen", string(c.Listen))
 	if err != nil {
 		return err
 	}
@@ -60,14 +61,14 @@
 
 // ServiceCommand runs a stand-in plain service.
 type ServiceCommand struct {
-	Listen string            `help:"Address for requests." default:"127.0.0.1:9200"`
+	Listen flags.Address     `help:"Address for requests." default:"127.0.0.1:9200"`
 	Kind   ident.ServiceName `help:"What it does: registration or orders." enum:"registration,orders" default:"registration"`
 	Delay  time.Duration     `help:"How long each request takes."`
 }
 
 // Run implements the command.
 func (c *ServiceCommand) Run(s *scope) error {
-	listener, err := listen("listen", c.Listen)
+	listener, err := listen("listen", string(c.Listen))
 	if err != nil {
 		return err
 	}
--- a/internal/process/cmds/wiring.go
+++ b/internal/process/cmds/wiring.go
@@ -12,6 +12,7 @@
 	"cactusline.dev/cactusline/internal/conn/link"
 	"cactusline.dev/cactusline/internal/conn/remote"
 	"cactusline.dev/cactusline/internal/process/clock"
+	"cactusline.dev/cactusline/internal/process/flags"
 	"cactusline.dev/cactusline/internal/process/logs"
 	"cactusline.dev/cactusline/internal/process/trace"
 )
@@ -68,3 +69,12 @@
 func startName(name string) string {
 	return fmt.Sprintf("%s-%08x", name, rand.Uint32())
 }
+
+// texts returns addresses as plain text.
+func texts(addresses []flags.Address) []string {
+	list := make([]string, len(addresses))
+	for i, address := range addresses {
+		list[i] = string(address)
+	}
+	return list
+}
