--- a/internal/process/cmds/control.go
+++ b/internal/process/cmds/control.go
@@ -118,7 +118,7 @@
 	if err != nil {
 		return nil, err
 	}
-	state := store.New(store.Config{Sink: folder, Exported: folder.Head().Index})
+	state := store.New(store.Config{Sink: folder, Exported: folder.Last().Index})
 	replicas, err := group.Open(group.Config{
 		VM:        c.VM,
 		Folder:    c.Data,
