--- a/internal/process/admin/guard.go
+++ b/internal/process/admin/guard.go
@@ -1,8 +1,11 @@
 package admin
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
+
+	"github.com/VictoriaMetrics/metrics"
 )
 
 // Role says what a token allows.
@@ -47,9 +50,19 @@
 		if failed != nil {
 			writeError(w, failed)
 		}
+		count(failed)
 	})
 }
 
+// count adds an answer to the metrics of the process.
+func count(failed *Error) {
+	code := Code("OK")
+	if failed != nil {
+		code = failed.Code
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf("cactusline_admin_answers_total{code=%q}", code)).Inc()
+}
+
 func (a *API) actor(req *http.Request) (Actor, *Error) {
 	if a.cfg.Tokens == nil {
 		return anyone, nil
--- a/internal/process/cmds/cmds.go
+++ b/internal/process/cmds/cmds.go
@@ -44,6 +44,8 @@
 	TraceFile     string `help:"File to which spans are appended as JSON lines."`
 	TraceOneIn    int    `help:"Keep one new trace in this many." default:"1"`
 
+	Metrics flags.Address `help:"Address at which metrics are served; none if empty."`
+
 	Router  RouterCommand  `cmd:"" help:"Take callers' requests and route them to targets."`
 	Sidecar SidecarCommand `cmd:"" help:"Guard one target: admit, run and account for its work."`
 	Control ControlCommand `cmd:"" help:"Replicate records, claims and orders."`
@@ -90,6 +92,9 @@
 	if err != nil {
 		return exitCode(err, stderr)
 	}
+	if err := serveMetrics(ctx, string(cli.Metrics)); err != nil {
+		return exitCode(err, stderr)
+	}
 	err = parsed.Run(&scope{ctx: ctx, stdout: stdout, stderr: stderr, cli: cli})
 	return exitCode(err, stderr)
 }
--- a/internal/process/cmds/print.go
+++ b/internal/process/cmds/print.go
@@ -117,6 +117,22 @@
 	return nil
 }
 
+// printNew prints a file that creates the records, without their versions.
+func printNew(s *scope, records []json.RawMessage) error {
+	fresh := make([]*record.Record, 0, len(records))
+	for _, data := range records {
+		r, err := record.Load(data)
+		if err == nil {
+			r, err = r.WithVersion(0)
+		}
+		if err != nil {
+			return fmt.Errorf("read record: %w", err)
+		}
+		fresh = append(fresh, r)
+	}
+	return printJSON(s, fresh)
+}
+
 // printStatus prints what an operator looks at first.
 func printStatus(s *scope, status *admin.Status) error {
 	_, _ = fmt.Fprintf(s.stdout, "revision %d, quorum %s, leader %s, term %d, ledger keys %d (%d compacted), audit head %d:%s\n",
--- a/internal/process/cmds/verbs.go
+++ b/internal/process/cmds/verbs.go
@@ -100,6 +100,7 @@
 
 	Key   string `arg:"" optional:"" help:"KIND or KIND/NAME; all records if left out."`
 	Stale bool   `help:"Show what one control process has, without asking a quorum."`
+	New   bool   `help:"Print a file of records that creates them in a fresh fleet."`
 }
 
 // Run implements the command.
@@ -121,6 +122,9 @@
 	if err := c.call(s, request{method: http.MethodGet, path: "/v1/records", query: query}, &list); err != nil {
 		return err
 	}
+	if c.New {
+		return printNew(s, list.Records)
+	}
 	if c.Output == outputJSON {
 		return printJSON(s, list)
 	}
--- a/internal/process/cmds/verbs_test.go
+++ b/internal/process/cmds/verbs_test.go
@@ -239,6 +239,10 @@
 			f := startFleet(t, []string{"a"})
 			out := f.ok("apply", "-f", "../../../examples/"+name+".json", "--wait")
 			assert.Assert(t, strings.Contains(out.stdout, "in force everywhere"), out.stdout)
+			records := f.ok("get", "--new").stdout
+			fresh := startFleet(t, []string{"b"})
+			fresh.ok("apply", "-f", file(t, records))
+			assert.Equal(t, fresh.ok("get", "--new").stdout, records)
 		})
 	}
 }
@@ -278,6 +282,22 @@
 	}
 }
 
+func TestAuditOutlivesRestarts(t *testing.T) {
+	f := startFleet(t, []string{"a"})
+	for round := range 3 {
+		f.ok("apply", "-f", file(t, strings.ReplaceAll(record("one", 0), "bibs", fmt.Sprintf("bibs-%d", round))))
+		f.end("a")
+		f.start("a")
+		head := f.status().Audit
+		assert.Equal(t, head.Index, uint64(round+1))
+		export := filepath.Join(t.TempDir(), "export")
+		f.ok("audit", "export", "--file", export)
+		verified := run(t, "audit", "verify", export, "--output", "json", "--head", fmt.Sprintf("%d:%s", head.Index, head.Hash))
+		assert.Equal(t, verified.code, cmds.ExitOK, verified.stderr)
+		assert.Assert(t, strings.Contains(verified.stdout, fmt.Sprintf(`"Entries": %d`, round+1)), verified.stdout)
+	}
+}
+
 func TestTokensOfOperatorsAndTheMonitor(t *testing.T) {
 	var tokens keys.TokenFile
 	paths := map[keys.Access]string{}
--- a/internal/process/cmds/wiring.go
+++ b/internal/process/cmds/wiring.go
@@ -5,10 +5,13 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
 
+	"cactusline.dev/cactusline/internal/conn/httpd"
 	"cactusline.dev/cactusline/internal/conn/link"
 	"cactusline.dev/cactusline/internal/conn/remote"
 	"cactusline.dev/cactusline/internal/process/clock"
@@ -78,3 +81,21 @@
 	}
 	return list
 }
+
+// serveMetrics serves the metrics of the process until ctx ends.
+func serveMetrics(ctx context.Context, address string) error {
+	if address == "" {
+		return nil
+	}
+	listener, err := listen("metrics", address)
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		metrics.WritePrometheus(w, true)
+	})
+	go func() { _ = httpd.New(httpd.Config{Handler: mux}).Serve(ctx, listener) }()
+	return nil
+}
--- a/internal/process/ctrl/ctrl.go
+++ b/internal/process/ctrl/ctrl.go
@@ -101,6 +101,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.cfg.Listener.Close() })
 	defer stop()
 	go c.hub.confirm(ctx)
+	c.measure()
 	go c.balancer.run(ctx)
 	go c.countRouters(ctx)
 	_ = level.Info(c.cfg.Logger).Log("msg", "control serves", "vm", c.cfg.VM, "address", c.cfg.Listener.Addr())
--- a/internal/request/trail/sender.go
+++ b/internal/request/trail/sender.go
@@ -59,14 +59,15 @@
 	return &Sender{
 		cfg:     cfg,
 		queue:   make(chan []byte, queueLimit),
-		dropped: metrics.GetOrCreateCounter("cactusline_decisions_dropped_total"),
-		sent:    metrics.GetOrCreateCounter("cactusline_decisions_sent_total"),
+		dropped: metrics.GetOrCreateCounter(metricDropped),
+		sent:    metrics.GetOrCreateCounter(metricSent),
 	}
 }
 
 // Decided takes the record of a request that has ended. It never blocks.
 func (s *Sender) Decided(r *tries.Record) {
 	decision := NewDecision(s.cfg.Router, r)
+	decision.count()
 	_ = level.Info(s.cfg.Logger).Log("msg", "request decided", "Decision", decision)
 	if decision.Plain() {
 		return
