--- a/cmd/cactusline/caller_test.go
+++ b/cmd/cactusline/caller_test.go
@@ -181,11 +181,11 @@
 	case r.status != http.StatusOK:
 		return nil
 	case r.done && r.text != want:
-		return fmt.Errorf("whole answer %.60q..., want %.60q...", r.text, want)
+		return fmt.Errorf("whole answer %.60q, want %.60q", r.text, want)
 	case r.done && r.err == nil && r.outcome != outcomeRan:
 		return fmt.Errorf("whole answer with outcome %q", r.outcome)
 	case !strings.HasPrefix(want, r.text) && r.err == nil:
-		return fmt.Errorf("answer %.60q... is no part of %.60q...", r.text, want)
+		return fmt.Errorf("answer %.60q is no part of %.60q", r.text, want)
 	case !r.done && r.err == nil && !r.shownError:
 		return fmt.Errorf("%d bytes of %d without an error", len(r.text), len(want))
 	}
--- a/cmd/cactusline/chats_test.go
+++ b/cmd/cactusline/chats_test.go
@@ -60,7 +60,7 @@
 	for _, p := range f.all() {
 		p.stop()
 	}
-	spans := readSpans(t, f.folder)
+	spans := readSpans(t, f.traceFile("*"))
 	checkTrace(t, spans, traceID(0), "router.request", "router.attempt", "sidecar.attempt")
 	checkTrace(t, spans, traceID(chatCount), "router.request", "router.attempt", "sidecar.attempt", "control.command")
 }
@@ -138,21 +138,35 @@
 // runs asks the service itself how often it ran each key.
 func (f *fleet) runs() map[string]int {
 	f.t.Helper()
+	const batch = 128
 	runs := make(map[string]int)
-	for bib := 1; ; bib++ {
-		resp, err := http.Get(fmt.Sprintf("http://%s/bibs/%d", f.serviceAddress, bib))
-		assert.NilError(f.t, err)
-		var entry plain.Entry
-		err = json.NewDecoder(resp.Body).Decode(&entry)
-		_ = resp.Body.Close()
-		assert.NilError(f.t, err)
-		if resp.StatusCode == http.StatusNotFound {
-			return runs
+	for first := 1; ; first += batch {
+		entries := make([]plain.Entry, batch)
+		var wg sync.WaitGroup
+		for i := range entries {
+			wg.Go(func() { entries[i] = f.entry(first + i) })
+		}
+		wg.Wait()
+		for _, entry := range entries {
+			if entry.Bib == 0 {
+				return runs
+			}
+			runs[entry.Key]++
 		}
-		runs[entry.Key]++
 	}
 }
 
+// entry asks the service for one entry. There is none if its number is zero.
+func (f *fleet) entry(bib int) plain.Entry {
+	var entry plain.Entry
+	resp, err := http.Get(fmt.Sprintf("http://%s/bibs/%d", f.serviceAddress, bib))
+	if assert.Check(f.t, err) {
+		assert.Check(f.t, json.NewDecoder(resp.Body).Decode(&entry))
+		_ = resp.Body.Close()
+	}
+	return entry
+}
+
 // traceID returns the trace of request i.
 func traceID(i int) string { return fmt.Sprintf("%032x", 0xabc000+i) }
 
@@ -163,6 +177,7 @@
 // span is the part of an exported span that the tests read.
 type span struct {
 	Name        string
+	StartTime   time.Time
 	SpanContext spanContext
 	Parent      spanContext
 }
@@ -172,10 +187,10 @@
 	SpanID  string
 }
 
-// readSpans reads the trace files of all processes.
-func readSpans(t *testing.T, folder string) []span {
+// readSpans reads the trace files that match a pattern.
+func readSpans(t *testing.T, pattern string) []span {
 	t.Helper()
-	files, err := filepath.Glob(filepath.Join(folder, "*.trace"))
+	files, err := filepath.Glob(pattern)
 	assert.NilError(t, err)
 	var spans []span
 	for _, name := range files {
--- /dev/null
+++ b/cmd/cactusline/config_test.go
@@ -0,0 +1,104 @@
+package main_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cactusline.dev/cactusline/internal/version/ident"
+	"cactusline.dev/cactusline/internal/version/record"
+)
+
+const (
+	// inForceLimit is how soon a change must be in force everywhere.
+	inForceLimit = 3 * time.Second
+	// unreadyTime is how long a router without a quorum is watched.
+	unreadyTime = 4 * time.Second
+)
+
+// TestChangeIsInForceEverywhere adds the route of a model with each control
+// process frozen in turn, and wants every router to answer for it in time.
+func TestChangeIsInForceEverywhere(t *testing.T) {
+	cfg := acceptanceConfig()
+	cfg.engineArgs = append(cfg.engineArgs, "--model", string(model))
+	for i := range cfg.controls {
+		cfg.engineArgs = append(cfg.engineArgs, "--model", fmt.Sprintf("fresh-%d", i))
+	}
+	f := startFleet(t, cfg)
+	for i, frozen := range f.controls {
+		name := ident.ModelName(fmt.Sprintf("fresh-%d", i))
+		frozen.freeze()
+		change := []any{
+			&record.Model{Name: name, Versions: []record.ModelVersion{{Name: "1"}}},
+			&record.Route{Name: "chats-" + string(name), Model: name},
+		}
+		for n := range f.targets[:cfg.engines] {
+			target := &f.targets[n]
+			target.Version = ident.Version(i + 1)
+			target.Models = append(target.Models, record.TargetModel{Name: name})
+			change = append(change, target)
+		}
+		f.submit(change...)
+		accepted := time.Now()
+		var wg sync.WaitGroup
+		for _, address := range f.routerAddresses {
+			wg.Go(func() { checkInForce(t, newCaller(address), name, accepted) })
+		}
+		wg.Wait()
+		frozen.thaw()
+		time.Sleep(time.Second)
+	}
+}
+
+// checkInForce wants a router to answer for a model in time.
+func checkInForce(t *testing.T, c *caller, name ident.ModelName, accepted time.Time) {
+	request := newChat("is it there yet", 5, false)
+	request.Model = name
+	for {
+		r := c.chat(t.Context(), request, nil)
+		took := time.Since(accepted)
+		if r.whole(request) {
+			t.Logf("%s in force at %s after %v", name, c.router, took)
+			return
+		}
+		if took > inForceLimit {
+			t.Errorf("%s not in force at %s after %v: %v", name, c.router, took, r)
+			return
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+// TestRestartedRouterAwaitsAQuorum restarts a router while one control process
+// of three is left, which can't know whether its records are the newest.
+func TestRestartedRouterAwaitsAQuorum(t *testing.T) {
+	f := startFleet(t, acceptanceConfig())
+	router, address := f.routers[0], f.routerAddresses[0]
+	router.kill()
+	f.controls[1].freeze()
+	f.controls[2].freeze()
+	router.start()
+	c := newCaller(address)
+	request := newChat("too early", 5, false)
+	answered := false
+	for end := time.Now().Add(unreadyTime); time.Now().Before(end); time.Sleep(pollInterval) {
+		assert.Assert(t, !ready(address), "ready without a quorum")
+		r := c.chat(t.Context(), request, nil)
+		if r.err != nil {
+			continue
+		}
+		answered = true
+		assert.Assert(t, r.status == http.StatusServiceUnavailable && r.outcome == outcomeNotRun, "%v", r)
+	}
+	assert.Assert(t, answered, "the router never answered at all")
+	f.controls[1].thaw()
+	f.controls[2].thaw()
+	took := await(t, settleTime, "the router is ready", func() bool { return ready(address) })
+	t.Logf("ready %v after the quorum was back", took)
+	r := c.chat(t.Context(), request, nil)
+	assert.Assert(t, r.whole(request), "%v", r)
+}
--- a/cmd/cactusline/faults_test.go
+++ b/cmd/cactusline/faults_test.go
@@ -27,6 +27,8 @@
 	maxSends          = 6
 	// settleTime is how long the fleet is given to recover at the end.
 	settleTime = 30 * time.Second
+	// slowReply is longer than any fault and the recovery from it take.
+	slowReply = 15 * time.Second
 )
 
 // load keeps chats and steps going and judges every reply.
@@ -77,6 +79,7 @@
 		request := newChat(fmt.Sprintf("worker %d question %d", worker, n), ident.Tokens(1+random.IntN(150)), random.IntN(2) == 0)
 		r := l.callers[random.IntN(len(l.callers))].chat(context.WithoutCancel(l.ctx), request, nil)
 		assert.Check(l.t, r.wrong(request), "%v", r)
+		l.check(r, request.Messages[0].Content.Text)
 		l.count("chats")
 		switch {
 		case r.whole(request):
@@ -121,6 +124,9 @@
 	}
 	wg.Wait()
 	step.replies = replies
+	for _, r := range replies {
+		l.check(r, step.key)
+	}
 }
 
 func (l *load) resend(step *stepLog, random *rand.Rand, hangUp bool) {
@@ -132,6 +138,7 @@
 		}
 		r := l.callers[random.IntN(len(l.callers))].step(ctx, step.key, nil)
 		cancel()
+		l.check(r, step.key)
 		step.replies = append(step.replies, r)
 		if r.outcome == outcomeRan {
 			return
@@ -174,6 +181,14 @@
 	}
 }
 
+// check notes a reply that took long.
+func (l *load) check(r *reply, what string) {
+	if r.took > slowReply {
+		l.count("slow replies")
+		l.t.Errorf("%s %s: %v", time.Now().Format(time.TimeOnly), what, r)
+	}
+}
+
 // fault is one thing that goes wrong, and is right again when it returns.
 type fault struct {
 	name  string
--- a/cmd/cactusline/fleet_test.go
+++ b/cmd/cactusline/fleet_test.go
@@ -129,7 +129,6 @@
 	// engineArgs and serviceArgs are added to the stand-ins' settings.
 	engineArgs  []string
 	serviceArgs []string
-	// engineTime bounds the start of an answer's tokens; see EngineCommand.
 	// through returns the address by which a process reaches a control
 	// process, which may lead through a relay; nil means directly.
 	through func(process, control string) string
