Serve only after a quorum has confirmed the records

A router that was restarted while one control process of three was left answered chats at once: it took that process's records, which may be older than those that it acted on before, and only /readyz knew of the missing quorum. Now it refuses every request as not run until a quorum has confirmed its records, and so does a sidecar, whose check was for any records at all.

--- a/internal/conn/watch/follow.go
+++ b/internal/conn/watch/follow.go
@@ -89,6 +89,11 @@
 	return confirmed != 0 && time.Duration(f.stamp()-confirmed) < f.cfg.Lease
 }
 
+// Confirmed reports whether a quorum has confirmed a set of this process since
+// its start. Until then the records may be older than those that the process
+// acted on before it was restarted.
+func (f *Follower) Confirmed() bool { return f.confirmed.Load() != 0 }
+
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for turn := 0; ctx.Err() == nil; turn++ {
--- a/internal/process/router/error.go
+++ b/internal/process/router/error.go
@@ -25,6 +25,7 @@
 	codeOutcomeUnknown = "OutcomeUnknown"
 	codeKeyConflict    = "IdempotencyKeyConflict"
 	codeQuarantined    = "Quarantined"
+	codeNotReady       = "NotReady"
 	codeLimited        = "LimitReached"
 )
 
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -40,6 +40,9 @@
 	headerTimeout   = 10 * time.Second
 	headerLimit     = 64 << 10
 	idleConnTimeout = 2 * time.Minute
+	// startRetryAfter is when callers of a router that has just started may
+	// come back.
+	startRetryAfter = time.Second
 )
 
 // Clock is what the package needs of a clock.
@@ -144,7 +147,7 @@
 }
 
 // traced gives each request an id and a span, which goes on from the caller's
-// trace if it sent one.
+// trace if it sent one. A router that has just started refuses all of them.
 func (r *Router) traced(serve func(http.ResponseWriter, *http.Request, ident.RequestID)) http.HandlerFunc {
 	return func(w http.ResponseWriter, req *http.Request) {
 		id := r.requests.next()
@@ -152,6 +155,12 @@
 		ctx, span := r.cfg.Tracer.Start(req.Context(), req.Header.Get(trace.Header), "router.request",
 			attribute.String("request", string(id)))
 		defer span.End()
+		if !r.cfg.Follower.Confirmed() {
+			failed := refusal(http.StatusServiceUnavailable, codeNotReady, "this router has just started")
+			failed.retryAfter = startRetryAfter
+			failed.write(w, id)
+			return
+		}
 		serve(w, req.WithContext(ctx), id)
 	}
 }
--- a/internal/process/side/side.go
+++ b/internal/process/side/side.go
@@ -234,6 +234,12 @@
 	return 0
 }
 
+// confirmed reports whether a quorum has confirmed the records since the start.
+func (s *Sidecar) confirmed() bool {
+	f := s.follower.Load()
+	return f != nil && f.Confirmed()
+}
+
 // Load returns the target's load for replies and reports.
 func (s *Sidecar) Load() *wire.Load {
 	return watch.EncodeLoad(s.admitted.Load(), s.cfg.Incarnation, s.leaving.Load())
--- a/internal/process/side/submit.go
+++ b/internal/process/side/submit.go
@@ -58,7 +58,7 @@
 		reason = wire.RefusalReason_REFUSAL_REASON_INCARNATION
 	case submit.GetJoin():
 		return nil
-	case s.revision() == 0:
+	case !s.confirmed():
 		reason = wire.RefusalReason_REFUSAL_REASON_TARGET_DOWN
 	case call.GetRevision() < uint64(s.revision()):
 		reason = wire.RefusalReason_REFUSAL_REASON_STALE_REVISION
