Turn from a silent control process within 1.2 s

A change is to be in force everywhere within 3 s, and a process that watched a control process that had fallen silent kept to it for 3 s. With each of three control processes frozen in turn, the change came into force at the routers 0.02 to 2.5 s after it was accepted (three runs of TestChangeIsInForceEverywhere, which now submits to a live process at once), so that a little more delay would break the limit. Control sends loads each 0.2 s, so silence of 1.2 s is telling.

--- a/cmd/cactusline/config_test.go
+++ b/cmd/cactusline/config_test.go
@@ -42,7 +42,7 @@
 			target.Models = append(target.Models, record.TargetModel{Name: name})
 			change = append(change, target)
 		}
-		f.submit(change...)
+		f.submitFrom(i+1, change...)
 		accepted := time.Now()
 		var wg sync.WaitGroup
 		for _, address := range f.routerAddresses {
--- a/cmd/cactusline/fleet_test.go
+++ b/cmd/cactusline/fleet_test.go
@@ -276,7 +276,10 @@
 }
 
 // submit commits records through the first control process that takes them.
-func (f *fleet) submit(values ...any) {
+func (f *fleet) submit(values ...any) { f.submitFrom(0, values...) }
+
+// submitFrom is submit that begins with a given control process.
+func (f *fleet) submitFrom(first int, values ...any) {
 	f.t.Helper()
 	records := make([]*record.Record, 0, len(values))
 	for _, value := range values {
@@ -288,7 +291,7 @@
 	assert.NilError(f.t, err)
 	change := fmt.Sprintf("%s-%d", f.t.Name(), time.Now().UnixNano())
 	deadline := time.Now().Add(startTimeout)
-	for i := 0; ; i++ {
+	for i := first; ; i++ {
 		err := post(f.adminAddresses[i%len(f.adminAddresses)], change, body)
 		if err == nil {
 			return
--- a/internal/conn/watch/follow.go
+++ b/internal/conn/watch/follow.go
@@ -19,7 +19,7 @@
 const (
 	DefaultReportInterval = time.Second
 	DefaultLease          = 3 * time.Second
-	DefaultSilence        = 3 * time.Second
+	DefaultSilence        = 1200 * time.Millisecond
 	reconnectInterval     = 200 * time.Millisecond
 )
 
