Send queued work on to lighter targets, so that the mean can rise

A target that the bound holds back, above the mean, now sends some of its newest queued work on at each digest; a plan takes up to 3 such hops, and the last target keeps it. Digests name at most half of a small pool as light.

--- a/internal/conn/digest/table.go
+++ b/internal/conn/digest/table.go
@@ -56,7 +56,7 @@
 	if t.cfg.Light > 0 {
 		return t.cfg.Light
 	}
-	return min(max(minLight, len(t.last)/lightShare), maxLight)
+	return min(max(minLight, len(t.last)/lightShare), maxLight, max(1, len(t.last)/2))
 }
 
 // light is a target that may be named as lightly loaded.
--- a/internal/process/router/plan.go
+++ b/internal/process/router/plan.go
@@ -32,7 +32,7 @@
 
 // Step implements relay.Plan.
 func (o *offers) Step() relay.Step {
-	return relay.Step{Final: o.last.Final, Moved: o.last.Moved}
+	return relay.Step{Final: o.last.Final, Moved: o.last.Moved, Stay: o.last.Stay}
 }
 
 // Refused implements relay.Plan.
--- a/internal/process/side/submit.go
+++ b/internal/process/side/submit.go
@@ -114,6 +114,7 @@
 		Weight:   submit.GetWeight(),
 		Priority: submit.GetPriority(),
 		Final:    submit.GetFinal(),
+		Stay:     submit.GetStay(),
 	}
 	if submit.GetTimeoutMs() > 0 {
 		work.Deadline = s.cfg.Clock.Now().Add(time.Duration(submit.GetTimeoutMs()) * time.Millisecond)
--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -250,9 +250,7 @@
 	if f, ok := c.forwards.get(w.Chat); ok {
 		d.Forward = f
 	}
-	if light := c.bound.news.Light; len(light) > 0 {
-		d.Lighter = light[c.cfg.Rand.IntN(len(light))]
-	}
+	d.Lighter = c.lighter()
 	return d
 }
 
@@ -304,10 +302,11 @@
 func (c *Controller) SetDigest(now time.Time, d digest.Digest) []Verdict {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if d.Newer(c.bound.news) {
-		c.bound.news = d
+	if !d.Newer(c.bound.news) {
+		return c.settle(now)
 	}
-	return c.settle(now)
+	c.bound.news = d
+	return append(c.settle(now), c.spill(now)...)
 }
 
 // Tick returns verdicts on queued work: what may run now and what has waited
--- a/internal/request/admit/admit_test.go
+++ b/internal/request/admit/admit_test.go
@@ -68,6 +68,27 @@
 	assert.Assert(t, !c.Blind(later))
 }
 
+func TestQueuedWorkIsSentOnToLighterTargets(t *testing.T) {
+	c := newController(t, admit.Config{})
+	c.SetDigest(start, digest.Digest{Targets: 3, Requests: 3, At: start, Stamp: 1})
+	for id := range 20 {
+		c.Offer(start, work(id, "club"))
+	}
+	running := c.Load().Requests
+	later := start.Add(100 * time.Millisecond)
+	verdicts := c.SetDigest(later, digest.Digest{
+		Targets: 3, Requests: running + 1, At: later, Stamp: 2, Light: []ident.TargetName{"engine-0", "engine-1"},
+	})
+	sent := 0
+	for _, v := range verdicts {
+		if v.Decision.Kind == admit.Refused {
+			sent++
+			assert.Equal(t, v.Decision.Lighter, ident.TargetName("engine-1"))
+		}
+	}
+	assert.Assert(t, sent > 0 && c.Load().Queued > sent, "%d sent on, %d queued", sent, c.Load().Queued)
+}
+
 func TestQueueIsFairBetweenCustomers(t *testing.T) {
 	c := newController(t, admit.Config{MaxRequests: 4, Headroom: 1, MaxQueue: 8})
 	c.SetDigest(start, digest.Digest{Targets: 1, Requests: 80, At: start, Stamp: 1})
--- a/internal/request/admit/settle.go
+++ b/internal/request/admit/settle.go
@@ -72,7 +72,10 @@
 				continue
 			}
 			w := c.accounts.pop(acc, i)
-			verdicts = append(verdicts, c.verdict(now, w, c.refuse(w.work, reason)))
+			decision := c.refuse(w.work, reason)
+			// It has waited for as long as it may, and is not to wait elsewhere.
+			decision.Lighter = ""
+			verdicts = append(verdicts, c.verdict(now, w, decision))
 		}
 		c.accounts.drop(acc)
 	}
--- a/internal/request/admit/work.go
+++ b/internal/request/admit/work.go
@@ -30,6 +30,8 @@
 	// Final marks the last target that the router tries: the work is queued
 	// where else it would be sent on.
 	Final bool
+	// Stay marks final work that has been sent on often enough.
+	Stay bool
 }
 
 // Kind tells the kinds of decision apart.
--- a/internal/request/rank/ours_test.go
+++ b/internal/request/rank/ours_test.go
@@ -112,7 +112,7 @@
 	d, evicted := e.control.Offer(m.clock(), admit.Work{
 		Attempt: attemptOf(r), Customer: ident.CustomerName(rune('a' + r.customer)), Chat: ident.ChatKey(r.chat),
 		Tokens: ident.Tokens(r.prefix + r.fresh + r.output), Warm: ident.Tokens(min(e.cache.get(r.chat), r.prefix)),
-		Deadline: time.Unix(1_000_000, 0).Add(r.at + 5*time.Second), Final: step.Final, Moved: step.Moved,
+		Deadline: time.Unix(1_000_000, 0).Add(r.at + 5*time.Second), Final: step.Final, Moved: step.Moved, Stay: step.Stay,
 	})
 	if d.Kind == admit.Queued {
 		e.held = append(e.held, r)
--- a/internal/request/rank/plan.go
+++ b/internal/request/rank/plan.go
@@ -15,6 +15,10 @@
 	queue []Candidate
 	tried []tried
 	final bool
+	// lighter is what the refusal of a final offer named, and extra counts the
+	// offers made so.
+	lighter Candidate
+	extra   int
 }
 
 // tried is a target that has refused, with its load then.
@@ -33,6 +37,8 @@
 	// Moved marks an offer to which a refusal has led, so that the target
 	// does not send the chat on.
 	Moved bool
+	// Stay marks the last of the final offers.
+	Stay bool
 }
 
 // Refusal is what a plan needs to know of a target's refusal.
@@ -63,19 +69,49 @@
 		return Step{Candidate: next, Moved: next.Reason == Forwarded || p.seen(next.Index)}, true
 	}
 	if p.final {
-		return Step{}, false
+		return p.nextLighter()
 	}
 	p.final = true
+	best, ok := p.leastLoaded()
+	if !ok {
+		return Step{}, false
+	}
+	return Step{Candidate: best, Final: true, Moved: true}, true
+}
+
+// leastLoaded returns the least loaded of the targets that refused but take
+// work.
+func (p *Plan) leastLoaded() (Candidate, bool) {
 	best := -1
 	for i := range p.tried {
-		if !p.tried[i].closed && (best < 0 || p.tried[i].load < p.tried[best].load) {
+		t := &p.tried[i]
+		if !t.closed && !p.shut(t.candidate.Index) && (best < 0 || t.load < p.tried[best].load) {
 			best = i
 		}
 	}
 	if best < 0 {
+		return Candidate{}, false
+	}
+	return p.tried[best].candidate, true
+}
+
+// shut reports whether a target has said that it takes no work.
+func (p *Plan) shut(index int) bool {
+	return slices.ContainsFunc(p.tried, func(t tried) bool { return t.candidate.Index == index && t.closed })
+}
+
+// maxLighter bounds the offers after the first final one.
+const maxLighter = 3
+
+// nextLighter returns the target that the refusal of a final offer named.
+func (p *Plan) nextLighter() (Step, bool) {
+	if p.lighter.Target == "" || p.extra >= maxLighter {
 		return Step{}, false
 	}
-	return Step{Candidate: p.tried[best].candidate, Final: true, Moved: true}, true
+	p.extra++
+	next := p.lighter
+	p.lighter = Candidate{}
+	return Step{Candidate: next, Final: true, Moved: true, Stay: p.extra == maxLighter}, true
 }
 
 func (p *Plan) seen(index int) bool {
@@ -86,6 +122,10 @@
 // tried next, and the one that named it once more after that.
 func (p *Plan) Refused(s Step, r Refusal) {
 	p.tried = append(p.tried, tried{candidate: s.Candidate, load: r.Load.Requests + r.Load.Queued, closed: r.Closed})
+	if s.Final {
+		p.sendOn(r)
+		return
+	}
 	if !r.Moved {
 		p.prefer(r.Lighter, Lighter)
 	}
@@ -95,13 +135,38 @@
 	p.prefer(r.Forward, Forwarded)
 }
 
+// sendOn takes the refusal of a final offer: the request goes to the lighter
+// target that it names or, where that takes none, back to one that does. A
+// refusal that names none comes from a target where it has waited long enough.
+func (p *Plan) sendOn(r Refusal) {
+	next, ok := p.candidate(r.Lighter, Lighter)
+	if ok && !p.shut(next.Index) {
+		p.lighter = next
+		return
+	}
+	if r.Lighter == "" && !r.Closed {
+		return
+	}
+	p.lighter, _ = p.leastLoaded()
+	p.extra = max(p.extra, maxLighter-1)
+}
+
 // prefer has a target tried next that has not been tried yet.
 func (p *Plan) prefer(name ident.TargetName, reason Reason) {
+	next, ok := p.candidate(name, reason)
+	if !ok || p.seen(next.Index) {
+		return
+	}
+	p.queue = slices.DeleteFunc(p.queue, func(c Candidate) bool { return c.Index == next.Index })
+	p.queue = slices.Insert(p.queue, 0, next)
+}
+
+// candidate returns a target of the pool by name, if it may get work.
+func (p *Plan) candidate(name ident.TargetName, reason Reason) (Candidate, bool) {
 	state := p.pool.state.Load()
 	i, ok := state.byName[name]
-	if !ok || p.seen(i) || !state.open(i, p.query.Now) {
-		return
+	if !ok || !state.open(i, p.query.Now) {
+		return Candidate{}, false
 	}
-	p.queue = slices.DeleteFunc(p.queue, func(c Candidate) bool { return c.Index == i })
-	p.queue = slices.Insert(p.queue, 0, Candidate{Target: name, Reason: reason, Index: i})
+	return Candidate{Target: name, Reason: reason, Index: i}, true
 }
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -60,6 +60,8 @@
 	Final bool
 	// Moved marks an offer to which a refusal has led.
 	Moved bool
+	// Stay marks the last of the final offers.
+	Stay bool
 }
 
 // Ledger holds the claims of requests that are not idempotent.
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -61,6 +61,7 @@
 	step := x.request.Plan.Step()
 	submit.Final = step.Final
 	submit.Moved = step.Moved
+	submit.Stay = step.Stay
 	return &wire.Call{
 		TraceParent: trace.Parent(ctx),
 		Revision:    uint64(x.request.Revision()),
