Keep the transport from sending a step twice

A step with an empty body ran twice: net/http sends a request again by itself when a kept connection breaks, if its body is known to be empty and it carries an Idempotency-Key, which the sidecar passes on. Taking GetBody away, as was done, does not cover the empty body. Now the body of a request that runs once is of a type that the transport can't read again. Seen failing in TestStepWhoseAnswerIsLostIsNotSentAgain with an empty body, 2 runs for 1; with another body it passed before, too.

--- /dev/null
+++ b/cmd/cactusline/once_test.go
@@ -0,0 +1,75 @@
+package main_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cactusline.dev/cactusline/internal/process/plain"
+	"cactusline.dev/cactusline/internal/version/ident"
+	"cactusline.dev/cactusline/internal/version/record"
+)
+
+// TestStepWhoseAnswerIsLostIsNotSentAgain has a service run a step and break
+// the connection, which the sidecar keeps open between requests and whose
+// client library sends some requests again by itself.
+func TestStepWhoseAnswerIsLostIsNotSentAgain(t *testing.T) {
+	for _, body := range []string{"", "deposit"} {
+		t.Run("body "+body, func(t *testing.T) {
+			orders := plain.New(plain.Config{Kind: plain.Orders, Fault: func(r *http.Request) plain.Fault {
+				if r.Method == http.MethodPost {
+					return plain.FaultLostAnswer
+				}
+				return plain.FaultNone
+			}})
+			server := httptest.NewServer(orders)
+			defer server.Close()
+			f := startFleet(t, fleetConfig{controls: 1, routers: 1})
+			f.addService(plain.Orders, server)
+			c := newCaller(f.routerAddresses[0])
+			path := "/services/orders/deposits"
+			await(t, startTimeout, "the service is routed to", func() bool {
+				return c.call(t, http.MethodGet, path+"/1", "", "").outcome == outcomeRan
+			})
+			r := c.call(t, http.MethodPost, path, "key-1", body)
+			assert.Check(t, r.outcome == outcomeUnknown, "%v", r)
+			assert.Equal(t, orders.Runs("key-1"), 1)
+			r = c.call(t, http.MethodPost, path, "key-1", body)
+			assert.Check(t, r.outcome == outcomeUnknown, "%v", r)
+			assert.Equal(t, orders.Runs("key-1"), 1)
+		})
+	}
+}
+
+// addService adds a service that the test serves itself.
+func (f *fleet) addService(name ident.ServiceName, server *httptest.Server) {
+	f.t.Helper()
+	f.startSidecar(record.Target{Name: "orders-1", Service: name}, strings.TrimPrefix(server.URL, "http://"))
+	f.submit(
+		&record.Service{Name: name, NotRepeatable: []string{"POST /deposits"}},
+		&record.Route{Name: string(name), Service: name},
+		&f.targets[len(f.targets)-1],
+	)
+}
+
+// call makes one call of a service.
+func (c *caller) call(t *testing.T, method, path, key, body string) *reply {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, "http://"+c.router+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer "+callerKey)
+	if key != "" {
+		req.Header.Set(plain.KeyHeader, key)
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return &reply{err: err}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return &reply{status: resp.StatusCode, outcome: resp.Header.Get(headerOutcome), text: string(text), err: err}
+}
--- a/internal/process/side/target.go
+++ b/internal/process/side/target.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -52,10 +53,11 @@
 func (t *targetClient) do(ctx context.Context, submit *wire.Submit, traceParent string) (*http.Response, error) {
 	address := t.base.JoinPath(submit.GetPath())
 	address.RawQuery = submit.GetQuery()
-	req, err := http.NewRequestWithContext(ctx, submit.GetMethod(), address.String(), bytes.NewReader(submit.GetBody()))
+	req, err := http.NewRequestWithContext(ctx, submit.GetMethod(), address.String(), bodyOf(submit))
 	if err != nil {
 		return nil, fmt.Errorf("build request: %w", err)
 	}
+	req.ContentLength = int64(len(submit.GetBody()))
 	for _, h := range submit.GetHeaders() {
 		req.Header.Add(h.GetName(), h.GetValue())
 	}
@@ -65,11 +67,6 @@
 	if traceParent != "" {
 		req.Header.Set(headerTrace, traceParent)
 	}
-	if submit.GetOnce() {
-		// The transport must not send it a second time on a broken
-		// connection.
-		req.GetBody = nil
-	}
 	resp, err := t.client.Do(req)
 	if err != nil {
 		return nil, fmt.Errorf("ask target: %w", err)
@@ -77,6 +74,17 @@
 	return resp, nil
 }
 
+// bodyOf returns the body of a request. On a broken connection the transport
+// sends some requests a second time by itself: those whose body it can get
+// again or knows to be empty. It must do neither with one that runs only once.
+func bodyOf(submit *wire.Submit) io.Reader {
+	body := bytes.NewReader(submit.GetBody())
+	if submit.GetOnce() {
+		return struct{ io.Reader }{body}
+	}
+	return body
+}
+
 // notSent reports whether err shows that the target never saw the request.
 func notSent(err error) bool {
 	var op *net.OpError
