Take a target that breaks every connection for down

A crashed engine behind a listener that still takes connections, as behind a supervisor, was taken for well, since the check was a dial alone: the request of death was then sent twelve times and never refused. The check is now a HEAD request on a connection of its own, to which any answer will do. Seen failing in TestRequestOfDeathIsStopped; it now passes: after two sends the request is refused for good as Quarantined within 0.5 ms, while other chats are answered.

--- a/internal/process/side/target.go
+++ b/internal/process/side/target.go
@@ -91,12 +91,20 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
-// answers reports whether the target takes connections.
+// answers reports whether the target answers a request of any kind. One that
+// takes connections and breaks them does not.
 func (t *targetClient) answers() bool {
-	conn, err := net.DialTimeout("tcp", t.base.Host, targetDialTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), targetDialTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodHead, t.base.String(), http.NoBody)
 	if err != nil {
 		return false
 	}
-	_ = conn.Close()
+	req.Close = true
+	resp, err := t.client.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
 	return true
 }
