--- a/internal/process/cmds/wiring.go
+++ b/internal/process/cmds/wiring.go
@@ -5,13 +5,17 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
 
+	"cactusline.dev/cactusline/internal/conn/httpd"
 	"cactusline.dev/cactusline/internal/conn/link"
 	"cactusline.dev/cactusline/internal/conn/remote"
 	"cactusline.dev/cactusline/internal/process/clock"
+	"cactusline.dev/cactusline/internal/process/flags"
 	"cactusline.dev/cactusline/internal/process/logs"
 	"cactusline.dev/cactusline/internal/process/trace"
 )
@@ -68,3 +72,30 @@
 func startName(name string) string {
 	return fmt.Sprintf("%s-%08x", name, rand.Uint32())
 }
+
+// texts returns addresses as plain text.
+func texts(addresses []flags.Address) []string {
+	list := make([]string, len(addresses))
+	for i, address := range addresses {
+		list[i] = string(address)
+	}
+	return list
+}
+
+// serveMetrics serves the metrics of the process until ctx ends.
+func serveMetrics(ctx context.Context, address string) error {
+	if address == "" {
+		return nil
+	}
+	listener, err := listen("metrics", address)
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		metrics.WritePrometheus(w, true)
+	})
+	go func() { _ = httpd.New(httpd.Config{Handler: mux}).Serve(ctx, listener) }()
+	return nil
+}
