Stop processes and break links while chats and steps go on

Planned stops of each role, and a relay between processes that falls silent or cuts connections in the middle of frames, also in front of single control processes, join the random faults.

--- a/cmd/cactusline/faults_test.go
+++ b/cmd/cactusline/faults_test.go
@@ -225,11 +225,57 @@
 		{"freeze engine", func(f *fleet, random *rand.Rand) { freezeFor(pick(f.engines, random), random, 2*time.Second) }},
 		{"kill router", func(f *fleet, random *rand.Rand) { restart(pick(f.routers, random), random) }},
 		{"freeze router", func(f *fleet, random *rand.Rand) { freezeFor(pick(f.routers, random), random, 2*time.Second) }},
+		{"stop router", func(f *fleet, _ *rand.Rand) { stopAndStart(f.routers[0]) }},
+		{"stop sidecar", func(f *fleet, random *rand.Rand) { stopAndStart(pick(f.sidecars, random)) }},
+		{"stop control", func(f *fleet, random *rand.Rand) { stopAndStart(pick(f.controls, random)) }},
 	}
 }
 
-// TestRandomisedFaults kills and freezes processes of every role at random
-// while chats and steps go on. No answer may be wrong or silently short, no
+func stopAndStart(p *process) {
+	p.stop()
+	p.start()
+}
+
+// linkFaults break what lies between processes.
+func linkFaults(relays *relays) []fault {
+	return []fault{
+		{"silent link to control", func(_ *fleet, random *rand.Rand) { silenceFor(relays.pick(relays.control, random), random) }},
+		{"cut link to control", func(_ *fleet, random *rand.Rand) { relays.pick(relays.control, random).cut() }},
+		{"control hears no peer", func(_ *fleet, random *rand.Rand) { silenceFor(relays.pick(relays.peers, random), random) }},
+		{"cut links of control", func(_ *fleet, random *rand.Rand) { relays.pick(relays.peers, random).cut() }},
+	}
+}
+
+func silenceFor(r *relay, random *rand.Rand) {
+	r.silence()
+	pause(random, 4*time.Second)
+	r.resume()
+}
+
+// relays are the links of a fleet that can be broken.
+type relays struct {
+	t       *testing.T
+	seed    uint64
+	control []*relay
+	peers   []*relay
+}
+
+func (r *relays) pick(from []*relay, random *rand.Rand) *relay { return from[random.IntN(len(from))] }
+
+// lead makes the fleet's links go through the relays.
+func (r *relays) lead(cfg *fleetConfig) {
+	cfg.through = func(_, control string) string {
+		r.control = append(r.control, startRelay(r.t, control, r.seed))
+		return r.control[len(r.control)-1].address()
+	}
+	cfg.peers = func(control string) string {
+		r.peers = append(r.peers, startRelay(r.t, control, r.seed))
+		return r.peers[len(r.peers)-1].address()
+	}
+}
+
+// TestRandomisedFaults kills, freezes and stops processes of every role and
+// breaks links at random while chats and steps go on. No answer may be wrong or silently short, no
 // step may run twice, and none that ran may be said not to have run.
 func TestRandomisedFaults(t *testing.T) {
 	length := defaultFaultsTime
@@ -244,12 +290,15 @@
 }
 
 func runFaults(t *testing.T, seed uint64, length time.Duration) {
-	f := startFleet(t, acceptanceConfig())
+	cfg := acceptanceConfig()
+	links := &relays{t: t, seed: seed}
+	links.lead(&cfg)
+	f := startFleet(t, cfg)
 	random := rand.New(rand.NewPCG(seed, 0))
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	l := startLoad(ctx, t, f, seed)
-	list := faults()
+	list := append(faults(), linkFaults(links)...)
 	for end := time.Now().Add(length); time.Now().Before(end); {
 		fault := list[random.IntN(len(list))]
 		t.Logf("%s %s", time.Now().Format(time.TimeOnly), fault.name)
--- a/cmd/cactusline/fleet_test.go
+++ b/cmd/cactusline/fleet_test.go
@@ -132,6 +132,9 @@
 	// through returns the address by which a process reaches a control
 	// process, which may lead through a relay; nil means directly.
 	through func(process, control string) string
+	// peers returns the address by which the other control processes reach
+	// one, which may lead through a relay; nil means directly.
+	peers func(control string) string
 }
 
 // fleet is a whole fleet of processes on loopback.
@@ -184,6 +187,9 @@
 		address := freeAddress(f.t)
 		f.controlAddresses = append(f.controlAddresses, address)
 		f.adminAddresses = append(f.adminAddresses, freeAddress(f.t))
+		if f.cfg.peers != nil {
+			address = f.cfg.peers(address)
+		}
 		peers = append(peers, "--peer", fmt.Sprintf("control-%d=%s", i+1, address))
 	}
 	for i, address := range f.controlAddresses {
