--- a/cmd/cactusline/once_test.go
+++ b/cmd/cactusline/once_test.go
@@ -45,6 +45,21 @@
 	}
 }
 
+// TestEarlyRefusalTellsNothingOfEarlierSends runs a step and sends it again
+// for a service that has gone and with a body that is too long. Neither answer
+// may say that the step was not run.
+func TestEarlyRefusalTellsNothingOfEarlierSends(t *testing.T) {
+	f := startFleet(t, fleetConfig{controls: 1, routers: 1})
+	c := newCaller(f.routerAddresses[0])
+	assert.Equal(t, c.step(t.Context(), "key-1", nil).outcome, outcomeRan)
+	r := c.call(t, http.MethodPost, "/services/retired/bibs", "key-1", "")
+	assert.Check(t, r.status == http.StatusNotFound && r.outcome == outcomeUnknown, "%v", r)
+	r = c.call(t, http.MethodPost, "/services/registration/bibs", "key-1", strings.Repeat("x", 9<<20))
+	assert.Check(t, r.status == http.StatusRequestEntityTooLarge && r.outcome == outcomeUnknown, "%v", r)
+	r = c.call(t, http.MethodPost, "/services/retired/bibs", "", "")
+	assert.Check(t, r.status == http.StatusNotFound && r.outcome == outcomeNotRun, "%v", r)
+}
+
 // addService adds a service that the test serves itself.
 func (f *fleet) addService(name ident.ServiceName, server *httptest.Server) {
 	f.t.Helper()
--- a/internal/process/router/chat.go
+++ b/internal/process/router/chat.go
@@ -123,12 +123,12 @@
 func (r *Router) answer(w http.ResponseWriter, req *http.Request, c *call) {
 	if r.poisoned.Blocked(ident.Fingerprint(c.submit.GetFingerprint())) {
 		blocked := refusal(http.StatusForbidden, codeQuarantined, "this request crashed the targets that ran it")
-		blocked.write(w, c.id)
+		blocked.writeEarly(w, req, c.id)
 		return
 	}
 	c.tries.Watched = r.poisoned.Verdict(ident.Fingerprint(c.submit.GetFingerprint())) != poison.VerdictNone
 	if limited := r.limited(c); limited != nil {
-		limited.write(w, c.id)
+		limited.writeEarly(w, req, c.id)
 		return
 	}
 	defer r.limits.End(c.customer.Name)
--- a/internal/process/router/error.go
+++ b/internal/process/router/error.go
@@ -60,6 +60,16 @@
 	return &callerError{status: status, code: code, message: message, outcome: wire.Outcome_OUTCOME_NOT_RUN}
 }
 
+// writeEarly answers the caller with a refusal that comes before the ledger is
+// asked. It says nothing of what an earlier send under the same key did, and so
+// a service's caller with a key is told that the outcome is unknown.
+func (e *callerError) writeEarly(w http.ResponseWriter, req *http.Request, request ident.RequestID) {
+	if req.PathValue("service") != "" && req.Header.Get(headerKey) != "" {
+		e.outcome = wire.Outcome_OUTCOME_UNKNOWN
+	}
+	e.write(w, request)
+}
+
 // write answers the caller with the error.
 func (e *callerError) write(w http.ResponseWriter, request ident.RequestID) {
 	header := w.Header()
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -158,7 +158,7 @@
 		if !r.cfg.Follower.Confirmed() {
 			failed := refusal(http.StatusServiceUnavailable, codeNotReady, "this router has just started")
 			failed.retryAfter = startRetryAfter
-			failed.write(w, id)
+			failed.writeEarly(w, req, id)
 			return
 		}
 		serve(w, req.WithContext(ctx), id)
--- a/internal/process/router/service.go
+++ b/internal/process/router/service.go
@@ -34,7 +34,7 @@
 func (r *Router) serveService(w http.ResponseWriter, req *http.Request, id ident.RequestID) {
 	c, failed := r.readService(w, req, id)
 	if failed != nil {
-		failed.write(w, id)
+		failed.writeEarly(w, req, id)
 		return
 	}
 	r.answer(w, req, c)
