--- a/cmd/cactusline/fleet_test.go
+++ b/cmd/cactusline/fleet_test.go
@@ -18,6 +18,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"cactusline.dev/cactusline/internal/process/cmds"
 	"cactusline.dev/cactusline/internal/version/ident"
 	"cactusline.dev/cactusline/internal/version/record"
 )
@@ -60,10 +61,13 @@
 // process is one process of the fleet, which can be killed and started again
 // with the same settings.
 type process struct {
-	t       *testing.T
-	name    string
-	args    []string
-	folder  string
+	t      testing.TB
+	name   string
+	args   []string
+	folder string
+	// inside makes it run inside the test's process, ended by cancel.
+	inside  bool
+	cancel  context.CancelFunc
 	cmd     *exec.Cmd
 	exited  chan struct{}
 	exitErr error
@@ -72,6 +76,10 @@
 // start runs the process. It is killed when the test ends.
 func (p *process) start() {
 	p.t.Helper()
+	if p.inside {
+		p.startInside()
+		return
+	}
 	output, err := os.OpenFile(filepath.Join(p.folder, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	assert.NilError(p.t, err)
 	p.cmd = exec.Command(binary, p.args...)
@@ -88,6 +96,18 @@
 	}()
 }
 
+func (p *process) startInside() {
+	ctx, cancel := context.WithCancel(context.Background())
+	exited := make(chan struct{})
+	p.cancel, p.exited = cancel, exited
+	go func() {
+		defer close(exited)
+		if code := cmds.Main(ctx, p.args, io.Discard, io.Discard); code != cmds.ExitOK {
+			p.exitErr = fmt.Errorf("exit code %d", code)
+		}
+	}()
+}
+
 // kill ends the process at once, also when it is frozen.
 func (p *process) kill() {
 	p.signal(syscall.SIGKILL)
@@ -114,6 +134,10 @@
 func (p *process) thaw() { p.signal(syscall.SIGCONT) }
 
 func (p *process) signal(signal syscall.Signal) {
+	if p.inside {
+		p.cancel()
+		return
+	}
 	select {
 	case <-p.exited:
 	default:
@@ -135,11 +159,13 @@
 	// peers returns the address by which the other control processes reach
 	// one, which may lead through a relay; nil means directly.
 	peers func(control string) string
+	// inside runs all roles inside the test's process, without traces.
+	inside bool
 }
 
 // fleet is a whole fleet of processes on loopback.
 type fleet struct {
-	t        *testing.T
+	t        testing.TB
 	cfg      fleetConfig
 	folder   string
 	controls []*process
@@ -151,13 +177,14 @@
 	controlAddresses []string
 	adminAddresses   []string
 	routerAddresses  []string
+	engineAddresses  []string
 	serviceAddress   string
 	targets          []record.Target
 }
 
 // startFleet starts the processes, submits the records and returns once every
 // router is ready.
-func startFleet(t *testing.T, cfg fleetConfig) *fleet {
+func startFleet(t testing.TB, cfg fleetConfig) *fleet {
 	t.Helper()
 	f := &fleet{t: t, cfg: cfg, folder: t.TempDir()}
 	t.Cleanup(f.close)
@@ -165,6 +192,7 @@
 	for i := range cfg.engines {
 		name := ident.TargetName(fmt.Sprintf("engine-%d", i+1))
 		address := freeAddress(t)
+		f.engineAddresses = append(f.engineAddresses, address)
 		f.engines = append(f.engines, f.run(string(name), append([]string{"engine", "--listen", address}, cfg.engineArgs...)...))
 		f.startSidecar(record.Target{Name: name, Models: []record.TargetModel{{Name: model}}}, address)
 	}
@@ -235,8 +263,10 @@
 
 func (f *fleet) run(name string, args ...string) *process {
 	f.t.Helper()
-	args = append(args, "--trace-file", f.traceFile(name))
-	p := &process{t: f.t, name: name, args: args, folder: f.folder}
+	if !f.cfg.inside {
+		args = append(args, "--trace-file", f.traceFile(name))
+	}
+	p := &process{t: f.t, name: name, args: args, folder: f.folder, inside: f.cfg.inside}
 	p.start()
 	return p
 }
@@ -342,7 +372,7 @@
 }
 
 // await polls until a condition holds and returns how long that took.
-func await(t *testing.T, limit time.Duration, what string, holds func() bool) time.Duration {
+func await(t testing.TB, limit time.Duration, what string, holds func() bool) time.Duration {
 	t.Helper()
 	begun := time.Now()
 	for !holds() {
@@ -366,7 +396,7 @@
 )
 
 // freeAddress returns a loopback address that nobody listens on.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	ports.mu.Lock()
 	defer ports.mu.Unlock()
