--- a/internal/process/cmds/answer.go
+++ b/internal/process/cmds/answer.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -16,10 +17,11 @@
 // usage marks an error as the operator's.
 func usage(err error) error { return &codedError{code: ExitUsage, err: err} }
 
-// refusedDial reports whether nothing was sent.
-func refusedDial(err error) bool {
+// unsent reports whether a call failed before anything of it was sent.
+func unsent(err error) bool {
 	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
+	var untrusted *tls.CertificateVerificationError
+	return (errors.As(err, &op) && op.Op == "dial") || errors.As(err, &untrusted)
 }
 
 // readError reads an error answer.
--- a/internal/process/cmds/client.go
+++ b/internal/process/cmds/client.go
@@ -138,7 +138,7 @@
 		req.Header.Set("Authorization", "Bearer "+token)
 	}
 	resp, err := client.Do(req)
-	if err != nil && refusedDial(err) {
+	if err != nil && unsent(err) {
 		return nil, fmt.Errorf("ask %s: %w", base, err)
 	}
 	if err != nil {
--- a/internal/process/cmds/look.go
+++ b/internal/process/cmds/look.go
@@ -64,12 +64,16 @@
 	Client `embed:""`
 
 	After uint64 `help:"Leave out entries up to this index."`
+	Stale bool   `help:"Write what one control process has, without asking a quorum."`
 	File  string `help:"File to write; it must not exist. Standard output if empty." type:"path"`
 }
 
 // Run implements the command.
 func (c *AuditExportCommand) Run(s *scope) error {
 	query := url.Values{"after": {strconv.FormatUint(c.After, 10)}}
+	if c.Stale {
+		query.Set("stale", "true")
+	}
 	data, err := c.send(s, request{method: http.MethodGet, path: "/v1/audit", query: query})
 	if err != nil {
 		return err
