Fetch audit entries that a control process missed, and count removed ones

The folder now begins a file at a gap and tells of the first one, and control fetches what is missing from the others; entries of another history and entries that leave a hole are refused. To fetch within the export was ruled out: it runs while the store is locked.

A control process that was taken out of the member list was forgotten at once by the answer to when a change is in force, although leases that it granted may still run. It now counts for one lease.

Seen failing with the mechanism off: TestMissingAuditEntriesAreFetched without fillAudit (no end within 8 s), TestRemovedControlCountsForOneLease without the memory of members.

--- /dev/null
+++ b/internal/process/audit/fill.go
@@ -0,0 +1,118 @@
+package audit
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+)
+
+// Gap is a run of entries that a folder lacks.
+type Gap struct {
+	// After is the last entry before the gap, zero if there is none.
+	After Head
+	// Next is the index of the first entry after it.
+	Next uint64
+}
+
+// FillError is the error for entries that don't belong in a gap.
+type FillError struct {
+	Gap   Gap
+	Fault Fault
+}
+
+// Error names the entry and what is wrong with it.
+func (e *FillError) Error() string {
+	return fmt.Sprintf("audit entry %d does not fill the gap after entry %d: %s", e.Fault.Index, e.Gap.After.Index, e.Fault.Problem)
+}
+
+// Gap returns the first gap of the folder, and whether there is one. A gap is
+// where the chain had dropped entries before they were exported.
+func (f *Folder) Gap() (Gap, bool, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	names, err := f.names()
+	if err != nil {
+		return Gap{}, false, err
+	}
+	var last Head
+	for _, name := range names {
+		if first := firstOf(name); first > last.Index+1 {
+			return Gap{After: last, Next: first}, true, nil
+		}
+		if name == f.name {
+			break
+		}
+		if last, err = lastOf(name); err != nil {
+			return Gap{}, false, err
+		}
+	}
+	return Gap{}, false, nil
+}
+
+// lastOf returns the last entry of a file that is not being written.
+func lastOf(name string) (Head, error) {
+	file, err := OpenFile(name)
+	if err != nil {
+		return Head{}, err
+	}
+	return file.Last(), file.Close()
+}
+
+// Fill writes entries of another control process into a gap: those right
+// after it begins, in any number. Entries that reach past the gap are left
+// out. It takes only entries that are sound and follow from the one before the
+// gap; any other one is a *FillError.
+func (f *Folder) Fill(gap Gap, entries []Entry) error {
+	for len(entries) > 0 && entries[len(entries)-1].Index >= gap.Next {
+		entries = entries[:len(entries)-1]
+	}
+	if len(entries) == 0 {
+		return nil
+	}
+	var lines bytes.Buffer
+	if err := WriteLines(&lines, entries); err != nil {
+		return err
+	}
+	report, err := Verifier{Before: gap.After}.Verify(&lines)
+	if err != nil {
+		return err
+	}
+	if report.Fault == nil && report.First != gap.After.Index+1 {
+		report.Fault = &Fault{Index: report.First, Problem: ProblemMissing}
+	}
+	if report.Fault != nil {
+		return &FillError{Gap: gap, Fault: *report.Fault}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.fill(gap, entries)
+}
+
+// fill appends to the file before the gap unless that is full or there is
+// none.
+func (f *Folder) fill(gap Gap, entries []Entry) error {
+	name := filepath.Join(f.path, fmt.Sprintf("%020d%s", entries[0].Index, fileSuffix))
+	names, err := f.names()
+	if err != nil {
+		return err
+	}
+	for _, earlier := range names {
+		info, err := os.Stat(earlier)
+		if err == nil && firstOf(earlier) <= gap.After.Index && earlier != f.name && info.Size() < folderFileSize {
+			name = earlier
+		}
+	}
+	file, err := OpenFile(name)
+	if err != nil {
+		return err
+	}
+	err = file.WriteAudit(entries)
+	if closeErr := file.Close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return fmt.Errorf("fill audit gap: %w", err)
+	}
+	return f.sync()
+}
--- a/internal/process/audit/folder.go
+++ b/internal/process/audit/folder.go
@@ -105,10 +105,10 @@
 	return nil
 }
 
-// turn begins a file for the entry where there is none or the last one is
-// full.
+// turn begins a file for the entry where there is none, the last one is full,
+// or entries are missing between.
 func (f *Folder) turn(first uint64) error {
-	if f.file != nil {
+	if f.file != nil && first == f.last.Index+1 {
 		info, err := os.Stat(f.name)
 		if err != nil {
 			return fmt.Errorf("size of audit file: %w", err)
--- a/internal/process/audit/folder_test.go
+++ b/internal/process/audit/folder_test.go
@@ -69,3 +69,54 @@
 	assert.Equal(t, folder.Last(), chainOf(3, 0).Head())
 	assert.NilError(t, folder.Close())
 }
+
+func TestGapIsFilledByAnotherFolder(t *testing.T) {
+	const kept, total = 4, 40
+	chain := audit.New(audit.Config{Kept: kept})
+	whole, err := audit.OpenFolder(t.TempDir())
+	assert.NilError(t, err)
+	path := t.TempDir()
+	holed, err := audit.OpenFolder(path)
+	assert.NilError(t, err)
+	every, some := audit.NewExporter(chain, whole, 0), audit.NewExporter(chain, holed, 0)
+	for i := range total {
+		chain.Append(audit.Event{Kind: audit.KindNote, Request: "r"})
+		assert.NilError(t, every.Export())
+		// The other member is away at first, and again in the middle.
+		if i == 10 || i == 11 || i == total-1 {
+			var gap *audit.GapError
+			_ = errors.As(some.Export(), &gap)
+		}
+	}
+	assert.Assert(t, !bytes.Equal(read(t, holed, 0), read(t, whole, 0)))
+
+	other := chainOf(total, 0)
+	forged, err := other.After(0)
+	assert.NilError(t, err)
+	for fills := 0; ; fills++ {
+		gap, found, err := holed.Gap()
+		assert.NilError(t, err)
+		if !found {
+			assert.Assert(t, fills > 2, fills)
+			break
+		}
+		var refused *audit.FillError
+		if gap.After.Index > 0 {
+			assert.Assert(t, errors.As(holed.Fill(gap, forged[gap.After.Index:]), &refused), "entries of another history")
+		}
+		var batch []audit.Entry
+		assert.NilError(t, whole.Read(gap.After.Index, func(e audit.Entry) error {
+			batch = append(batch, e)
+			return nil
+		}))
+		assert.Assert(t, errors.As(holed.Fill(gap, batch[1:]), &refused), "entries that leave a hole")
+		assert.NilError(t, holed.Fill(gap, batch[:5]))
+	}
+	assert.DeepEqual(t, read(t, holed, 0), read(t, whole, 0))
+	assert.NilError(t, holed.Close())
+	again, err := audit.OpenFolder(path)
+	assert.NilError(t, err)
+	assert.Equal(t, again.Last(), chain.Head())
+	assert.NilError(t, again.Close())
+	assert.NilError(t, whole.Close())
+}
--- a/internal/process/cmds/control.go
+++ b/internal/process/cmds/control.go
@@ -82,6 +82,7 @@
 		Remote:   remotes,
 		Link:     links,
 		Group:    disk.replicas,
+		Audit:    disk.folder,
 		Receive:  disk.replicas.Receive,
 	})
 	// Leadership is handed over before anything is closed.
--- a/internal/process/ctrl/ctrl.go
+++ b/internal/process/ctrl/ctrl.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log"
@@ -75,6 +76,8 @@
 	// Group lists and changes the control processes; without it this one is
 	// the only one.
 	Group Members
+	// Audit holds the exported audit entries; nil for none.
+	Audit AuditFolder
 	// Receive takes messages of the replicated log.
 	Receive func(from group.MemberID, message []byte)
 	// Query answers questions other than those of this package.
@@ -88,11 +91,14 @@
 	balancer *balancer
 	trail    *trail.Ring
 	server   *link.Server
+
+	mu   sync.Mutex
+	seen map[ident.VMName]seenMember
 }
 
 // New returns a control process; Run starts it.
 func New(cfg Config) *Control {
-	c := &Control{cfg: cfg, hub: newHub(cfg), balancer: newBalancer(cfg.Clock), trail: trail.NewRing(0)}
+	c := &Control{cfg: cfg, hub: newHub(cfg), balancer: newBalancer(cfg.Clock), trail: trail.NewRing(0), seen: make(map[ident.VMName]seenMember)}
 	c.server = link.NewServer(c)
 	return c
 }
@@ -102,6 +108,8 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.cfg.Listener.Close() })
 	defer stop()
 	go c.hub.confirm(ctx)
+	go c.watchMembers(ctx)
+	go c.fillAudit(ctx)
 	c.measure()
 	go c.balancer.run(ctx)
 	go c.countRouters(ctx)
@@ -144,6 +152,8 @@
 		return c.answerMembers(ctx, query.GetArgument())
 	case queryDecisions:
 		return answerJSON(c.trail.Get(ident.RequestID(query.GetName())))
+	case queryAudit:
+		return c.answerAudit(query.GetName())
 	case QueryDecided:
 		return c.keep(query.GetArgument())
 	}
--- /dev/null
+++ b/internal/process/ctrl/fill_test.go
@@ -0,0 +1,46 @@
+package ctrl_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cactusline.dev/cactusline/internal/process/audit"
+	"cactusline.dev/cactusline/internal/process/group"
+)
+
+func TestMissingAuditEntriesAreFetched(t *testing.T) {
+	t.Parallel()
+	chain := audit.New(audit.Config{Kept: 8})
+	whole, err := audit.OpenFolder(t.TempDir())
+	assert.NilError(t, err)
+	holed, err := audit.OpenFolder(t.TempDir())
+	assert.NilError(t, err)
+	every, late := audit.NewExporter(chain, whole, 0), audit.NewExporter(chain, holed, 0)
+	for range 1000 {
+		chain.Append(audit.Event{Kind: audit.KindNote, Detail: strings.Repeat("x", 1000)})
+		assert.NilError(t, every.Export())
+	}
+	var gap *audit.GapError
+	assert.Assert(t, errors.As(late.Export(), &gap))
+
+	b := startRig(t, group.Member{}, whole)
+	startRig(t, group.Member{ID: "b/1", VM: "b", Address: b.address}, holed)
+	for found := true; found; time.Sleep(time.Millisecond) {
+		_, found, err = holed.Gap()
+		assert.NilError(t, err)
+	}
+	var head audit.Head
+	next := uint64(1)
+	assert.NilError(t, holed.Read(0, func(e audit.Entry) error {
+		assert.Equal(t, e.Index, next)
+		assert.Equal(t, e.PrevHash, head.Hash)
+		head = audit.Head{Index: e.Index, Hash: e.Hash}
+		next++
+		return nil
+	}))
+	assert.Equal(t, head, chain.Head())
+}
--- a/internal/process/ctrl/fleet.go
+++ b/internal/process/ctrl/fleet.go
@@ -98,20 +98,44 @@
 	return answer
 }
 
-// members returns the other control processes.
+// members returns the other control processes, those that were taken out
+// within a lease too, because what they granted may still run.
 func (c *Control) members() []group.Member {
 	if c.cfg.Group == nil {
 		return nil
 	}
-	var others []group.Member
+	now := c.cfg.Clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for _, member := range c.cfg.Group.Status().Members {
 		if member.VM != c.cfg.VM {
-			others = append(others, member.Member)
+			c.seen[member.VM] = seenMember{member: member.Member, at: now}
 		}
 	}
+	others := make([]group.Member, 0, len(c.seen))
+	for vm, seen := range c.seen {
+		if now.Sub(seen.at) > watch.DefaultLease {
+			delete(c.seen, vm)
+			continue
+		}
+		others = append(others, seen.member)
+	}
 	return others
 }
 
+// seenMember is a control process and when it was last in the member list.
+type seenMember struct {
+	member group.Member
+	at     time.Time
+}
+
+// watchMembers keeps the members seen up to date until ctx ends.
+func (c *Control) watchMembers(ctx context.Context) {
+	for c.cfg.Clock.Sleep(ctx, confirmInterval) == nil {
+		c.members()
+	}
+}
+
 // askWatched returns nil if the control process gave no answer.
 func (c *Control) askWatched(ctx context.Context, member group.Member) *watched {
 	reply, err := c.ask(ctx, member, &wire.Query{Kind: queryProcesses})
--- a/internal/process/ctrl/force_test.go
+++ b/internal/process/ctrl/force_test.go
@@ -36,15 +36,16 @@
 	return clock.System{}.Sleep(ctx, d/speed)
 }
 
-// peered adds a control process that gives no answer to a group of one.
+// peered adds a control process to a group of one, until it is taken out.
 type peered struct {
 	*group.Group
 	peer group.Member
+	out  *atomic.Bool
 }
 
 func (p peered) Status() group.Status {
 	status := p.Group.Status()
-	if p.peer.VM != "" {
+	if p.peer.VM != "" && !p.out.Load() {
 		status.Members = append(status.Members, group.MemberStatus{Member: p.peer})
 	}
 	return status
@@ -56,9 +57,11 @@
 	address string
 	links   *link.Client
 	control *ctrl.Control
+	// peerOut takes the peer out of the member list.
+	peerOut atomic.Bool
 }
 
-func startRig(t *testing.T, peer group.Member) *rig {
+func startRig(t *testing.T, peer group.Member, folder ctrl.AuditFolder) *rig {
 	t.Helper()
 	r := &rig{
 		clock: fastClock{started: time.Now()},
@@ -75,7 +78,7 @@
 	assert.NilError(t, err)
 	r.control = ctrl.New(ctrl.Config{
 		VM: "a", Listener: listener, Clock: r.clock, Logger: log.NewNopLogger(),
-		Log: replicas, Store: state, Link: r.links, Group: peered{Group: replicas, peer: peer},
+		Log: replicas, Store: state, Link: r.links, Group: peered{Group: replicas, peer: peer, out: &r.peerOut}, Audit: folder,
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	served := make(chan error, 1)
@@ -165,7 +168,7 @@
 
 func TestInForceWaitsForTheOneThatLags(t *testing.T) {
 	t.Parallel()
-	r := startRig(t, group.Member{})
+	r := startRig(t, group.Member{}, nil)
 	for _, name := range []string{"router-1", "router-2", "router-3"} {
 		r.follow(t, name)
 	}
@@ -192,7 +195,7 @@
 
 func TestProcessThatLeftMayHoldItsLease(t *testing.T) {
 	t.Parallel()
-	r := startRig(t, group.Member{})
+	r := startRig(t, group.Member{}, nil)
 	r.settle()
 	slow := r.lag(t, 0)
 	for len(r.control.Fleet(t.Context()).Processes) == 0 {
@@ -209,13 +212,31 @@
 	assert.Assert(t, force.InForce, force)
 }
 
-func TestUnreachableControlCountsForOneLease(t *testing.T) {
-	t.Parallel()
-	// Nothing listens on the port of a listener that was closed.
+// silent returns a control process on whose address nothing listens.
+func silent(t *testing.T) group.Member {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	assert.NilError(t, listener.Close())
-	r := startRig(t, group.Member{ID: "b/1", VM: "b", Address: listener.Addr().String()})
+	return group.Member{ID: "b/1", VM: "b", Address: listener.Addr().String()}
+}
+
+func TestRemovedControlCountsForOneLease(t *testing.T) {
+	t.Parallel()
+	r := startRig(t, silent(t), nil)
+	r.settle()
+	r.peerOut.Store(true)
+	revision := r.commit(t, "first")
+	force := r.await(t, revision, watch.DefaultLease/4)
+	assert.Assert(t, !force.InForce, force)
+	assert.DeepEqual(t, force.Unknown, []ident.VMName{"b"})
+	force = r.await(t, revision, 2*watch.DefaultLease)
+	assert.Assert(t, force.InForce, force)
+}
+
+func TestUnreachableControlCountsForOneLease(t *testing.T) {
+	t.Parallel()
+	r := startRig(t, silent(t), nil)
 	r.settle()
 	revision := r.commit(t, "first")
 	force := r.await(t, revision, watch.DefaultLease/2)
@@ -229,7 +250,7 @@
 
 func TestRestartedControlCountsForOneLease(t *testing.T) {
 	t.Parallel()
-	r := startRig(t, group.Member{})
+	r := startRig(t, group.Member{}, nil)
 	revision := r.commit(t, "first")
 	force := r.await(t, revision, watch.DefaultLease/4)
 	assert.Assert(t, !force.InForce, force)
