Eject a target at its first failure after a return

In its slow start a target was to be ejected by one failure, but the rule asked for a penalty of 1 or more, and the penalty of a single ejection has decayed to 0.94 after the five seconds that it lasts. The limit is now 0.5, one half-life. The new check in TestEjectionTrialAndSlowStart was seen failing with the limit at 1: the target stayed in its slow start.

--- a/internal/conn/health/health_test.go
+++ b/internal/conn/health/health_test.go
@@ -49,6 +49,13 @@
 	c.Report(now, "t0", health.Result{Probe: true})
 	assert.Equal(t, c.State(now, "t0").Phase, health.PhaseSlowStart)
 	assert.Equal(t, c.State(now, "t0").Weight, health.DefaultSlowStartFrom)
+	again := health.New(health.Config{})
+	pool(again, 4)
+	fail(again, epoch, "t0")
+	soon := again.State(epoch, "t0").Until
+	again.Report(soon, "t0", health.Result{Probe: true})
+	again.Report(soon, "t0", health.Result{Failed: true})
+	assert.Equal(t, again.State(soon, "t0").Phase, health.PhaseEjected, "one failure is enough in a slow start")
 	half := c.State(now.Add(health.DefaultSlowStart/2), "t0").Weight
 	assert.Assert(t, half > 0.5 && half < 0.6)
 	assert.Equal(t, c.State(now.Add(health.DefaultSlowStart), "t0").Weight, 1.0)
--- a/internal/conn/health/target.go
+++ b/internal/conn/health/target.go
@@ -120,12 +120,16 @@
 	t.failuresInRow = 0
 }
 
+// lately is the penalty of a target that was ejected or joined again within
+// one half-life.
+const lately = 0.5
+
 // failing reports whether the results ask for an ejection.
 func (t *target) failing(now time.Time, cfg *Config) bool {
 	if t.failuresInRow >= cfg.Failures {
 		return true
 	}
-	if t.failuresInRow > 0 && now.Sub(t.rising) < cfg.SlowStart && t.decayed(now, cfg) >= 1 {
+	if t.failuresInRow > 0 && now.Sub(t.rising) < cfg.SlowStart && t.decayed(now, cfg) >= lately {
 		return true
 	}
 	enough := t.volume >= min(cfg.MinVolume, 0.5/smoothing)
