--- a/internal/request/tries/machine_test.go
+++ b/internal/request/tries/machine_test.go
@@ -119,7 +119,8 @@
 }
 
 func TestHedge(t *testing.T) {
-	m := tries.New(tries.Config{Request: "r", HedgeAfter: time.Millisecond})
+	proposals := &plan{candidates: []tries.Candidate{targets[0], targets[0], targets[1]}}
+	m := tries.New(tries.Config{Request: "r", HedgeAfter: time.Millisecond, Plan: proposals})
 	m.Step(epoch, start())
 	actions := m.Step(m.Wake(), tries.Event{Kind: tries.EventTimeout})
 	assert.Equal(t, len(actions), 1)
--- a/internal/request/tries/world_test.go
+++ b/internal/request/tries/world_test.go
@@ -255,7 +255,7 @@
 		cfg.Plan = &plan{candidates: append(w.rank(), w.rank()...)}
 	}
 	c.machine = tries.New(cfg)
-	if verdict == poison.VerdictQuarantined {
+	if r.set.Blocked(op.fingerprint) {
 		c.step(frame{event: tries.Event{Kind: tries.EventBlocked}})
 		return
 	}
