--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -23,6 +23,7 @@
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/process/trace"
 	"cactusline.dev/cactusline/internal/request/budget"
+	"cactusline.dev/cactusline/internal/request/limit"
 	"cactusline.dev/cactusline/internal/request/poison"
 	"cactusline.dev/cactusline/internal/request/relay"
 	"cactusline.dev/cactusline/internal/request/tries"
@@ -39,6 +40,9 @@
 	headerTimeout   = 10 * time.Second
 	headerLimit     = 64 << 10
 	idleConnTimeout = 2 * time.Minute
+	// startRetryAfter is when callers of a router that has just started may
+	// come back.
+	startRetryAfter = time.Second
 )
 
 // Clock is what the package needs of a clock.
@@ -91,6 +95,9 @@
 	requests requestNames
 	random   lockedRand
 	stopping atomic.Bool
+	limits   limit.Limiter
+	// routers counts the routers of the fleet; zero if not known yet.
+	routers atomic.Uint32
 }
 
 // New returns a router. Run starts it; Update must be called with what the
@@ -120,6 +127,9 @@
 // Update takes news from control.
 func (r *Router) Update(update *wire.Update, set *record.Set) {
 	r.view.rebuild(set)
+	if update.GetRouters() > 0 {
+		r.routers.Store(update.GetRouters())
+	}
 	if update.GetVerdictsSet() {
 		r.poisoned.Replace(watch.Verdicts(update.GetVerdicts()))
 	}
@@ -137,7 +147,7 @@
 }
 
 // traced gives each request an id and a span, which goes on from the caller's
-// trace if it sent one.
+// trace if it sent one. A router that has just started refuses all of them.
 func (r *Router) traced(serve func(http.ResponseWriter, *http.Request, ident.RequestID)) http.HandlerFunc {
 	return func(w http.ResponseWriter, req *http.Request) {
 		id := r.requests.next()
@@ -145,6 +155,12 @@
 		ctx, span := r.cfg.Tracer.Start(req.Context(), req.Header.Get(trace.Header), "router.request",
 			attribute.String("request", string(id)))
 		defer span.End()
+		if !r.cfg.Follower.Confirmed() {
+			failed := refusal(http.StatusServiceUnavailable, codeNotReady, "this router has just started")
+			failed.retryAfter = startRetryAfter
+			failed.write(w, id)
+			return
+		}
 		serve(w, req.WithContext(ctx), id)
 	}
 }
--- a/internal/process/side/submit.go
+++ b/internal/process/side/submit.go
@@ -58,7 +58,7 @@
 		reason = wire.RefusalReason_REFUSAL_REASON_INCARNATION
 	case submit.GetJoin():
 		return nil
-	case s.revision() == 0:
+	case !s.confirmed():
 		reason = wire.RefusalReason_REFUSAL_REASON_TARGET_DOWN
 	case call.GetRevision() < uint64(s.revision()):
 		reason = wire.RefusalReason_REFUSAL_REASON_STALE_REVISION
@@ -94,7 +94,7 @@
 		_ = out.refuse(refusal)
 		return
 	}
-	s.start(call, submit, solo)
+	s.start(call, submit, solo, decision.Urgent)
 	out.digest = s.digestAbove(submit.GetDigestStamp())
 	s.join(ctx, submit, out, watcher)
 }
