Serve callers by the shared HTTP server; secure links and callers by TLS

Cause: the router had its own server, error shape and shutdown beside those of package httpd, and neither callers nor links between processes could use TLS.

--- a/internal/process/cmds/control.go
+++ b/internal/process/cmds/control.go
@@ -31,6 +31,8 @@
 	Tokens    flags.File `help:"File with the tokens of operators and the monitor; needed unless --admin is a loopback address."`
 	AdminCert flags.File `help:"File with the certificate for operators."`
 	AdminKey  flags.File `help:"File with the key of that certificate."`
+
+	LinkKeys `embed:""`
 }
 
 // Run implements the command.
@@ -55,16 +57,20 @@
 		return err
 	}
 	defer closeTracer(tracer)
-	return c.serve(s.ctx, logger, tracer, internal, operators)
+	secure, err := c.LinkKeys.open(logger)
+	if err != nil {
+		return err
+	}
+	return c.serve(s.ctx, logger, tracer, secure, internal, operators)
 }
 
 // serve runs the control process on its listeners until ctx ends.
-func (c *ControlCommand) serve(ctx context.Context, logger log.Logger, tracer *trace.Tracer, internal, operators net.Listener) error {
+func (c *ControlCommand) serve(ctx context.Context, logger log.Logger, tracer *trace.Tracer, secure linkTLS, internal, operators net.Listener) error {
 	members := membersOf(c.Peer)
 	if len(members) == 0 {
 		members = []group.Member{{VM: c.VM, Address: internal.Addr().String()}}
 	}
-	links, remotes := newLinks(string(c.VM), addressesOf(members))
+	links, remotes := newLinks(string(c.VM), addressesOf(members), secure)
 	defer func() { _ = links.Close() }()
 	peers := ctrl.NewPeers(ctrl.PeersConfig{Self: c.VM, Members: members, Link: links, Clock: clock.System{}})
 	disk, err := c.openDisk(logger, members, peers)
@@ -73,7 +79,7 @@
 	}
 	control := ctrl.New(ctrl.Config{
 		VM:       c.VM,
-		Listener: internal,
+		Listener: secure.secure(internal),
 		Clock:    clock.System{},
 		Logger:   logger,
 		Tracer:   tracer,
--- a/internal/process/cmds/dev.go
+++ b/internal/process/cmds/dev.go
@@ -143,20 +143,20 @@
 	control := internal.Addr().String()
 	f.run("control", func() error {
 		command := &ControlCommand{VM: "dev", Data: folder}
-		return command.serve(f.ctx, log.With(f.logger, "part", "control"), f.tracer, internal, operators)
+		return command.serve(f.ctx, log.With(f.logger, "part", "control"), f.tracer, linkTLS{}, internal, operators)
 	})
 	targets, err := f.startTargets(control)
 	if err != nil {
 		return err
 	}
-	links, client := newLinks("dev", []string{control})
+	links, client := newLinks("dev", []string{control}, linkTLS{})
 	defer func() { _ = links.Close() }()
 	if err := f.submit(client, targets); err != nil {
 		return err
 	}
 	f.run("router", func() error {
 		command := &RouterCommand{Name: "dev", Domain: "dev", Control: []flags.Address{flags.Address(control)}}
-		return command.serve(f.ctx, log.With(f.logger, "part", "router"), f.tracer, callers)
+		return command.serve(f.ctx, log.With(f.logger, "part", "router"), f.tracer, linkTLS{}, callers)
 	})
 	return f.awaitReady(callers.Addr().String())
 }
@@ -209,7 +209,7 @@
 			Target:  &url.URL{Scheme: "http", Host: back.Addr().String()},
 			Control: []flags.Address{flags.Address(control)},
 		}
-		return command.serve(f.ctx, log.With(f.logger, "part", "sidecar "+string(name)), f.tracer, front)
+		return command.serve(f.ctx, log.With(f.logger, "part", "sidecar "+string(name)), f.tracer, linkTLS{}, front)
 	})
 	return nil
 }
--- a/internal/process/cmds/router.go
+++ b/internal/process/cmds/router.go
@@ -28,6 +28,9 @@
 
 	DrainDelay   time.Duration `help:"How long a stopping router takes callers while the balancer learns of it." default:"3s" min:"0s"`
 	DrainTimeout time.Duration `help:"How long a stopping router waits for requests in flight; 0 for no bound." min:"0s"`
+
+	CallerKeys `embed:""`
+	LinkKeys   `embed:""`
 }
 
 // Run implements the command.
@@ -45,12 +48,16 @@
 		return err
 	}
 	defer closeTracer(tracer)
-	return c.serve(s.ctx, logger, tracer, listener)
+	secure, err := c.LinkKeys.open(logger)
+	if err != nil {
+		return err
+	}
+	return c.serve(s.ctx, logger, tracer, secure, listener)
 }
 
 // serve runs the router on a listener until ctx ends.
-func (c *RouterCommand) serve(ctx context.Context, logger log.Logger, tracer *trace.Tracer, listener net.Listener) error {
-	links, control := newLinks(c.Name, texts(c.Control))
+func (c *RouterCommand) serve(ctx context.Context, logger log.Logger, tracer *trace.Tracer, secure linkTLS, listener net.Listener) error {
+	links, control := newLinks(c.Name, texts(c.Control), secure)
 	defer func() { _ = links.Close() }()
 	var r *router.Router
 	follower := watch.NewFollower(watch.Config{
@@ -62,11 +69,16 @@
 		Role:      "router",
 		OnUpdate:  func(update *wire.Update, set *record.Set) { r.Update(update, set) },
 	})
+	callers, err := c.CallerKeys.open(logger)
+	if err != nil {
+		return err
+	}
 	decisions := newDecisions(c.Name, logger, control)
 	r = router.New(router.Config{
 		Process:   startName(c.Name),
 		Domain:    c.Domain,
 		Listener:  listener,
+		TLS:       callers,
 		Clock:     clock.System{},
 		Logger:    logger,
 		Tracer:    tracer,
--- a/internal/process/cmds/sidecar.go
+++ b/internal/process/cmds/sidecar.go
@@ -27,6 +27,8 @@
 	Target  *url.URL         `help:"Base URL of the target." required:""`
 	Listen  flags.Address    `help:"Address for routers." default:"127.0.0.1:9000"`
 	Control []flags.Address  `help:"Addresses of the control processes." required:""`
+
+	LinkKeys `embed:""`
 }
 
 // Run implements the command.
@@ -44,12 +46,16 @@
 		return err
 	}
 	defer closeTracer(tracer)
-	return c.serve(s.ctx, logger, tracer, listener)
+	secure, err := c.LinkKeys.open(logger)
+	if err != nil {
+		return err
+	}
+	return c.serve(s.ctx, logger, tracer, secure, listener)
 }
 
 // serve runs the sidecar on a listener until ctx ends.
-func (c *SidecarCommand) serve(ctx context.Context, logger log.Logger, tracer *trace.Tracer, listener net.Listener) error {
-	links, control := newLinks(string(c.Name), texts(c.Control))
+func (c *SidecarCommand) serve(ctx context.Context, logger log.Logger, tracer *trace.Tracer, secure linkTLS, listener net.Listener) error {
+	links, control := newLinks(string(c.Name), texts(c.Control), secure)
 	defer func() { _ = links.Close() }()
 	incarnation, err := register(ctx, control, "sidecar/"+string(c.Name))
 	if err != nil {
@@ -58,7 +64,7 @@
 	sidecar, err := side.New(side.Config{
 		Name:     c.Name,
 		Target:   c.Target,
-		Listener: listener,
+		Listener: secure.secure(listener),
 		Clock:    clock.System{},
 		Logger:   logger,
 		Tracer:   tracer,
--- a/internal/process/cmds/wiring.go
+++ b/internal/process/cmds/wiring.go
@@ -63,8 +63,8 @@
 }
 
 // newLinks returns the client of calls to other processes, and of control.
-func newLinks(caller string, control []string) (*link.Client, *remote.Client) {
-	links := link.NewClient(link.Config{Clock: clock.System{}, Caller: caller})
+func newLinks(caller string, control []string, secure linkTLS) (*link.Client, *remote.Client) {
+	links := link.NewClient(link.Config{Clock: clock.System{}, Caller: caller, TLS: secure.client})
 	return links, remote.NewClient(remote.Config{Addresses: control, Link: links, Clock: clock.System{}})
 }
 
--- a/internal/process/router/answer.go
+++ b/internal/process/router/answer.go
@@ -5,17 +5,11 @@
 	"net/http"
 	"strconv"
 
+	"cactusline.dev/cactusline/internal/conn/httpd"
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/request/relay"
 )
 
-// Header fields of answers to callers.
-const (
-	headerRequest = "Cactusline-Request"
-	headerOutcome = "Cactusline-Outcome"
-	headerTarget  = "Cactusline-Target"
-)
-
 // streamed passes an answer on as it comes. The outcome is only known at the
 // end, so it follows as a trailer.
 type streamed struct {
@@ -31,7 +25,7 @@
 func (s *streamed) Head(status int, headers []*wire.Header) {
 	copyHeaders(s.w.Header(), headers)
 	s.w.Header().Del("Content-Length")
-	s.w.Header().Set("Trailer", headerOutcome)
+	s.w.Header().Set("Trailer", httpd.OutcomeHeader)
 	s.w.WriteHeader(status)
 }
 
@@ -46,14 +40,15 @@
 // finish ends the answer. One that is cut is ended by an error event and a
 // broken connection, so that no caller takes it for whole.
 func (s *streamed) finish(result relay.Result) {
-	s.w.Header().Set(headerOutcome, outcomeName(result.Outcome))
+	s.w.Header().Set(httpd.OutcomeHeader, string(outcomeOf(result.Outcome)))
 	if !result.Truncated {
 		return
 	}
-	event, err := json.Marshal(errorBody{Error: errorDetail{
-		Code:    "AnswerCut",
+	event, err := json.Marshal(httpd.ErrorBody{Error: &httpd.Error{
+		Code:    codeAnswerCut,
 		Message: "the answer ended before it was whole",
-		Outcome: outcomeName(result.Outcome),
+		Request: result.Record.Request,
+		Outcome: outcomeOf(result.Outcome),
 	}})
 	if err == nil {
 		_, _ = s.w.Write([]byte("data: " + string(event) + "\n\n"))
@@ -84,7 +79,7 @@
 
 func (b *buffered) finish(w http.ResponseWriter, result relay.Result) {
 	copyHeaders(w.Header(), b.headers)
-	w.Header().Set(headerOutcome, outcomeName(result.Outcome))
+	w.Header().Set(httpd.OutcomeHeader, string(outcomeOf(result.Outcome)))
 	w.Header().Set("Content-Length", strconv.Itoa(len(b.body)))
 	w.WriteHeader(b.status)
 	_, _ = w.Write(b.body)
@@ -104,14 +99,3 @@
 		to.Del(name)
 	}
 }
-
-func outcomeName(outcome wire.Outcome) string {
-	switch outcome {
-	case wire.Outcome_OUTCOME_RAN:
-		return "ran"
-	case wire.Outcome_OUTCOME_NOT_RUN:
-		return "not-run"
-	default:
-		return "unknown"
-	}
-}
--- a/internal/process/router/chat.go
+++ b/internal/process/router/chat.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"cactusline.dev/cactusline/internal/conn/httpd"
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/request/chat"
 	"cactusline.dev/cactusline/internal/request/poison"
@@ -17,10 +18,10 @@
 const chatPath = "/v1/chat/completions"
 
 // serveChat answers a chat completion.
-func (r *Router) serveChat(w http.ResponseWriter, req *http.Request, id ident.RequestID) {
-	call, err := r.readChat(w, req, id)
-	if err != nil {
-		err.write(w, id)
+func (r *Router) serveChat(w http.ResponseWriter, req *http.Request) {
+	call, failed := r.readChat(w, req, httpd.RequestID(req.Context()))
+	if failed != nil {
+		httpd.WriteError(w, req, *failed)
 		return
 	}
 	r.answer(w, req, call)
@@ -38,7 +39,7 @@
 }
 
 // readChat checks a chat completion and finds its pool.
-func (r *Router) readChat(w http.ResponseWriter, req *http.Request, id ident.RequestID) (*call, *callerError) {
+func (r *Router) readChat(w http.ResponseWriter, req *http.Request, id ident.RequestID) (*call, *httpd.Error) {
 	snap := r.view.current.Load()
 	set := snap.set
 	customer, failed := authenticate(set, req)
@@ -122,13 +123,12 @@
 // answer runs a request and writes how it ended.
 func (r *Router) answer(w http.ResponseWriter, req *http.Request, c *call) {
 	if r.poisoned.Blocked(ident.Fingerprint(c.submit.GetFingerprint())) {
-		blocked := refusal(http.StatusForbidden, codeQuarantined, "this request crashed the targets that ran it")
-		blocked.writeEarly(w, req, c.id)
+		writeEarly(w, req, refusal(http.StatusForbidden, codeQuarantined, "this request crashed the targets that ran it"))
 		return
 	}
 	c.tries.Watched = r.poisoned.Verdict(ident.Fingerprint(c.submit.GetFingerprint())) != poison.VerdictNone
 	if limited := r.limited(c); limited != nil {
-		limited.writeEarly(w, req, c.id)
+		writeEarly(w, req, limited)
 		return
 	}
 	defer r.limits.End(c.customer.Name)
@@ -148,7 +148,7 @@
 	result := r.run(req.Context(), request, whole)
 	r.noteServed(c, result)
 	if !result.Started || result.Truncated {
-		errorOf(result).write(w, c.id)
+		httpd.WriteError(w, req, *errorOf(result))
 		return
 	}
 	whole.finish(w, result)
@@ -159,7 +159,7 @@
 	result := r.run(req.Context(), request, live)
 	r.noteServed(c, result)
 	if !result.Started {
-		errorOf(result).write(w, request.Tries.Request)
+		httpd.WriteError(w, req, *errorOf(result))
 		return
 	}
 	live.finish(result)
@@ -180,25 +180,25 @@
 }
 
 // errorOf words the end of a request that has no answer.
-func errorOf(result relay.Result) *callerError {
-	e := &callerError{
-		status:     result.Status,
-		code:       codeOverloaded,
-		message:    "no target can run the request now",
-		outcome:    result.Outcome,
-		retryAfter: result.RetryAfter,
+func errorOf(result relay.Result) *httpd.Error {
+	e := &httpd.Error{
+		Status:     result.Status,
+		Code:       codeOverloaded,
+		Message:    "no target can run the request now",
+		Outcome:    outcomeOf(result.Outcome),
+		RetryAfter: httpd.Delay(result.RetryAfter),
 	}
 	if result.Conflict {
-		e.code = codeKeyConflict
-		e.message = "the idempotency key was used with another request"
-		e.status = http.StatusUnprocessableEntity
-		e.retryAfter = 0
+		e.Code = codeKeyConflict
+		e.Message = "the idempotency key was used with another request"
+		e.Status = http.StatusUnprocessableEntity
+		e.RetryAfter = 0
 	} else if result.Outcome != wire.Outcome_OUTCOME_NOT_RUN {
-		e.code = codeOutcomeUnknown
-		e.message = "it is not known whether the request ran"
+		e.Code = codeOutcomeUnknown
+		e.Message = "it is not known whether the request ran"
 	}
-	if e.status == 0 {
-		e.status = http.StatusServiceUnavailable
+	if e.Status == 0 {
+		e.Status = http.StatusServiceUnavailable
 	}
 	return e
 }
--- a/internal/process/router/error.go
+++ b/internal/process/router/error.go
@@ -1,14 +1,10 @@
 package router
 
 import (
-	"encoding/json"
 	"errors"
-	"fmt"
-	"math"
 	"net/http"
-	"strconv"
-	"time"
 
+	"cactusline.dev/cactusline/internal/conn/httpd"
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/request/limit"
 	"cactusline.dev/cactusline/internal/version/ident"
@@ -27,70 +23,39 @@
 	codeQuarantined    = "Quarantined"
 	codeNotReady       = "NotReady"
 	codeLimited        = "LimitReached"
+	codeAnswerCut      = "AnswerCut"
 )
 
-// errorBody is the JSON of every error answer.
-type errorBody struct {
-	Error errorDetail
-}
-
-type errorDetail struct {
-	Code    string
-	Message string
-	Request ident.RequestID `json:",omitempty"`
-	Outcome string          `json:",omitempty"`
-	// RetryAfter is in seconds; zero means that coming back does not help.
-	RetryAfter float64 `json:",omitempty"`
-}
-
-// callerError ends a request with an error answer.
-type callerError struct {
-	status     int
-	code       string
-	message    string
-	outcome    wire.Outcome
-	retryAfter time.Duration
-}
-
-// Error implements error.
-func (e *callerError) Error() string { return fmt.Sprintf("%s: %s", e.code, e.message) }
-
 // refusal returns an error for a request that was not run.
-func refusal(status int, code, message string) *callerError {
-	return &callerError{status: status, code: code, message: message, outcome: wire.Outcome_OUTCOME_NOT_RUN}
+func refusal(status int, code, message string) *httpd.Error {
+	return &httpd.Error{Status: status, Code: code, Message: message, Outcome: httpd.OutcomeNotRun}
 }
 
 // writeEarly answers the caller with a refusal that comes before the ledger is
 // asked. It says nothing of what an earlier send under the same key did, and so
 // a service's caller with a key is told that the outcome is unknown.
-func (e *callerError) writeEarly(w http.ResponseWriter, req *http.Request, request ident.RequestID) {
-	if req.PathValue("service") != "" && req.Header.Get(headerKey) != "" {
-		e.outcome = wire.Outcome_OUTCOME_UNKNOWN
+func writeEarly(w http.ResponseWriter, req *http.Request, failed *httpd.Error) {
+	if req.PathValue("service") != "" && req.Header.Get(httpd.KeyHeader) != "" {
+		failed.Outcome = httpd.OutcomeUnknown
 	}
-	e.write(w, request)
+	httpd.WriteError(w, req, *failed)
 }
 
-// write answers the caller with the error.
-func (e *callerError) write(w http.ResponseWriter, request ident.RequestID) {
-	header := w.Header()
-	header.Set("Content-Type", "application/json")
-	header.Set(headerOutcome, outcomeName(e.outcome))
-	if e.retryAfter > 0 {
-		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.retryAfter.Seconds()))))
+// outcomeOf returns the outcome as callers are told.
+func outcomeOf(outcome wire.Outcome) httpd.Outcome {
+	switch outcome {
+	case wire.Outcome_OUTCOME_RAN:
+		return httpd.OutcomeRan
+	case wire.Outcome_OUTCOME_NOT_RUN:
+		return httpd.OutcomeNotRun
+	default:
+		return httpd.OutcomeUnknown
 	}
-	w.WriteHeader(e.status)
-	_ = json.NewEncoder(w).Encode(errorBody{Error: errorDetail{
-		Code:       e.code,
-		Message:    e.message,
-		Request:    request,
-		Outcome:    outcomeName(e.outcome),
-		RetryAfter: e.retryAfter.Seconds(),
-	}})
 }
 
 // limited counts a request in, or returns why the customer's limits don't
 // allow it.
-func (r *Router) limited(c *call) *callerError {
+func (r *Router) limited(c *call) *httpd.Error {
 	share := 1 / float64(max(1, r.routers.Load()))
 	tokens := ident.Tokens(c.submit.GetPromptTokens()) + ident.Tokens(c.submit.GetOutputTokens())
 	err := r.limits.Begin(c.query.Now, c.customer, share, tokens)
@@ -99,6 +64,6 @@
 		return nil
 	}
 	failed := refusal(http.StatusTooManyRequests, codeLimited, exceeded.Error())
-	failed.retryAfter = exceeded.RetryAfter
+	failed.RetryAfter = httpd.Delay(exceeded.RetryAfter)
 	return failed
 }
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -17,6 +18,7 @@
 	"github.com/go-kit/log/level"
 	"go.opentelemetry.io/otel/attribute"
 
+	"cactusline.dev/cactusline/internal/conn/httpd"
 	"cactusline.dev/cactusline/internal/conn/link"
 	"cactusline.dev/cactusline/internal/conn/remote"
 	"cactusline.dev/cactusline/internal/conn/watch"
@@ -37,9 +39,6 @@
 	DefaultRecordedLimit  ident.Bytes = 256 << 10
 	DefaultRequestTimeout             = 10 * time.Minute
 
-	headerTimeout   = 10 * time.Second
-	headerLimit     = 64 << 10
-	idleConnTimeout = 2 * time.Minute
 	// startRetryAfter is when callers of a router that has just started may
 	// come back.
 	startRetryAfter = time.Second
@@ -59,8 +58,9 @@
 	Process string
 	// Domain is this router's failure domain.
 	Domain ident.DomainName
-	// Listener takes callers.
+	// Listener takes callers, over TLS if that is set.
 	Listener net.Listener
+	TLS      *tls.Config
 	// Clock and Logger are required.
 	Clock  Clock
 	Logger log.Logger
@@ -94,7 +94,6 @@
 	relay    relay.Config
 	requests requestNames
 	random   lockedRand
-	stopping atomic.Bool
 	limits   limit.Limiter
 	// routers counts the routers of the fleet; zero if not known yet.
 	routers atomic.Uint32
@@ -138,82 +137,60 @@
 // Handler returns the callers' interface.
 func (r *Router) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/chat/completions", r.traced(r.serveChat))
+	mux.HandleFunc("POST "+chatPath, r.traced(r.serveChat))
 	mux.HandleFunc("GET /v1/models", r.serveModels)
 	mux.HandleFunc("/services/{service}/{path...}", r.traced(r.serveService))
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	mux.HandleFunc("GET /readyz", r.serveReady)
 	return mux
 }
 
-// traced gives each request an id and a span, which goes on from the caller's
-// trace if it sent one. A router that has just started refuses all of them.
-func (r *Router) traced(serve func(http.ResponseWriter, *http.Request, ident.RequestID)) http.HandlerFunc {
+// traced gives each request a span, which goes on from the caller's trace if
+// it sent one. A router that has just started refuses all of them.
+func (r *Router) traced(serve http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, req *http.Request) {
-		id := r.requests.next()
-		w.Header().Set(headerRequest, string(id))
 		ctx, span := r.cfg.Tracer.Start(req.Context(), req.Header.Get(trace.Header), "router.request",
-			attribute.String("request", string(id)))
+			attribute.String("request", string(httpd.RequestID(req.Context()))))
 		defer span.End()
 		if !r.cfg.Follower.Confirmed() {
 			failed := refusal(http.StatusServiceUnavailable, codeNotReady, "this router has just started")
-			failed.retryAfter = startRetryAfter
-			failed.writeEarly(w, req, id)
+			failed.RetryAfter = httpd.Delay(startRetryAfter)
+			writeEarly(w, req, failed)
 			return
 		}
-		serve(w, req.WithContext(ctx), id)
+		serve(w, req.WithContext(ctx))
 	}
 }
 
 // Run serves callers until ctx ends, then lets the requests in flight finish.
 func (r *Router) Run(ctx context.Context) error {
-	server := &http.Server{
-		Handler:           r.Handler(),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleConnTimeout,
-		MaxHeaderBytes:    headerLimit,
-	}
-	finished := make(chan error, 1)
-	stop := context.AfterFunc(ctx, func() { finished <- r.shutDown(ctx, server) })
-	defer stop()
 	probing, stopProbing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopProbing()
 	go r.view.probe(probing)
+	server := httpd.New(httpd.Config{
+		Handler:      r.Handler(),
+		TLS:          r.cfg.TLS,
+		BodyLimit:    r.cfg.BodyLimit,
+		BalancerWait: r.cfg.DrainDelay,
+		StreamWait:   r.cfg.DrainTimeout,
+		Ready:        r.ready,
+		NewID:        r.requests.next,
+		Logger:       r.cfg.Logger,
+	})
 	_ = level.Info(r.cfg.Logger).Log("msg", "router serves", "address", r.cfg.Listener.Addr())
-	if err := server.Serve(r.cfg.Listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(ctx, r.cfg.Listener); err != nil {
 		return fmt.Errorf("serve callers: %w", err)
 	}
-	if err := <-finished; err != nil {
-		return fmt.Errorf("finish requests: %w", err)
-	}
 	return nil
 }
 
-// shutDown says that the router is not ready, gives the balancer time to see
-// it, closes the listener and lets the requests in flight finish.
-func (r *Router) shutDown(ctx context.Context, server *http.Server) error {
-	r.stopping.Store(true)
-	_ = level.Info(r.cfg.Logger).Log("msg", "router finishes its requests")
-	ctx = context.WithoutCancel(ctx)
-	_ = r.cfg.Clock.Sleep(ctx, r.cfg.DrainDelay)
-	if r.cfg.DrainTimeout > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, r.cfg.DrainTimeout)
-		defer cancel()
-	}
-	if err := server.Shutdown(ctx); err != nil {
-		return fmt.Errorf("requests still in flight: %w", err)
-	}
-	return nil
-}
+// errNotLeased is why a router that no quorum vouches for gets no callers.
+var errNotLeased = errors.New("no quorum has confirmed the records lately")
 
-// serveReady tells the balancer whether this router may get callers.
-func (r *Router) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if r.stopping.Load() || !r.cfg.Follower.Leased() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+// ready tells the balancer whether this router may get callers.
+func (r *Router) ready() error {
+	if !r.cfg.Follower.Leased() {
+		return errNotLeased
 	}
-	w.WriteHeader(http.StatusOK)
+	return nil
 }
 
 // lockedRand draws numbers for several goroutines.
--- a/internal/process/router/service.go
+++ b/internal/process/router/service.go
@@ -8,40 +8,35 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"cactusline.dev/cactusline/internal/conn/httpd"
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/version/ident"
 	"cactusline.dev/cactusline/internal/version/record"
 )
 
-// Header fields of callers' requests.
-const (
-	headerKey  = "Idempotency-Key"
-	headerOnce = "Cactusline-Once"
-)
-
 // serveModels lists the models that the customer has routes for.
 func (r *Router) serveModels(w http.ResponseWriter, req *http.Request) {
 	set := r.view.set()
 	customer, failed := authenticate(set, req)
 	if failed != nil {
-		failed.write(w, r.requests.next())
+		httpd.WriteError(w, req, *failed)
 		return
 	}
 	writeModels(w, set, customer)
 }
 
 // serveService answers a call of a plain service.
-func (r *Router) serveService(w http.ResponseWriter, req *http.Request, id ident.RequestID) {
-	c, failed := r.readService(w, req, id)
+func (r *Router) serveService(w http.ResponseWriter, req *http.Request) {
+	c, failed := r.readService(w, req, httpd.RequestID(req.Context()))
 	if failed != nil {
-		failed.writeEarly(w, req, id)
+		writeEarly(w, req, failed)
 		return
 	}
 	r.answer(w, req, c)
 }
 
 // readService checks a call of a plain service and finds its pool.
-func (r *Router) readService(w http.ResponseWriter, req *http.Request, id ident.RequestID) (*call, *callerError) {
+func (r *Router) readService(w http.ResponseWriter, req *http.Request, id ident.RequestID) (*call, *httpd.Error) {
 	snap := r.view.current.Load()
 	set := snap.set
 	customer, failed := authenticate(set, req)
@@ -70,15 +65,15 @@
 	c.submit.Headers = passedHeaders(req.Header)
 	c.submit.Body = body
 	c.submit.Fingerprint = fingerprint(c.submit)
-	c.submit.Once = service.RunsOnce(req.Method, path) || req.Header.Get(headerOnce) == "true"
-	c.submit.LedgerKey = req.Header.Get(headerKey)
+	c.submit.Once = service.RunsOnce(req.Method, path) || req.Header.Get(httpd.OnceHeader) == "true"
+	c.submit.LedgerKey = req.Header.Get(httpd.KeyHeader)
 	c.tries.Once = c.submit.GetOnce()
 	c.tries.LedgerKey = c.submit.GetLedgerKey()
 	return c, nil
 }
 
 // authenticate finds the customer that owns the request's bearer key.
-func authenticate(set *record.Set, req *http.Request) (*record.Customer, *callerError) {
+func authenticate(set *record.Set, req *http.Request) (*record.Customer, *httpd.Error) {
 	bearer, ok := strings.CutPrefix(req.Header.Get("Authorization"), "Bearer ")
 	if !ok {
 		return nil, refusal(http.StatusUnauthorized, codeUnauthorized, "a bearer key is needed")
@@ -91,7 +86,7 @@
 }
 
 // readBody reads the body within the bounds of the router and the customer.
-func (r *Router) readBody(w http.ResponseWriter, req *http.Request, customer *record.Customer) ([]byte, *callerError) {
+func (r *Router) readBody(w http.ResponseWriter, req *http.Request, customer *record.Customer) ([]byte, *httpd.Error) {
 	limit := r.cfg.BodyLimit
 	if customer.Limits.Body > 0 {
 		limit = min(limit, customer.Limits.Body)
@@ -108,7 +103,7 @@
 }
 
 // ownHeaders are read by the router and not passed on.
-var ownHeaders = [...]string{"Authorization", "Content-Length", "Traceparent", "Tracestate", headerOnce}
+var ownHeaders = [...]string{"Authorization", "Content-Length", "Traceparent", "Tracestate", httpd.OnceHeader}
 
 // passedHeaders returns the header fields that go to the service.
 func passedHeaders(header http.Header) []*wire.Header {
