--- a/internal/conn/link/server.go
+++ b/internal/conn/link/server.go
@@ -11,7 +11,6 @@
 	"github.com/hashicorp/yamux"
 
 	"cactusline.dev/cactusline/internal/conn/wire"
-	"cactusline.dev/cactusline/internal/process/clock"
 )
 
 // Handler serves one call. It returns once the call has its answer; the
@@ -63,7 +62,7 @@
 }
 
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
-	session, err := yamux.Server(newBatchConn(conn, clock.System{}), sessionConfig(DefaultPingTimeout))
+	session, err := yamux.Server(conn, sessionConfig(DefaultPingTimeout))
 	if err != nil {
 		_ = conn.Close()
 		return
