Spread the watchers over the control processes

Every process tried the control processes in the order of its settings, so that all routers and sidecars watched the first one, and all moved to the second when it failed. Each now has an order of its own, by a hash of its name and the address, so that the watchers spread, and so do those of a control process that fails. Ruled out: a random start, which spreads the first choice but sends all of one process's watchers on to the same next one.

--- a/internal/conn/watch/follow.go
+++ b/internal/conn/watch/follow.go
@@ -1,12 +1,15 @@
 package watch
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
@@ -32,8 +35,9 @@
 
 // Config makes a Follower.
 type Config struct {
-	// Addresses are the control processes' host:port, in the order in which
-	// this process tries them.
+	// Addresses are the control processes' host:port. Each process tries them
+	// in an order of its own, so that the processes spread over them, also
+	// those of a control process that fails.
 	Addresses []string
 	Link      *link.Client
 	Clock     Clock
@@ -79,9 +83,18 @@
 	if cfg.Silence == 0 {
 		cfg.Silence = DefaultSilence
 	}
+	cfg.Addresses = spread(cfg.Process, cfg.Addresses)
 	return &Follower{cfg: cfg, started: cfg.Clock.Now().Add(-1)}
 }
 
+// spread returns the addresses in an order that depends on the process.
+func spread(process string, addresses []string) []string {
+	weight := func(address string) uint64 { return xxhash.Sum64String(process + "\x00" + address) }
+	return slices.SortedFunc(slices.Values(addresses), func(a, b string) int {
+		return cmp.Compare(weight(a), weight(b))
+	})
+}
+
 // Leased reports whether a quorum has confirmed lately that the set is the
 // newest.
 func (f *Follower) Leased() bool {
