--- a/cmd/cactusline/fleet_test.go
+++ b/cmd/cactusline/fleet_test.go
@@ -60,7 +60,7 @@
 // process is one process of the fleet, which can be killed and started again
 // with the same settings.
 type process struct {
-	t       *testing.T
+	t       testing.TB
 	name    string
 	args    []string
 	folder  string
@@ -133,11 +133,13 @@
 	// through returns the address by which a process reaches a control
 	// process, which may lead through a relay; nil means directly.
 	through func(process, control string) string
+	// untraced keeps no spans.
+	untraced bool
 }
 
 // fleet is a whole fleet of processes on loopback.
 type fleet struct {
-	t        *testing.T
+	t        testing.TB
 	cfg      fleetConfig
 	folder   string
 	controls []*process
@@ -155,7 +157,7 @@
 
 // startFleet starts the processes, submits the records and returns once every
 // router is ready.
-func startFleet(t *testing.T, cfg fleetConfig) *fleet {
+func startFleet(t testing.TB, cfg fleetConfig) *fleet {
 	t.Helper()
 	f := &fleet{t: t, cfg: cfg, folder: t.TempDir()}
 	t.Cleanup(f.close)
@@ -230,7 +232,9 @@
 
 func (f *fleet) run(name string, args ...string) *process {
 	f.t.Helper()
-	args = append(args, "--trace-file", f.traceFile(name))
+	if !f.cfg.untraced {
+		args = append(args, "--trace-file", f.traceFile(name))
+	}
 	p := &process{t: f.t, name: name, args: args, folder: f.folder}
 	p.start()
 	return p
@@ -334,7 +338,7 @@
 }
 
 // await polls until a condition holds and returns how long that took.
-func await(t *testing.T, limit time.Duration, what string, holds func() bool) time.Duration {
+func await(t testing.TB, limit time.Duration, what string, holds func() bool) time.Duration {
 	t.Helper()
 	begun := time.Now()
 	for !holds() {
@@ -358,7 +362,7 @@
 )
 
 // freeAddress returns a loopback address that nobody listens on.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	ports.mu.Lock()
 	defer ports.mu.Unlock()
