Bound what a link copies to join a header and a body

The joined buffer would have grown to the longest body that ever passed and stayed with the session: up to a stream window, 256 KB, for each of the 1,110 sessions of a control process. Bodies above 4 KB now follow their header in packets of their own, where a packet more is a small share. Found by reading, before it was measured.

--- a/internal/conn/link/join.go
+++ b/internal/conn/link/join.go
@@ -12,10 +12,14 @@
 	frameTypeAt      = 1
 	frameLengthAt    = 8
 	frameTypeData    = 0
+
+	// maxJoinedBytes bounds a body that is copied behind its header. A longer
+	// one fills packets of its own.
+	maxJoinedBytes = 4 << 10
 )
 
-// joinedConn sends the header of a data frame together with its body, in one
-// packet where they fit. The session writes them one after the other, from
+// joinedConn sends the header of a data frame together with a short body, in
+// one packet where they fit. The session writes them one after the other, from
 // one goroutine; a header with no body to follow goes out at once.
 type joinedConn struct {
 	net.Conn
@@ -38,9 +42,15 @@
 
 func (c *joinedConn) writeBody(p []byte) (int, error) {
 	header := len(c.held)
+	defer func() { c.held = c.held[:0] }()
+	if len(p) > maxJoinedBytes {
+		if _, err := c.Conn.Write(c.held); err != nil {
+			return 0, err
+		}
+		return c.Conn.Write(p)
+	}
 	c.held = append(c.held, p...)
 	n, err := c.Conn.Write(c.held)
-	c.held = c.held[:0]
 	return max(0, n-header), err
 }
 
