Send long messages in frames of 16 KB

A yamux session keeps a buffer as long as the longest frame that it ever sent, up to the stream window of 256 KB, and a control process sends the full set of records (about 415 KB) to each watcher that starts. Frames are now cut at 16 KB, which also lets short messages of other streams in between. Ruled out: a smaller stream window, which would slow one stream down over a long link.

TestLongMessagesTravelInShortFrames was seen failing without it (a frame of 262,144 bytes).

--- a/internal/conn/link/join_test.go
+++ b/internal/conn/link/join_test.go
@@ -15,10 +15,10 @@
 )
 
 // loneHeaders counts the writes that carry the header of a data frame and not
-// its body.
+// its body, and keeps the length of the longest frame.
 type loneHeaders struct {
 	net.Listener
-	data, lone atomic.Int64
+	data, lone, longest atomic.Int64
 }
 
 func (l *loneHeaders) Accept() (net.Conn, error) {
@@ -38,6 +38,8 @@
 	const headerBytes = 12
 	if len(p) >= headerBytes && p[0] == 0 && p[1] == 0 && binary.BigEndian.Uint32(p[8:]) > 0 {
 		c.count.data.Add(1)
+		length := int64(binary.BigEndian.Uint32(p[8:]))
+		c.count.longest.Store(max(c.count.longest.Load(), length))
 		if len(p) == headerBytes {
 			c.count.lone.Add(1)
 		}
@@ -62,3 +64,27 @@
 	assert.Assert(t, counted.data.Load() >= calls, counted.data.Load())
 	assert.Equal(t, counted.lone.Load(), int64(0))
 }
+
+// bulk answers with a long message.
+type bulk struct{ bytes int }
+
+func (b bulk) ServeCall(_ context.Context, _ *wire.Call, stream *link.Stream) {
+	_ = stream.Send(&wire.QueryReply{Result: make([]byte, b.bytes)})
+}
+
+func TestLongMessagesTravelInShortFrames(t *testing.T) {
+	const bytes, limit = 1 << 20, 16 << 10
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	counted := &loneHeaders{Listener: listener}
+	server := link.NewServer(bulk{bytes: bytes})
+	go func() { _ = server.Serve(context.Background(), counted) }()
+	defer func() { _ = listener.Close(); _ = server.Close() }()
+	client := link.NewClient(link.Config{Clock: clock.System{}})
+	defer client.Close()
+	reply := new(wire.QueryReply)
+	call := &wire.Call{Body: &wire.Call_Query{Query: &wire.Query{}}}
+	assert.NilError(t, client.Ask(t.Context(), listener.Addr().String(), call, reply))
+	assert.Equal(t, len(reply.GetResult()), bytes)
+	assert.Assert(t, counted.longest.Load() <= limit, counted.longest.Load())
+}
--- a/internal/conn/link/link.go
+++ b/internal/conn/link/link.go
@@ -16,6 +16,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -37,6 +38,10 @@
 	streamCloseTimeout = 10 * time.Second
 	readBufferBytes    = 16 << 10
 	writeBufferBytes   = 4 << 10
+
+	// maxPieceBytes bounds one frame. A session keeps a buffer as long as the
+	// longest frame that it ever sent.
+	maxPieceBytes = 16 << 10
 )
 
 // Clock is what the package needs of a clock.
@@ -74,8 +79,24 @@
 		conn:    conn,
 		session: session,
 		reader:  bufio.NewReaderSize(conn, readBufferBytes),
-		writer:  bufio.NewWriterSize(conn, writeBufferBytes),
+		writer:  bufio.NewWriterSize(pieces{conn}, writeBufferBytes),
+	}
+}
+
+// pieces writes what is long in several frames.
+type pieces struct{ to io.Writer }
+
+// Write implements io.Writer.
+func (w pieces) Write(p []byte) (int, error) {
+	written := 0
+	for piece := range slices.Chunk(p, maxPieceBytes) {
+		n, err := w.to.Write(piece)
+		written += n
+		if err != nil {
+			return written, err
+		}
 	}
+	return written, nil
 }
 
 // Send writes one message and flushes it.
