--- a/cmd/cactusline/fleet_test.go
+++ b/cmd/cactusline/fleet_test.go
@@ -161,6 +161,8 @@
 	peers func(control string) string
 	// inside runs all roles inside the test's process, without traces.
 	inside bool
+	// untraced keeps no spans.
+	untraced bool
 }
 
 // fleet is a whole fleet of processes on loopback.
@@ -263,7 +265,7 @@
 
 func (f *fleet) run(name string, args ...string) *process {
 	f.t.Helper()
-	if !f.cfg.inside {
+	if !f.cfg.inside && !f.cfg.untraced {
 		args = append(args, "--trace-file", f.traceFile(name))
 	}
 	p := &process{t: f.t, name: name, args: args, folder: f.folder, inside: f.cfg.inside}
