Give engines orders under a fence that only the newest sidecar gets

Cause: records asked for models, versions and adapters that no process ordered from the engines.

Each order carries a fence that control commits for it, which enters it in the audit log. Control refuses a fence to a sidecar of which a newer incarnation is registered, so an old one that was frozen or cut off learns that before it sends anything.

--- a/internal/process/side/crash.go
+++ b/internal/process/side/crash.go
@@ -9,7 +9,6 @@
 	"cactusline.dev/cactusline/internal/request/poison"
 	"cactusline.dev/cactusline/internal/version/cmdpb"
 	"cactusline.dev/cactusline/internal/version/ident"
-	"cactusline.dev/cactusline/internal/version/store"
 )
 
 const (
@@ -28,6 +27,7 @@
 	_ = level.Warn(s.cfg.Logger).Log("msg", "target does not answer", "target", s.cfg.Name)
 	s.settle(s.admitted.SetDown(s.cfg.Clock.Now(), true))
 	s.warm.Reset()
+	s.deployed.forget()
 	go s.awaitTarget()
 	return true
 }
@@ -73,13 +73,7 @@
 func (s *Sidecar) tell(command *cmdpb.Command) {
 	ctx, cancel := context.WithTimeout(s.life, crashReportTimeout)
 	defer cancel()
-	command.Format = store.Format
-	command.Actor = "sidecar/" + string(s.cfg.Name)
-	entry, err := store.Encode(command)
-	if err == nil {
-		_, err = s.cfg.Control.Command(ctx, entry, "")
-	}
-	if err != nil {
+	if _, err := s.propose(ctx, command); err != nil {
 		_ = level.Error(s.cfg.Logger).Log("msg", "control did not hear", "target", s.cfg.Name, "err", err)
 	}
 }
--- /dev/null
+++ b/internal/process/side/fleet_test.go
@@ -0,0 +1,191 @@
+package side_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+
+	"cactusline.dev/cactusline/internal/conn/link"
+	"cactusline.dev/cactusline/internal/conn/remote"
+	"cactusline.dev/cactusline/internal/conn/watch"
+	"cactusline.dev/cactusline/internal/process/clock"
+	"cactusline.dev/cactusline/internal/process/ctrl"
+	"cactusline.dev/cactusline/internal/process/engine"
+	"cactusline.dev/cactusline/internal/process/side"
+	"cactusline.dev/cactusline/internal/process/trace"
+	"cactusline.dev/cactusline/internal/version/cmdpb"
+	"cactusline.dev/cactusline/internal/version/ident"
+	"cactusline.dev/cactusline/internal/version/record"
+	"cactusline.dev/cactusline/internal/version/store"
+)
+
+// fleet is one control process whose log has one member, with any number of
+// engines and their sidecars, in the test's process.
+type fleet struct {
+	t       *testing.T
+	ctx     context.Context
+	state   *store.Store
+	log     *directLog
+	control string
+	nonce   uint64
+	// clock is that of the sidecars started from now on.
+	clock side.Clock
+}
+
+// directLog applies what is proposed at once.
+type directLog struct {
+	mu    sync.Mutex
+	state *store.Store
+	index uint64
+	// committed, if set, is called after each entry.
+	committed func(entry []byte)
+}
+
+func (l *directLog) Propose(_ context.Context, entry []byte) ([]byte, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.index++
+	result := l.state.Apply(l.index, entry)
+	if l.committed != nil {
+		l.committed(entry)
+	}
+	return result, nil
+}
+
+func (l *directLog) Barrier(context.Context) (uint64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.index, nil
+}
+
+func newFleet(t *testing.T) *fleet {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	state := store.New(store.Config{})
+	f := &fleet{t: t, ctx: ctx, state: state, log: &directLog{state: state}, clock: clock.System{}}
+	listener := listen(t)
+	f.control = listener.Addr().String()
+	links := link.NewClient(link.Config{Clock: clock.System{}, Caller: "control"})
+	t.Cleanup(func() { _ = links.Close() })
+	control := ctrl.New(ctrl.Config{
+		VM: "control", Listener: listener, Clock: clock.System{}, Logger: log.NewNopLogger(),
+		Tracer: trace.Off(), Log: f.log, Store: state, Link: links,
+	})
+	go func() { _ = control.Run(ctx) }()
+	return f
+}
+
+func listen(t *testing.T) net.Listener {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	return listener
+}
+
+func (f *fleet) apply(command *cmdpb.Command) *cmdpb.Result {
+	f.t.Helper()
+	command.Time = time.Now().UnixNano()
+	entry, err := store.Encode(command)
+	assert.NilError(f.t, err)
+	data, err := f.log.Propose(f.ctx, entry)
+	assert.NilError(f.t, err)
+	result, err := store.DecodeResult(data)
+	assert.NilError(f.t, err)
+	assert.Equal(f.t, result.GetStatus(), cmdpb.Status_STATUS_OK, result.String())
+	return result
+}
+
+// submit creates records, or amends those that stand.
+func (f *fleet) submit(values ...any) {
+	f.t.Helper()
+	body := new(cmdpb.ApplyRecords)
+	for _, value := range values {
+		r, err := record.New(value)
+		assert.NilError(f.t, err)
+		if old, found := f.state.Set().Get(r.Key()); found {
+			r, err = r.WithVersion(old.Version())
+			assert.NilError(f.t, err)
+		}
+		body.Records = append(body.Records, r.JSON())
+	}
+	f.apply(&cmdpb.Command{Actor: "operator", Body: &cmdpb.Command_Apply{Apply: body}})
+}
+
+func (f *fleet) register(name ident.TargetName) ident.Incarnation {
+	f.nonce++
+	return ident.Incarnation(f.apply(&cmdpb.Command{Actor: "sidecar", Body: &cmdpb.Command_Register{
+		Register: &cmdpb.RegisterProcess{Process: "sidecar/" + string(name), Nonce: f.nonce},
+	}}).GetIncarnation())
+}
+
+// startEngine serves an engine and returns its URL.
+func (f *fleet) startEngine(e *engine.Engine, wrap func(http.Handler) http.Handler) *url.URL {
+	f.t.Helper()
+	go func() { _ = e.Run(f.ctx) }()
+	var handler http.Handler = e
+	if wrap != nil {
+		handler = wrap(e)
+	}
+	server := httptest.NewServer(handler)
+	f.t.Cleanup(server.Close)
+	address, err := url.Parse(server.URL)
+	assert.NilError(f.t, err)
+	return address
+}
+
+// node is a running sidecar.
+type node struct {
+	*side.Sidecar
+	address string
+	stop    context.CancelFunc
+}
+
+// startSidecar registers a sidecar and runs it.
+func (f *fleet) startSidecar(name ident.TargetName, target *url.URL, listener net.Listener) *node {
+	f.t.Helper()
+	links := link.NewClient(link.Config{Clock: clock.System{}, Caller: string(name)})
+	f.t.Cleanup(func() { _ = links.Close() })
+	addresses := []string{f.control}
+	sidecar, err := side.New(side.Config{
+		Name: name, Target: target, Listener: listener, Clock: f.clock, Logger: log.NewNopLogger(),
+		Tracer: trace.Off(), Link: links, ControlAddresses: addresses, Incarnation: f.register(name),
+		Control: remote.NewClient(remote.Config{Addresses: addresses, Link: links, Clock: clock.System{}}),
+	})
+	assert.NilError(f.t, err)
+	follower := watch.NewFollower(watch.Config{
+		Addresses: addresses, Link: links, Clock: clock.System{}, Logger: log.NewNopLogger(),
+		Process: string(name), Role: "sidecar", Target: string(name), OnUpdate: sidecar.Update,
+	})
+	sidecar.Follow(follower)
+	ctx, cancel := context.WithCancel(f.ctx)
+	go follower.Run(sidecar.Life())
+	go func() { _ = sidecar.Run(ctx) }()
+	f.t.Cleanup(cancel)
+	return &node{Sidecar: sidecar, address: listener.Addr().String(), stop: cancel}
+}
+
+// targetOf returns the record of an engine.
+func targetOf(name ident.TargetName, address string, models ...record.TargetModel) *record.Target {
+	return &record.Target{
+		Name: name, VM: ident.VMName("vm-" + name), Domain: "d", Region: "r", Address: address, Models: models,
+	}
+}
+
+// await polls until a condition holds.
+func await(t *testing.T, limit time.Duration, what string, holds func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(limit)
+	for !holds() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %v: %s", limit, what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
--- a/internal/process/side/run.go
+++ b/internal/process/side/run.go
@@ -32,6 +32,7 @@
 type run struct {
 	id          ident.AttemptID
 	fingerprint ident.Fingerprint
+	model       ident.ModelName
 	once        bool
 	// solo says that nothing ran beside it.
 	solo   bool
@@ -55,6 +56,7 @@
 	r := &run{
 		id:          ident.AttemptID(submit.GetAttempt()),
 		fingerprint: ident.Fingerprint(submit.GetFingerprint()),
+		model:       ident.ModelName(submit.GetModel()),
 		once:        submit.GetOnce(),
 		solo:        solo,
 		ctx:         ctx,
@@ -241,6 +243,18 @@
 	return fingerprints
 }
 
+// uses reports whether an attempt at the target runs on the model.
+func (s *runs) uses(model ident.ModelName) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.byID {
+		if r.model == model {
+			return true
+		}
+	}
+	return false
+}
+
 // reader is one router's place in an answer.
 type reader struct{ run *run }
 
--- a/internal/process/side/side.go
+++ b/internal/process/side/side.go
@@ -77,6 +77,7 @@
 	crashes  atomic.Uint64
 	warm     *warm.Index
 	newest   newest
+	deployed deployment
 	waiting  waiting
 	runs     runs
 	follower atomic.Pointer[watch.Follower]
@@ -125,6 +126,7 @@
 	defer stop()
 	go s.tick(s.life)
 	go s.balance(s.life)
+	go s.deploy(s.life)
 	_ = level.Info(s.cfg.Logger).Log("msg", "sidecar serves", "target", s.cfg.Name, "address", s.cfg.Listener.Addr())
 	if err := s.server.Serve(s.life, s.cfg.Listener); err != nil {
 		return fmt.Errorf("serve calls: %w", err)
--- a/internal/version/store/process.go
+++ b/internal/version/store/process.go
@@ -94,12 +94,25 @@
 	return out
 }
 
-// nextFence gives out the fence of an order to an engine.
+// sidecarProcess precedes the target's name in the name of its sidecar.
+const sidecarProcess = "sidecar/"
+
+// nextFence gives out the fence of an order to an engine, to its newest
+// sidecar only.
 func (s *Store) nextFence(c *cmdpb.Command, body *cmdpb.NextFence) *cmdpb.Result {
 	target := ident.TargetName(body.GetTarget())
 	if _, found := s.set.Load().Target(target); !found {
 		return &cmdpb.Result{Status: cmdpb.Status_STATUS_NOT_FOUND, Detail: "target is unknown"}
 	}
+	newest := s.processes.byName[sidecarProcess+body.GetTarget()].GetIncarnation()
+	if body.GetIncarnation() < newest {
+		detail := fmt.Sprintf("incarnation %d was replaced by %d", body.GetIncarnation(), newest)
+		result := &cmdpb.Result{Status: cmdpb.Status_STATUS_REFUSED, Detail: detail}
+		return s.record(result, c, audit.Event{
+			Kind: audit.KindRefused, Request: c.GetChange(), Subject: body.GetTarget(),
+			Detail: "order " + body.GetOrder() + ": " + detail,
+		})
+	}
 	s.fences.last++
 	s.fences.byTarget[target] = s.fences.last
 	result := &cmdpb.Result{Status: cmdpb.Status_STATUS_OK, Fence: uint64(s.fences.last)}
--- a/internal/version/store/store_test.go
+++ b/internal/version/store/store_test.go
@@ -161,6 +161,27 @@
 	assert.Equal(t, r.store.Fence("t"), ident.Fence(low+1))
 }
 
+func TestReplacedSidecarGetsNoFence(t *testing.T) {
+	r := newReplica(t, store.Config{})
+	r.apply(applyOf("", service("s", 0, ""), replicaTarget("t", "s")))
+	var incarnations [2]uint64
+	for i := range incarnations {
+		incarnations[i] = r.apply(&cmdpb.Command{Body: &cmdpb.Command_Register{
+			Register: &cmdpb.RegisterProcess{Process: "sidecar/t", Nonce: uint64(i + 1)},
+		}}).GetIncarnation()
+	}
+	fence := func(incarnation uint64) *cmdpb.Result {
+		return r.apply(&cmdpb.Command{Body: &cmdpb.Command_Fence{
+			Fence: &cmdpb.NextFence{Target: "t", Order: "load m", Incarnation: incarnation},
+		}})
+	}
+	for _, old := range []uint64{0, incarnations[0]} {
+		assert.Equal(t, fence(old).GetStatus(), cmdpb.Status_STATUS_REFUSED)
+	}
+	assert.Equal(t, r.store.Fence("t"), ident.Fence(0))
+	assert.Equal(t, fence(incarnations[1]).GetStatus(), cmdpb.Status_STATUS_OK)
+}
+
 func TestSince(t *testing.T) {
 	r := newReplica(t, store.Config{HistorySteps: 3})
 	for i := range 6 {
