Limit the weight fetches of the whole fleet by permits of the leader

Cause: the weight store is rate-limited, and a changed model record has every sidecar of its pool order a load in the same second.

Ruled out: the control process that hashing gives, as for the sums of load. Sidecars that disagree on who is up would take from two full buckets at one time, and a process that was cut off and comes back would bring a full one. The leader has a term: buckets of a new term start empty, and a grant counts only if a quorum confirms the term after the bucket was charged. It costs one quorum read for each load order.

TestRateIsExceededWithoutTerms keeps the fault without terms.

--- a/internal/process/cmds/control.go
+++ b/internal/process/cmds/control.go
@@ -17,6 +17,7 @@
 	"cactusline.dev/cactusline/internal/process/clock"
 	"cactusline.dev/cactusline/internal/process/ctrl"
 	"cactusline.dev/cactusline/internal/process/group"
+	"cactusline.dev/cactusline/internal/process/permit"
 	"cactusline.dev/cactusline/internal/process/trace"
 	"cactusline.dev/cactusline/internal/version/ident"
 	"cactusline.dev/cactusline/internal/version/store"
@@ -29,6 +30,9 @@
 	Admin  string       `help:"Address for operators." default:"127.0.0.1:8081"`
 	Data   string       `help:"Data folder." required:""`
 	Peer   []string     `help:"All control processes, this one too, as NAME=HOST:PORT. Empty for a fleet with one."`
+
+	WeightRate  float64 `help:"Fetches of weights that the fleet may start in a second." default:"1"`
+	WeightBurst uint32  `help:"Fetches of weights that the fleet may start at once." default:"4"`
 }
 
 // Run implements the command.
@@ -81,6 +85,7 @@
 		Link:     links,
 		Group:    disk.replicas,
 		Receive:  disk.replicas.Receive,
+		Weights:  permit.Limit{Rate: c.WeightRate, Burst: c.WeightBurst},
 	})
 	// Leadership is handed over before anything is closed.
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/process/ctrl/ctrl.go
+++ b/internal/process/ctrl/ctrl.go
@@ -19,6 +19,7 @@
 	"cactusline.dev/cactusline/internal/conn/watch"
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/process/group"
+	"cactusline.dev/cactusline/internal/process/permit"
 	"cactusline.dev/cactusline/internal/process/trace"
 	"cactusline.dev/cactusline/internal/request/trail"
 	"cactusline.dev/cactusline/internal/version/cmdpb"
@@ -78,6 +79,8 @@
 	Receive func(from group.MemberID, message []byte)
 	// Query answers questions other than those of this package.
 	Query func(ctx context.Context, query *wire.Query) *wire.QueryReply
+	// Weights limits the fetches of weights that the fleet may start.
+	Weights permit.Limit
 }
 
 // Control serves the other processes.
@@ -86,12 +89,16 @@
 	hub      *hub
 	balancer *balancer
 	trail    *trail.Ring
+	permits  *permit.Keeper
 	server   *link.Server
 }
 
 // New returns a control process; Run starts it.
 func New(cfg Config) *Control {
-	c := &Control{cfg: cfg, hub: newHub(cfg), balancer: newBalancer(cfg.Clock), trail: trail.NewRing(0)}
+	c := &Control{
+		cfg: cfg, hub: newHub(cfg), balancer: newBalancer(cfg.Clock), trail: trail.NewRing(0),
+		permits: permit.NewKeeper(permit.Weights(cfg.Weights)),
+	}
 	c.server = link.NewServer(c)
 	return c
 }
@@ -141,6 +148,8 @@
 		return c.answerMembers(ctx, query.GetArgument())
 	case queryDecisions:
 		return answerJSON(c.trail.Get(ident.RequestID(query.GetName())))
+	case QueryPermit:
+		return c.permit(ctx, query.GetArgument())
 	case QueryDecided:
 		return c.keep(query.GetArgument())
 	}
--- a/internal/process/side/fleet_test.go
+++ b/internal/process/side/fleet_test.go
@@ -19,6 +19,7 @@
 	"cactusline.dev/cactusline/internal/process/clock"
 	"cactusline.dev/cactusline/internal/process/ctrl"
 	"cactusline.dev/cactusline/internal/process/engine"
+	"cactusline.dev/cactusline/internal/process/permit"
 	"cactusline.dev/cactusline/internal/process/side"
 	"cactusline.dev/cactusline/internal/process/trace"
 	"cactusline.dev/cactusline/internal/version/cmdpb"
@@ -66,7 +67,7 @@
 	return l.index, nil
 }
 
-func newFleet(t *testing.T) *fleet {
+func newFleet(t *testing.T, weights permit.Limit) *fleet {
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	state := store.New(store.Config{})
@@ -77,7 +78,7 @@
 	t.Cleanup(func() { _ = links.Close() })
 	control := ctrl.New(ctrl.Config{
 		VM: "control", Listener: listener, Clock: clock.System{}, Logger: log.NewNopLogger(),
-		Tracer: trace.Off(), Log: f.log, Store: state, Link: links,
+		Tracer: trace.Off(), Log: f.log, Store: state, Link: links, Weights: weights,
 	})
 	go func() { _ = control.Run(ctx) }()
 	return f
--- a/internal/process/side/orders.go
+++ b/internal/process/side/orders.go
@@ -129,6 +129,15 @@
 	if !found {
 		return nil
 	}
+	if order.Kind == engine.OrderLoadModel {
+		granted, retryAfter, err := s.permitFetch(ctx)
+		if err != nil {
+			return err
+		}
+		if !granted {
+			return s.cfg.Clock.Sleep(ctx, retryAfter)
+		}
+	}
 	return s.give(ctx, order)
 }
 
--- a/internal/process/side/orders_test.go
+++ b/internal/process/side/orders_test.go
@@ -11,6 +11,7 @@
 	"cactusline.dev/cactusline/internal/process/audit"
 	"cactusline.dev/cactusline/internal/process/clock"
 	"cactusline.dev/cactusline/internal/process/engine"
+	"cactusline.dev/cactusline/internal/process/permit"
 	"cactusline.dev/cactusline/internal/version/cmdpb"
 	"cactusline.dev/cactusline/internal/version/ident"
 	"cactusline.dev/cactusline/internal/version/record"
@@ -53,7 +54,7 @@
 
 func TestEngineFollowsItsRecord(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t)
+	f := newFleet(t, permit.Limit{Rate: 100})
 	e := engine.New(engine.Config{Models: []ident.ModelName{"other"}, CheckFence: true})
 	listener := listen(t)
 	f.startSidecar("t", f.startEngine(e, nil), listener)
@@ -100,7 +101,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
-			f := newFleet(t)
+			f := newFleet(t, permit.Limit{Rate: 100})
 			e := engine.New(engine.Config{Models: []ident.ModelName{"m"}, CheckFence: tt.checks})
 			gate := &orderGate{open: make(chan struct{})}
 			direct := f.startEngine(e, func(h http.Handler) http.Handler { gate.next = h; return h })
@@ -131,7 +132,7 @@
 
 func TestReplacedSidecarGivesNoOrder(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t)
+	f := newFleet(t, permit.Limit{Rate: 100})
 	e := engine.New(engine.Config{Models: []ident.ModelName{"m"}})
 	listener := listen(t)
 	target := targetOf("t", listener.Addr().String(), record.TargetModel{Name: "m"})
@@ -157,7 +158,7 @@
 // first fence is committed.
 func TestFenceIsNotSentAfterAFreeze(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t)
+	f := newFleet(t, permit.Limit{Rate: 100})
 	frozen := new(jumpClock)
 	f.clock = frozen
 	var fences, sent atomic.Int32
