Keep one belief of the engine's cache, corrected by answers and events

Cause: admit.Index (events by chat, nothing after a gap) and warm.Index (what ran here) stood for the same thing, and neither was fed by an engine. The sidecar now reads its engine's events once a second and takes the cached tokens of each answer.

Settled on warm.Index. An engine tells of blocks, not of chats, late and with gaps; admit.Index needed events by chat and the whole cache after each gap, which no engine gives. With one event in 100 lost it would say nothing for good. Events only lower the belief.

--- /dev/null
+++ b/internal/process/side/cache.go
@@ -0,0 +1,123 @@
+package side
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/process/engine"
+	"cactusline.dev/cactusline/internal/request/chat"
+	"cactusline.dev/cactusline/internal/request/warm"
+	"cactusline.dev/cactusline/internal/version/ident"
+)
+
+// eventInterval is how often the engine's cache events are read.
+const eventInterval = time.Second
+
+// cachedTokens returns how much of the prompt the engine says it found in its
+// cache; false if it does not say.
+func cachedTokens(resp *http.Response) (ident.Tokens, bool) {
+	tokens, err := strconv.ParseUint(resp.Header.Get(engine.CachedHeader), 10, 32)
+	return ident.Tokens(tokens), err == nil
+}
+
+// believe takes what a run that ended says of its chat's prefix.
+func (s *Sidecar) believe(submit *wire.Submit, r *run) {
+	prefix := warm.Prefix{
+		Chat:     ident.ChatKey(submit.GetChat()),
+		Tokens:   ident.Tokens(submit.GetPromptTokens()) + ident.Tokens(submit.GetOutputTokens()),
+		Customer: ident.CustomerName(submit.GetCustomer()),
+		Model:    ident.ModelName(submit.GetModel()),
+	}
+	if request, err := chat.Decode(bytes.NewReader(submit.GetBody()), 0); err == nil {
+		prefix.Blocks = chat.Blocks(request.Model, request.Messages)
+	}
+	if r.counted {
+		s.warm.Reported(prefix.Chat, ident.Tokens(submit.GetPrefixTokens()), r.cached)
+	}
+	s.warm.Put(prefix)
+}
+
+// cacheReader is how far the engine's cache events have been read.
+type cacheReader struct {
+	after uint64
+	start ident.Incarnation
+}
+
+// followCache lowers the belief in the engine's cache by its events until ctx
+// ends.
+func (s *Sidecar) followCache(ctx context.Context) {
+	var reader cacheReader
+	for s.cfg.Clock.Sleep(ctx, eventInterval) == nil {
+		if s.down.Load() || !s.hasEngine() {
+			continue
+		}
+		if err := s.readCache(ctx, &reader); err != nil {
+			_ = level.Debug(s.cfg.Logger).Log("msg", "cache events not read", "target", s.cfg.Name, "err", err)
+		}
+	}
+}
+
+// hasEngine reports whether the target is a model engine.
+func (s *Sidecar) hasEngine() bool {
+	f := s.follower.Load()
+	if f == nil {
+		return false
+	}
+	target, ok := f.Set().Target(s.cfg.Name)
+	return ok && len(target.Models) > 0
+}
+
+// readCache takes the events that have come out since the last call.
+func (s *Sidecar) readCache(ctx context.Context, reader *cacheReader) error {
+	ctx, cancel := context.WithTimeout(ctx, engineAskTimeout)
+	defer cancel()
+	var load engine.Load
+	if err := s.target.exchange(ctx, http.MethodGet, "/load", nil, &load); err != nil {
+		return err
+	}
+	if load.Incarnation != reader.start {
+		if reader.start != 0 {
+			s.warm.Reset()
+		}
+		*reader = cacheReader{start: load.Incarnation}
+	}
+	var list engine.EventList
+	path := fmt.Sprintf("/cache/events?after=%d", reader.after)
+	if err := s.target.exchange(ctx, http.MethodGet, path, nil, &list); err != nil {
+		return err
+	}
+	s.takeEvents(reader, list.Events)
+	return nil
+}
+
+// takeEvents lowers the belief by events and by those that are missing.
+func (s *Sidecar) takeEvents(reader *cacheReader, events []engine.Event) {
+	var lost uint64
+	for _, e := range events {
+		if e.Number <= reader.after {
+			continue
+		}
+		lost += e.Number - reader.after - 1
+		reader.after = e.Number
+		switch e.Kind {
+		case engine.EventRemoved:
+			s.warm.Removed(e.Block)
+		case engine.EventCleared:
+			s.warm.Reset()
+		}
+	}
+	if lost > 0 {
+		s.warm.Lost(lost)
+	}
+}
+
+// Warm returns how many tokens of a chat's prefix the target's cache is
+// believed to hold.
+func (s *Sidecar) Warm(chat ident.ChatKey) ident.Tokens { return s.warm.Get(chat) }
--- a/internal/process/side/run.go
+++ b/internal/process/side/run.go
@@ -35,9 +35,13 @@
 	model       ident.ModelName
 	once        bool
 	// solo says that nothing ran beside it.
-	solo   bool
-	ctx    context.Context
-	cancel context.CancelFunc
+	solo bool
+	// cached is how much of the prompt the engine found in its cache, if it
+	// counted that.
+	cached  ident.Tokens
+	counted bool
+	ctx     context.Context
+	cancel  context.CancelFunc
 
 	mu      sync.Mutex
 	readers int
@@ -87,8 +91,7 @@
 		return
 	}
 	if submit.GetChat() != 0 {
-		tokens := ident.Tokens(submit.GetPromptTokens()) + ident.Tokens(submit.GetOutputTokens())
-		s.warm.Put(ident.ChatKey(submit.GetChat()), tokens)
+		s.believe(submit, r)
 	}
 	if r.solo {
 		s.ranAlone(r.fingerprint)
@@ -112,6 +115,7 @@
 		return s.failed(ctx, 0, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	r.cached, r.counted = cachedTokens(resp)
 	s.attempts.SetHead(r.id, s.headOf(resp))
 	return s.keep(ctx, resp.Body, r)
 }
@@ -152,6 +156,9 @@
 		Load:        s.Load(),
 		Incarnation: uint64(s.cfg.Incarnation),
 	}
+	if cached, counted := cachedTokens(resp); counted {
+		head.WarmTokens = uint32(cached)
+	}
 	for name, values := range resp.Header {
 		for _, value := range values {
 			head.Headers = append(head.Headers, &wire.Header{Name: name, Value: value})
--- a/internal/process/side/side.go
+++ b/internal/process/side/side.go
@@ -127,6 +127,7 @@
 	go s.tick(s.life)
 	go s.balance(s.life)
 	go s.deploy(s.life)
+	go s.followCache(s.life)
 	_ = level.Info(s.cfg.Logger).Log("msg", "sidecar serves", "target", s.cfg.Name, "address", s.cfg.Listener.Addr())
 	if err := s.server.Serve(s.life, s.cfg.Listener); err != nil {
 		return fmt.Errorf("serve calls: %w", err)
@@ -236,6 +237,9 @@
 	return 0
 }
 
+// Revision returns the revision of the records that the sidecar acts on.
+func (s *Sidecar) Revision() ident.Revision { return s.revision() }
+
 // Load returns the target's load for replies and reports.
 func (s *Sidecar) Load() *wire.Load {
 	return watch.EncodeLoad(s.admitted.Load(), s.cfg.Incarnation, s.leaving.Load())
