Hand a leaving target's hottest prefixes to the next targets in rank

Cause: after a planned departure every chat of the target came back cold. Its sidecar now exports what the engine still holds of the most recently used chats and sends it, 32 chats a transfer, to the target that rendezvous hashing gives each chat without the leaving one. That target imports it and believes it warm; the leaving one refers to it in its refusals.

A transfer is announced with length and checksum and imported only if all of it came so. Export and import wait while work is queued at the target.

Blocks are those of the prompt, which the sidecar hashes as the stand-in does; the answer's own blocks are left behind. Ruled out: exporting the engine's hottest blocks without knowing their chats, since each chat may go to another target. A target that joins fetches nothing: routers hold returning chats back from it for 5 minutes and no measurement supports more.

That requests are not delayed has not been measured.

--- /dev/null
+++ b/internal/conn/bulk/bulk_test.go
@@ -0,0 +1,101 @@
+package bulk_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"cactusline.dev/cactusline/internal/conn/bulk"
+	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/process/clock"
+	"cactusline.dev/cactusline/internal/process/seeds"
+	"cactusline.dev/cactusline/internal/version/ident"
+)
+
+// pipe keeps the chunks that were sent.
+type pipe struct{ chunks [][]byte }
+
+func (p *pipe) Send(m proto.Message) error {
+	p.chunks = append(p.chunks, bytes.Clone(m.(*wire.TransferChunk).GetData()))
+	return nil
+}
+
+func (p *pipe) Receive(m proto.Message) error {
+	if len(p.chunks) == 0 {
+		return io.EOF
+	}
+	m.(*wire.TransferChunk).Data = p.chunks[0]
+	p.chunks = p.chunks[1:]
+	return nil
+}
+
+// TestRandomisedDamageIsNoticed cuts, changes, swaps and repeats chunks.
+func TestRandomisedDamageIsNoticed(t *testing.T) {
+	seeds.Run(t, seeds.Range{First: 1, Last: 30}, func(t *testing.T, seed uint64) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		data := make([]byte, rng.IntN(6*bulk.ChunkBytes))
+		for i := range data {
+			data[i] = byte(rng.Uint32())
+		}
+		for damage := range 5 {
+			p := new(pipe)
+			pace := &bulk.Pace{Clock: clock.System{}, Rate: 1 << 40}
+			assert.NilError(t, bulk.Send(context.Background(), p, pace, data))
+			changed := p.damage(rng, damage)
+			got, err := bulk.Receive(p, uint64(len(data)), bulk.Checksum(data))
+			if changed {
+				assert.Assert(t, err != nil, "damage %d was not noticed", damage)
+				continue
+			}
+			assert.NilError(t, err)
+			assert.Assert(t, bytes.Equal(got, data))
+		}
+	})
+}
+
+// damage damages the chunks and reports whether there was anything to damage.
+func (p *pipe) damage(rng *rand.Rand, kind int) bool {
+	if kind == 0 || len(p.chunks) < 2 {
+		return false
+	}
+	i := rng.IntN(len(p.chunks) - 1)
+	switch kind {
+	case 1:
+		p.chunks = p.chunks[:i]
+	case 2:
+		p.chunks[i][rng.IntN(len(p.chunks[i]))] ^= 1
+	case 3:
+		p.chunks[i], p.chunks[i+1] = p.chunks[i+1], p.chunks[i]
+	case 4:
+		p.chunks[i+1] = p.chunks[i]
+	}
+	return true
+}
+
+func TestPaceKeepsToTheRate(t *testing.T) {
+	fake := clock.NewFake(time.Unix(0, 0))
+	pace := &bulk.Pace{Clock: fake, Rate: ident.Bytes(1000)}
+	assert.NilError(t, pace.Wait(context.Background(), 500))
+	done := make(chan error)
+	go func() { done <- pace.Wait(context.Background(), 1) }()
+	for waiting := true; waiting; {
+		select {
+		case err := <-done:
+			assert.NilError(t, err)
+			waiting = false
+		default:
+			fake.Advance(time.Millisecond)
+		}
+	}
+	assert.Assert(t, fake.Now().Sub(time.Unix(0, 0)) >= 500*time.Millisecond)
+	canceled, cancel := context.WithCancel(context.Background())
+	cancel()
+	assert.Assert(t, errors.Is(pace.Wait(canceled, 1), context.Canceled))
+}
--- a/internal/process/cmds/sidecar.go
+++ b/internal/process/cmds/sidecar.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/url"
+	"time"
 
 	"github.com/go-kit/log"
 
@@ -26,6 +27,9 @@
 	Target  *url.URL         `help:"Base URL of the target." required:""`
 	Listen  string           `help:"Address for routers." default:"127.0.0.1:9000"`
 	Control []string         `help:"Addresses of the control processes." required:""`
+
+	TransferRate    ident.Bytes   `help:"Bytes per second in which a leaving target hands chats' prefixes over; below zero for none." default:"50000000"`
+	TransferTimeout time.Duration `help:"How long that may take." default:"30s"`
 }
 
 // Run implements the command.
@@ -66,6 +70,8 @@
 
 		ControlAddresses: c.Control,
 		Incarnation:      incarnation,
+		TransferRate:     c.TransferRate,
+		TransferTimeout:  c.TransferTimeout,
 		Seed:             rand.Uint64(),
 	})
 	if err != nil {
--- a/internal/process/side/fleet_test.go
+++ b/internal/process/side/fleet_test.go
@@ -39,6 +39,8 @@
 	nonce   uint64
 	// clock is that of the sidecars started from now on.
 	clock side.Clock
+	// transferRate is theirs, too.
+	transferRate ident.Bytes
 }
 
 // directLog applies what is proposed at once.
@@ -157,7 +159,8 @@
 	sidecar, err := side.New(side.Config{
 		Name: name, Target: target, Listener: listener, Clock: f.clock, Logger: log.NewNopLogger(),
 		Tracer: trace.Off(), Link: links, ControlAddresses: addresses, Incarnation: f.register(name),
-		Control: remote.NewClient(remote.Config{Addresses: addresses, Link: links, Clock: clock.System{}}),
+		TransferRate: f.transferRate,
+		Control:      remote.NewClient(remote.Config{Addresses: addresses, Link: links, Clock: clock.System{}}),
 	})
 	assert.NilError(f.t, err)
 	follower := watch.NewFollower(watch.Config{
--- a/internal/process/side/side.go
+++ b/internal/process/side/side.go
@@ -61,6 +61,11 @@
 	Incarnation ident.Incarnation
 	// CacheTokens is the size of the engine's prefix cache; 0 if not known.
 	CacheTokens ident.Tokens
+	// TransferRate bounds the bytes per second in which a leaving target hands
+	// its chats' prefixes over; below zero for none.
+	TransferRate ident.Bytes
+	// TransferTimeout bounds the whole of that.
+	TransferTimeout time.Duration
 	// Seed draws jitter.
 	Seed uint64
 }
@@ -78,12 +83,14 @@
 	warm     *warm.Index
 	newest   newest
 	deployed deployment
-	waiting  waiting
-	runs     runs
-	follower atomic.Pointer[watch.Follower]
-	leaving  atomic.Bool
-	down     atomic.Bool
-	stopping atomic.Bool
+	// departing hands prefixes over.
+	departing departure
+	waiting   waiting
+	runs      runs
+	follower  atomic.Pointer[watch.Follower]
+	leaving   atomic.Bool
+	down      atomic.Bool
+	stopping  atomic.Bool
 	// life ends, by end, when the process has nothing left to do.
 	life context.Context
 	end  context.CancelFunc
@@ -91,6 +98,12 @@
 
 // New returns a sidecar; Run starts it.
 func New(cfg Config) (*Sidecar, error) {
+	if cfg.TransferRate == 0 {
+		cfg.TransferRate = DefaultTransferRate
+	}
+	if cfg.TransferTimeout == 0 {
+		cfg.TransferTimeout = DefaultTransferTimeout
+	}
 	s := &Sidecar{
 		cfg:      cfg,
 		target:   newTargetClient(cfg.Target),
@@ -170,8 +183,9 @@
 
 func (s *Sidecar) setLeaving(now time.Time, leaving bool) {
 	leaving = leaving || s.stopping.Load()
-	s.leaving.Store(leaving)
+	was := s.leaving.Swap(leaving)
 	s.settle(s.admitted.SetLeaving(now, leaving))
+	s.depart(was, leaving)
 }
 
 // ServeCall implements link.Handler.
@@ -188,12 +202,13 @@
 		_ = stream.Send(&wire.DrainReply{Load: s.Load()})
 	case *wire.Call_Served:
 		s.noteServed(body.Served)
+	case *wire.Call_Transfer:
+		s.takeTransfer(ctx, body.Transfer, stream)
 	case *wire.Call_Watch:
 		s.serveRecords(call, stream)
 	case *wire.Call_Push:
 		s.takePush(body.Push, stream)
 	}
-	_ = ctx
 }
 
 // noteServed remembers which other target served a chat whose home this is.
--- /dev/null
+++ b/internal/process/side/transfer_test.go
@@ -0,0 +1,157 @@
+package side_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cactusline.dev/cactusline/internal/conn/bulk"
+	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/process/engine"
+	"cactusline.dev/cactusline/internal/process/permit"
+	"cactusline.dev/cactusline/internal/request/chat"
+	"cactusline.dev/cactusline/internal/request/rank"
+	"cactusline.dev/cactusline/internal/version/ident"
+	"cactusline.dev/cactusline/internal/version/record"
+)
+
+const (
+	poolEngines = 4
+	poolChats   = 120
+	chatTokens  = 600
+)
+
+// pool is a fleet of engines and a caller that ranks them as routers do.
+type pool struct {
+	*fleet
+	*caller
+	nodes   map[ident.TargetName]*node
+	engines map[ident.TargetName]*engine.Engine
+	records map[ident.TargetName]*record.Target
+	ranking *rank.Pool
+}
+
+func startPool(t *testing.T, rate ident.Bytes) *pool {
+	p := &pool{
+		fleet: newFleet(t, permit.Limit{}), nodes: make(map[ident.TargetName]*node),
+		engines: make(map[ident.TargetName]*engine.Engine), records: make(map[ident.TargetName]*record.Target),
+		ranking: rank.New(rank.Config{}),
+	}
+	p.transferRate = rate
+	p.caller = p.newCaller()
+	values := []any{modelRecord("1"), &record.Route{Name: "chats", Model: "m"}}
+	for i := range poolEngines {
+		name := ident.TargetName(fmt.Sprintf("engine-%d", i))
+		p.engines[name] = engine.New(engine.Config{Models: []ident.ModelName{"m"}})
+		p.nodes[name] = p.startSidecar(name, p.startEngine(p.engines[name], nil), listen(t))
+		p.records[name] = targetOf(name, p.nodes[name].address, record.TargetModel{Name: "m"})
+		values = append(values, p.records[name])
+	}
+	p.submit(values...)
+	p.rerank("")
+	return p
+}
+
+// rerank takes a leaving target out of the caller's ranking.
+func (p *pool) rerank(leaving ident.TargetName) {
+	var targets []rank.Target
+	for name := range p.nodes {
+		if name != leaving {
+			targets = append(targets, rank.Target{Name: name})
+		}
+	}
+	p.ranking.Update(targets)
+}
+
+func (p *pool) home(key ident.ChatKey) ident.TargetName {
+	home, _ := p.ranking.Home(rank.Query{Now: time.Now(), Chat: key, Prefix: 1})
+	return home.Target
+}
+
+func (p *pool) say(request *chat.Request, text string) (warm, prefix ident.Tokens) {
+	request.Messages = append(request.Messages, chat.Message{Role: chat.RoleUser, Content: chat.Text(text)})
+	return p.turn(p.nodes[p.home(request.Key(customer, ""))], request)
+}
+
+// reuse plays two turns of each chat, has an engine depart as planned and
+// returns the share of the prefixes of its chats that their next turns find
+// warm elsewhere.
+func (p *pool) reuse() float64 {
+	const leaving = ident.TargetName("engine-0")
+	var orphans []*chat.Request
+	for i := range poolChats {
+		request := p.newChat(i, chatTokens)
+		p.turn(p.nodes[p.home(request.Key(customer, ""))], request)
+		p.say(request, "and the second thing?")
+		if p.home(request.Key(customer, "")) == leaving {
+			orphans = append(orphans, request)
+		}
+	}
+	p.records[leaving].Leaving = true
+	p.submit(p.records[leaving])
+	p.rerank(leaving)
+	time.Sleep(2 * time.Second)
+	var warm, prefix ident.Tokens
+	for _, request := range orphans {
+		w, all := p.say(request, "and the third?")
+		warm += w
+		prefix += all
+	}
+	assert.Assert(p.t, len(orphans) > poolChats/10)
+	return float64(warm) / float64(prefix)
+}
+
+// TestDepartureKeepsPrefixesWarm measures the reuse after a planned departure
+// with and without the transfer of prefixes.
+func TestDepartureKeepsPrefixesWarm(t *testing.T) {
+	t.Parallel()
+	with := startPool(t, 0).reuse()
+	without := startPool(t, -1).reuse()
+	t.Logf("reuse after a departure: %.3f with transfer, %.3f without", with, without)
+	assert.Assert(t, with > 0.9 && without < 0.05, "%.3f with transfer, %.3f without", with, without)
+}
+
+// TestCutTransferChangesNothing sends transfers that end early or are not what
+// they were announced to be.
+func TestCutTransferChangesNothing(t *testing.T) {
+	t.Parallel()
+	p := startPool(t, 0)
+	const to = ident.TargetName("engine-1")
+	await(t, orderWait, "the sidecar has the records", func() bool { return p.nodes[to].Revision() > 0 })
+	data, err := json.Marshal([]any{map[string]any{
+		"Chat": 7, "Tokens": 32, "Model": "m", "Export": engine.Export{Blocks: []chat.Block{1, 2}},
+	}})
+	assert.NilError(t, err)
+	send := func(announced *wire.Transfer, data []byte) *wire.TransferReply {
+		stream, err := p.link.Open(context.Background(), p.nodes[to].address, &wire.Call{
+			Body: &wire.Call_Transfer{Transfer: announced},
+		})
+		assert.NilError(t, err)
+		defer stream.Abort()
+		assert.NilError(t, stream.Send(&wire.TransferChunk{Data: data}))
+		if len(data) < int(announced.GetLength()) {
+			return nil
+		}
+		reply := new(wire.TransferReply)
+		assert.NilError(t, stream.Receive(reply))
+		return reply
+	}
+	whole := &wire.Transfer{From: "x", Length: uint64(len(data)), Checksum: bulk.Checksum(data)}
+	send(whole, data[:len(data)-1])
+	changed := bytes.Replace(data, []byte(`"Tokens":32`), []byte(`"Tokens":16`), 1)
+	assert.Equal(t, len(changed), len(data))
+	for _, wrong := range [][]byte{changed, append(data[:len(data):len(data)], ' ')} {
+		assert.Assert(t, send(whole, wrong).GetError() != "")
+	}
+	assert.Equal(t, p.nodes[to].Warm(7), ident.Tokens(0))
+	assert.Equal(t, p.engines[to].Load().CachedTokens, ident.Tokens(0))
+	reply := send(whole, data)
+	assert.Equal(t, reply.GetChats(), uint32(1), reply.GetError())
+	assert.Equal(t, p.nodes[to].Warm(7), ident.Tokens(32))
+	assert.Equal(t, p.engines[to].Load().CachedTokens, ident.Tokens(32))
+}
