Unload only models that a record dropped, and refuse work for unloaded ones

Cause: TestChangeIsInForceEverywhere failed with the orders: sidecars unloaded the models that the engines were started with but no record named yet, and requests then got the engine's 404 as an answer that ran.

A model is now unloaded only if the target's record asked for it earlier in the sidecar's life; an operator who starts an engine with more keeps it. A request whose model the record names and the engine does not list yet is refused as not run with WRONG_TARGET, on which routers try another target.

Ruled out: unloading whatever the record does not name, since a sidecar behind a partition would drop what newer records ask for. After a restart of the sidecar a dropped model stays loaded until somebody unloads it.

--- a/internal/process/orders/orders.go
+++ b/internal/process/orders/orders.go
@@ -41,6 +41,8 @@
 	versions map[ident.ModelName]string
 	adapters map[string]bool
 	role     engine.Role
+	// asked holds the models that the record has asked for at any time.
+	asked map[ident.ModelName]bool
 }
 
 // Highest returns the highest fence that is known.
@@ -63,15 +65,19 @@
 
 // Forget drops what is known of the engine, as after its restart. The highest
 // fence stays.
-func (s *State) Forget() { *s = State{highest: s.highest} }
+func (s *State) Forget() { *s = State{highest: s.highest, asked: s.asked} }
+
+// Lacks reports whether the engine is known not to run a model.
+func (s *State) Lacks(model ident.ModelName) bool { return s.listed && !s.models[model] }
 
 // Next returns the order that brings the engine nearer to what is desired;
-// false if there is none. A model that busy reports to be in use is not
-// unloaded. Where a version is asked for and not known, it is ordered again.
+// false if there is none. A model is unloaded only if it was desired before,
+// and not while busy reports it to be in use. Where a version is asked for and not known, it is ordered again.
 func (s *State) Next(d Desired, busy func(ident.ModelName) bool) (engine.Order, bool) {
 	if !s.listed || len(d.Models) == 0 {
 		return engine.Order{}, false
 	}
+	s.ask(d)
 	for _, m := range d.Models {
 		if order, found := s.nextOf(m); found {
 			return order, true
@@ -83,6 +89,16 @@
 	return s.unload(d, busy)
 }
 
+// ask remembers which models were desired.
+func (s *State) ask(d Desired) {
+	if s.asked == nil {
+		s.asked = make(map[ident.ModelName]bool)
+	}
+	for _, m := range d.Models {
+		s.asked[m.Name] = true
+	}
+}
+
 // nextOf returns the order that a single model lacks.
 func (s *State) nextOf(m record.TargetModel) (engine.Order, bool) {
 	version, known := s.versions[m.Name]
@@ -105,7 +121,7 @@
 	}
 	var surplus ident.ModelName
 	for name := range s.models {
-		if !wanted[name] && !busy(name) && (surplus == "" || name < surplus) {
+		if s.asked[name] && !wanted[name] && !busy(name) && (surplus == "" || name < surplus) {
 			surplus = name
 		}
 	}
--- a/internal/process/side/orders.go
+++ b/internal/process/side/orders.go
@@ -88,6 +88,13 @@
 	}
 }
 
+// lacks reports whether the engine is known not to run a model.
+func (d *deployment) lacks(model ident.ModelName) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state.Lacks(model)
+}
+
 // deploy orders from the engine what the target's record asks for, until ctx
 // ends or a newer sidecar has started.
 func (s *Sidecar) deploy(ctx context.Context) {
@@ -141,6 +148,17 @@
 	return s.give(ctx, order)
 }
 
+// unloaded reports whether the record asks for a model that the engine does
+// not run yet.
+func (s *Sidecar) unloaded(model ident.ModelName) bool {
+	f := s.follower.Load()
+	if f == nil || !s.deployed.lacks(model) {
+		return false
+	}
+	target, ok := f.Set().Target(s.cfg.Name)
+	return ok && target.Runs(model, "", "")
+}
+
 // inUse reports whether the model may be needed by work that was taken on.
 func (s *Sidecar) inUse(model ident.ModelName) bool {
 	return s.admitted.Load().Queued > 0 || s.runs.uses(model)
--- a/internal/process/side/side.go
+++ b/internal/process/side/side.go
@@ -253,9 +253,6 @@
 	return 0
 }
 
-// Revision returns the revision of the records that the sidecar acts on.
-func (s *Sidecar) Revision() ident.Revision { return s.revision() }
-
 // confirmed reports whether a quorum has confirmed the records since the start.
 func (s *Sidecar) confirmed() bool {
 	f := s.follower.Load()
--- a/internal/process/side/submit.go
+++ b/internal/process/side/submit.go
@@ -66,6 +66,8 @@
 		reason = wire.RefusalReason_REFUSAL_REASON_QUARANTINED
 	case s.recent.Holds(s.cfg.Clock.Now(), ident.Fingerprint(submit.GetFingerprint())):
 		reason = wire.RefusalReason_REFUSAL_REASON_TARGET_DOWN
+	case s.unloaded(ident.ModelName(submit.GetModel())):
+		reason = wire.RefusalReason_REFUSAL_REASON_WRONG_TARGET
 	default:
 		return nil
 	}
