--- a/internal/process/cmds/control.go
+++ b/internal/process/cmds/control.go
@@ -15,6 +15,7 @@
 	"cactusline.dev/cactusline/internal/process/ctrl"
 	"cactusline.dev/cactusline/internal/process/flags"
 	"cactusline.dev/cactusline/internal/process/group"
+	"cactusline.dev/cactusline/internal/process/permit"
 	"cactusline.dev/cactusline/internal/process/trace"
 	"cactusline.dev/cactusline/internal/version/ident"
 	"cactusline.dev/cactusline/internal/version/store"
@@ -32,6 +33,9 @@
 	AdminCert flags.File `help:"File with the certificate for operators."`
 	AdminKey  flags.File `help:"File with the key of that certificate."`
 
+	WeightRate  float64 `help:"Fetches of weights that the fleet may start in a second." default:"1"`
+	WeightBurst uint32  `help:"Fetches of weights that the fleet may start at once." default:"4"`
+
 	LinkKeys `embed:""`
 }
 
@@ -90,6 +94,7 @@
 		Group:    disk.replicas,
 		Audit:    disk.folder,
 		Receive:  disk.replicas.Receive,
+		Weights:  permit.Limit{Rate: c.WeightRate, Burst: c.WeightBurst},
 	})
 	// Leadership is handed over before anything is closed.
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/process/cmds/sidecar.go
+++ b/internal/process/cmds/sidecar.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/url"
+	"time"
 
 	"github.com/go-kit/log"
 
@@ -28,6 +29,9 @@
 	Listen  flags.Address    `help:"Address for routers." default:"127.0.0.1:9000"`
 	Control []flags.Address  `help:"Addresses of the control processes." required:""`
 
+	TransferRate    ident.Bytes   `help:"Bytes per second in which a leaving target hands chats' prefixes over; below zero for none." default:"50000000"`
+	TransferTimeout time.Duration `help:"How long that may take." default:"30s"`
+
 	LinkKeys `embed:""`
 }
 
@@ -73,6 +77,8 @@
 
 		ControlAddresses: texts(c.Control),
 		Incarnation:      incarnation,
+		TransferRate:     c.TransferRate,
+		TransferTimeout:  c.TransferTimeout,
 		Seed:             rand.Uint64(),
 	})
 	if err != nil {
--- a/internal/process/ctrl/ctrl.go
+++ b/internal/process/ctrl/ctrl.go
@@ -20,6 +20,7 @@
 	"cactusline.dev/cactusline/internal/conn/watch"
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/process/group"
+	"cactusline.dev/cactusline/internal/process/permit"
 	"cactusline.dev/cactusline/internal/process/trace"
 	"cactusline.dev/cactusline/internal/request/trail"
 	"cactusline.dev/cactusline/internal/version/cmdpb"
@@ -82,6 +83,8 @@
 	Receive func(from group.MemberID, message []byte)
 	// Query answers questions other than those of this package.
 	Query func(ctx context.Context, query *wire.Query) *wire.QueryReply
+	// Weights limits the fetches of weights that the fleet may start.
+	Weights permit.Limit
 }
 
 // Control serves the other processes.
@@ -90,6 +93,7 @@
 	hub      *hub
 	balancer *balancer
 	trail    *trail.Ring
+	permits  *permit.Keeper
 	server   *link.Server
 
 	mu   sync.Mutex
@@ -98,7 +102,11 @@
 
 // New returns a control process; Run starts it.
 func New(cfg Config) *Control {
-	c := &Control{cfg: cfg, hub: newHub(cfg), balancer: newBalancer(cfg.Clock), trail: trail.NewRing(0), seen: make(map[ident.VMName]seenMember)}
+	c := &Control{
+		cfg: cfg, hub: newHub(cfg), balancer: newBalancer(cfg.Clock), trail: trail.NewRing(0),
+		seen:    make(map[ident.VMName]seenMember),
+		permits: permit.NewKeeper(permit.Weights(cfg.Weights)),
+	}
 	c.server = link.NewServer(c)
 	return c
 }
@@ -154,6 +162,8 @@
 		return answerJSON(c.trail.Get(ident.RequestID(query.GetName())))
 	case queryAudit:
 		return c.answerAudit(query.GetName())
+	case QueryPermit:
+		return c.permit(ctx, query.GetArgument())
 	case QueryDecided:
 		return c.keep(query.GetArgument())
 	}
