Close the gaps around crashes, old calls and slow settlements

A sidecar now recalls crashes from a quorum before it serves, the router watches the request at once, the wait for the ledger is 250 ms at most, and sessions idle for 30 min are closed.

--- a/internal/conn/link/server.go
+++ b/internal/conn/link/server.go
@@ -6,11 +6,22 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/yamux"
 
 	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/process/clock"
+)
+
+const (
+	// idleTimeout is how long a session without calls is kept; it is shorter
+	// than the time for which sidecars remember attempts.
+	idleTimeout = 30 * time.Minute
+	// idleChecks is how often in that time it is looked at.
+	idleChecks = 4
 )
 
 // Handler serves one call. It returns once the call has its answer; the
@@ -23,6 +34,7 @@
 // use by several goroutines.
 type Server struct {
 	handler Handler
+	clock   Clock
 	wg      sync.WaitGroup
 
 	mu       sync.Mutex
@@ -32,7 +44,7 @@
 
 // NewServer returns a server for handler.
 func NewServer(handler Handler) *Server {
-	return &Server{handler: handler, sessions: make(map[*yamux.Session]struct{})}
+	return &Server{handler: handler, clock: clock.System{}, sessions: make(map[*yamux.Session]struct{})}
 }
 
 // Serve accepts sessions from listener until it is closed.
@@ -75,11 +87,15 @@
 	// The context of a call ends with its session.
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	var used atomic.Int64
+	used.Store(s.clock.Now().UnixNano())
+	go s.closeIdle(ctx, session, &used)
 	for {
 		stream, err := session.AcceptStream()
 		if err != nil {
 			return
 		}
+		used.Store(s.clock.Now().UnixNano())
 		s.wg.Go(func() { s.serveStream(ctx, newStream(stream, session)) })
 	}
 }
@@ -96,6 +112,23 @@
 	s.handler.ServeCall(ctx, call, stream)
 }
 
+// closeIdle closes a session on which nothing has been called for long, so that
+// a process that was frozen for hours can't deliver an old call on it.
+func (s *Server) closeIdle(ctx context.Context, session *yamux.Session, used *atomic.Int64) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.clock.After(idleTimeout / idleChecks):
+		}
+		idle := s.clock.Now().UnixNano() - used.Load()
+		if session.NumStreams() == 0 && time.Duration(idle) > idleTimeout {
+			_ = session.Close()
+			return
+		}
+	}
+}
+
 func (s *Server) track(session *yamux.Session) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/process/cmds/control.go
+++ b/internal/process/cmds/control.go
@@ -36,7 +36,7 @@
 	WeightRate  float64 `help:"Fetches of weights that the fleet may start in a second." default:"1"`
 	WeightBurst uint32  `help:"Fetches of weights that the fleet may start at once." default:"4"`
 
-	LinkKeys `embed:""`
+	Links LinkKeys `embed:""`
 }
 
 // Run implements the command.
@@ -61,7 +61,7 @@
 		return err
 	}
 	defer closeTracer(tracer)
-	secure, err := c.LinkKeys.open(logger)
+	secure, err := c.Links.open(logger)
 	if err != nil {
 		return err
 	}
--- a/internal/process/cmds/router.go
+++ b/internal/process/cmds/router.go
@@ -29,8 +29,8 @@
 	DrainDelay   time.Duration `help:"How long a stopping router takes callers while the balancer learns of it." default:"3s" min:"0s"`
 	DrainTimeout time.Duration `help:"How long a stopping router waits for requests in flight; 0 for no bound." min:"0s"`
 
-	CallerKeys `embed:""`
-	LinkKeys   `embed:""`
+	Callers CallerKeys `embed:""`
+	Links   LinkKeys   `embed:""`
 }
 
 // Run implements the command.
@@ -48,7 +48,7 @@
 		return err
 	}
 	defer closeTracer(tracer)
-	secure, err := c.LinkKeys.open(logger)
+	secure, err := c.Links.open(logger)
 	if err != nil {
 		return err
 	}
@@ -69,7 +69,7 @@
 		Role:      "router",
 		OnUpdate:  func(update *wire.Update, set *record.Set) { r.Update(update, set) },
 	})
-	callers, err := c.CallerKeys.open(logger)
+	callers, err := c.Callers.open(logger)
 	if err != nil {
 		return err
 	}
--- a/internal/process/cmds/sidecar.go
+++ b/internal/process/cmds/sidecar.go
@@ -32,7 +32,7 @@
 	TransferRate    ident.Bytes   `help:"Bytes per second in which a leaving target hands chats' prefixes over; below zero for none." default:"50000000"`
 	TransferTimeout time.Duration `help:"How long that may take." default:"30s"`
 
-	LinkKeys `embed:""`
+	Links LinkKeys `embed:""`
 }
 
 // Run implements the command.
@@ -50,7 +50,7 @@
 		return err
 	}
 	defer closeTracer(tracer)
-	secure, err := c.LinkKeys.open(logger)
+	secure, err := c.Links.open(logger)
 	if err != nil {
 		return err
 	}
@@ -84,6 +84,9 @@
 	if err != nil {
 		return fmt.Errorf("make sidecar: %w", err)
 	}
+	if err := sidecar.Recall(ctx); err != nil {
+		return err
+	}
 	follower := watch.NewFollower(watch.Config{
 		Addresses: texts(c.Control),
 		Link:      links,
--- a/internal/process/ctrl/ctrl.go
+++ b/internal/process/ctrl/ctrl.go
@@ -57,6 +57,9 @@
 	// Verdicts returns the requests that crash targets, and a number that
 	// rises when they change.
 	Verdicts() ([]*wire.CrashVerdict, uint64)
+	// CrashedAt returns the requests that were in flight when a target
+	// crashed.
+	CrashedAt(target ident.TargetName) []ident.Fingerprint
 }
 
 // Config makes a Control.
@@ -162,6 +165,8 @@
 		return answerJSON(c.trail.Get(ident.RequestID(query.GetName())))
 	case queryAudit:
 		return c.answerAudit(query.GetName())
+	case QueryCrashed:
+		return c.crashed(ctx, query.GetName())
 	case QueryPermit:
 		return c.permit(ctx, query.GetArgument())
 	case QueryDecided:
--- a/internal/process/router/chat.go
+++ b/internal/process/router/chat.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 
 	"cactusline.dev/cactusline/internal/conn/httpd"
 	"cactusline.dev/cactusline/internal/conn/wire"
@@ -168,12 +169,18 @@
 // run carries a request through and tells how it was decided.
 func (r *Router) run(ctx context.Context, request relay.Request, caller relay.Caller) relay.Result {
 	result := relay.Run(ctx, r.relay, request, caller)
+	if result.Record != nil && slices.ContainsFunc(result.Record.Attempts, crashed) {
+		r.poisoned.Watch(request.Fingerprint)
+	}
 	if r.cfg.Decided != nil && result.Record != nil {
 		r.cfg.Decided(result.Record)
 	}
 	return result
 }
 
+// crashed reports whether the target crashed under an attempt.
+func crashed(attempt tries.AttemptRecord) bool { return attempt.Result == tries.ResultCrashed }
+
 // plan returns the plan of the request's offers.
 func (c *call) plan() *offers {
 	return &offers{plan: c.pool.ranking.Plan(c.query)}
--- a/internal/process/side/crash.go
+++ b/internal/process/side/crash.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"time"
 
 	"github.com/go-kit/log/level"
 
+	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/process/ctrl"
 	"cactusline.dev/cactusline/internal/request/poison"
 	"cactusline.dev/cactusline/internal/version/cmdpb"
 	"cactusline.dev/cactusline/internal/version/ident"
@@ -69,6 +73,21 @@
 	go s.tell(&cmdpb.Command{Body: &cmdpb.Command_Alone{Alone: &cmdpb.RanAlone{Fingerprint: uint64(fingerprint)}}})
 }
 
+// Recall learns which requests were in flight when this target crashed under
+// an earlier sidecar, so that none of them crashes it again.
+func (s *Sidecar) Recall(ctx context.Context) error {
+	reply, err := s.cfg.Control.Query(ctx, &wire.Query{Kind: ctrl.QueryCrashed, Name: string(s.cfg.Name)})
+	if err != nil {
+		return fmt.Errorf("recall crashes: %w", err)
+	}
+	var fingerprints []ident.Fingerprint
+	if err := json.Unmarshal(reply.GetResult(), &fingerprints); err != nil {
+		return fmt.Errorf("decode crashes: %w", err)
+	}
+	s.recent.Note(s.cfg.Clock.Now().Add(poison.DefaultWindow), fingerprints)
+	return nil
+}
+
 // tell proposes a command to control, which may take it twice.
 func (s *Sidecar) tell(command *cmdpb.Command) {
 	ctx, cancel := context.WithTimeout(s.life, crashReportTimeout)
--- a/internal/request/relay/ledger.go
+++ b/internal/request/relay/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/request/tries"
@@ -37,15 +38,28 @@
 	x.post(event{Event: held.Event, held: held})
 }
 
-// settle waits for the ledger: the caller is told that its request ran once
-// the ledger has it. A settlement that fails leaves the claim, and a resend
-// is answered by the sidecar that ran it.
+// settleWait is how long the end of an answer waits for the ledger.
+const settleWait = 250 * time.Millisecond
+
+// settle gives the ledger a moment, so that a resend that follows at once finds
+// the answer there. It never holds the caller back for longer: while a
+// settlement is on its way, or after one that failed, the claim stands, and a
+// resend joins the answer at the sidecar that ran it.
 func (x *exchange) settle(ctx context.Context, action *tries.Action) {
 	var answer *Answer
 	if action.Outcome == wire.Outcome_OUTCOME_RAN {
 		answer = &x.answer
 	}
-	x.cfg.Ledger.Settle(ctx, x.key(), action.Attempt, action.Outcome, answer)
+	key, attempt, outcome := x.key(), action.Attempt, action.Outcome
+	settled := make(chan struct{})
+	go func() {
+		defer close(settled)
+		x.cfg.Ledger.Settle(context.WithoutCancel(ctx), key, attempt, outcome, answer)
+	}()
+	select {
+	case <-settled:
+	case <-x.cfg.Clock.After(settleWait):
+	}
 }
 
 // bury asks the sidecar of an attempt to refuse it for ever.
--- a/internal/version/store/crash.go
+++ b/internal/version/store/crash.go
@@ -148,3 +148,11 @@
 	}
 	return out
 }
+
+// CrashedAt returns the requests that were in flight when a target crashed, as
+// far as they still count.
+func (s *Store) CrashedAt(target ident.TargetName) []ident.Fingerprint {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.crashes.CrashedAt(s.now, target)
+}
