--- a/internal/process/side/side.go
+++ b/internal/process/side/side.go
@@ -137,6 +137,7 @@
 	defer s.end()
 	stop := context.AfterFunc(ctx, s.shutDown)
 	defer stop()
+	s.measure()
 	go s.tick(s.life)
 	go s.balance(s.life)
 	go s.deploy(s.life)
@@ -266,5 +267,6 @@
 
 // broken notes an invariant that does not hold.
 func (s *Sidecar) broken(err error) {
+	s.countBroken()
 	_ = level.Error(s.cfg.Logger).Log("msg", "invariant broken", "target", s.cfg.Name, "err", err)
 }
--- a/internal/process/side/submit.go
+++ b/internal/process/side/submit.go
@@ -19,7 +19,7 @@
 // serveSubmit runs an attempt, or joins one that runs already, and relays its
 // answer.
 func (s *Sidecar) serveSubmit(call *wire.Call, submit *wire.Submit, stream *link.Stream) {
-	out := &answer{stream: stream, attempt: submit.GetAttempt(), offset: submit.GetResumeOffset(), revision: s.revision, logger: s.cfg.Logger}
+	out := &answer{stream: stream, attempt: submit.GetAttempt(), offset: submit.GetResumeOffset(), revision: s.revision, logger: s.cfg.Logger, refused: s.countRefused}
 	ctx, cancel := context.WithCancel(s.life)
 	defer cancel()
 	watcher := &callerWatch{stream: stream, cancel: cancel}
@@ -208,11 +208,14 @@
 	offset   uint64
 	revision func() ident.Revision
 	logger   log.Logger
+	// refused counts a refusal.
+	refused func(wire.RefusalReason)
 	// digest goes with the head.
 	digest *wire.LoadDigest
 }
 
 func (a *answer) refuse(refusal *wire.Refusal) error {
+	a.refused(refusal.GetReason())
 	_ = level.Debug(a.logger).Log("msg", "attempt refused", "attempt", a.attempt, "reason", refusal.GetReason(),
 		"running", refusal.GetLoad().GetRequests(), "queued", refusal.GetLoad().GetQueued())
 	return a.send(&wire.Reply{Body: &wire.Reply_Refusal{Refusal: refusal}})
