Scrub only entries that may hold a secret

The patterns that take secrets out of log entries took 11% of the processor time of the path, since each request logs its decision. They now run only on text that holds one of the words without which none of them matches, or letters beyond ASCII.

--- a/internal/process/logs/redact.go
+++ b/internal/process/logs/redact.go
@@ -4,7 +4,9 @@
 	"encoding/json"
 	"fmt"
 	"regexp"
+	"slices"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -22,6 +24,12 @@
 	secretMember = regexp.MustCompile(`(?i)("[^"]*(?:authorization|secret|password|bearer|api[-_]?key|private[-_]?key|credential|cookie)[^"]*"\s*:\s*)("(?:[^"\\]|\\.)*"|\[[^\]]*\]|[^,}\]]+)`)
 )
 
+// Words without which no pattern matches.
+var (
+	textWords   = []string{"private key", "bearer", "basic"}
+	memberWords = []string{"authorization", "secret", "password", "bearer", "api", "private", "credential", "cookie"}
+)
+
 // redactor takes secrets out of entries.
 type redactor struct {
 	next log.Logger
@@ -37,7 +45,7 @@
 			name = FieldLevel
 		}
 		clean[i] = name
-		if secretName.MatchString(name) {
+		if holdsAny(name, memberWords) && secretName.MatchString(name) {
 			clean[i+1] = Redacted
 			continue
 		}
@@ -75,9 +83,27 @@
 // Scrub returns text without bearer and basic credentials, private keys and
 // members of JSON objects whose names say that they are secret.
 func Scrub(text string) string {
-	text = secretText.ReplaceAllString(text, Redacted)
+	if holdsAny(text, textWords) {
+		text = secretText.ReplaceAllString(text, Redacted)
+	}
 	if !strings.Contains(text, `":`) && !strings.Contains(text, `" :`) {
 		return text
 	}
+	if !holdsAny(text, memberWords) {
+		return text
+	}
 	return secretMember.ReplaceAllString(text, `${1}"`+Redacted+`"`)
 }
+
+// holdsAny reports whether text may hold one of the words, which are in lower
+// case. It is far cheaper than the patterns, which fold the case of letters
+// beyond ASCII too and so see all text that holds any.
+func holdsAny(text string, words []string) bool {
+	for i := range len(text) {
+		if text[i] >= utf8.RuneSelf {
+			return true
+		}
+	}
+	lower := strings.ToLower(text)
+	return slices.ContainsFunc(words, func(word string) bool { return strings.Contains(lower, word) })
+}
