Use the buffers of answers again

Each attempt took two buffers of 32 KB at its sidecar and one of 16 KB at each end of its stream, which the collector had to clear and free. The former are now pooled and the latter 4 KB; longer frames are read past the buffer.

--- a/internal/conn/link/link.go
+++ b/internal/conn/link/link.go
@@ -35,7 +35,7 @@
 
 	acceptBacklog      = 4096
 	streamCloseTimeout = 10 * time.Second
-	readBufferBytes    = 16 << 10
+	readBufferBytes    = 4 << 10
 	writeBufferBytes   = 4 << 10
 )
 
--- a/internal/process/side/run.go
+++ b/internal/process/side/run.go
@@ -29,6 +29,9 @@
 	urgentPriority = 1 << 20
 )
 
+// chunks keeps the buffers through which answers are copied.
+var chunks = sync.Pool{New: func() any { return new([answerChunkBytes]byte) }}
+
 type flag = atomic.Bool
 
 // run is one attempt at the target.
@@ -125,7 +128,9 @@
 
 // keep copies the answer into the table of attempts.
 func (s *Sidecar) keep(ctx context.Context, body io.Reader, r *run) *wire.End {
-	buffer := make([]byte, answerChunkBytes)
+	chunk := chunks.Get().(*[answerChunkBytes]byte)
+	defer chunks.Put(chunk)
+	buffer := chunk[:]
 	var length uint64
 	for {
 		n, err := body.Read(buffer)
--- a/internal/process/side/submit.go
+++ b/internal/process/side/submit.go
@@ -150,7 +150,9 @@
 	id := ident.AttemptID(submit.GetAttempt())
 	reader := s.runs.attach(id)
 	defer func() { s.detach(reader, watcher.canceled.Load()) }()
-	buffer := make([]byte, answerChunkBytes)
+	chunk := chunks.Get().(*[answerChunkBytes]byte)
+	defer chunks.Put(chunk)
+	buffer := chunk[:]
 	headSent := false
 	for {
 		read, err := s.attempts.ReadFrom(id, out.offset, buffer)
