Write each message in one piece

A message went through a buffered writer of 4 KB that each end of each stream allocated, and a longer one in two writes. It is now encoded with its length into a pooled buffer and written at once; the reader's buffer is 1 KB, longer messages are read past it.

--- a/cmd/cactusline/path_bench_test.go
+++ b/cmd/cactusline/path_bench_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -13,6 +15,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/VictoriaMetrics/metrics"
 	"gotest.tools/v3/assert"
 
 	"cactusline.dev/cactusline/internal/version/ident"
@@ -149,7 +152,7 @@
 // their rate and the processor time that each costs all roles and the load.
 func measureShort(b *testing.B, e endpoint) {
 	var next, refused atomic.Int64
-	before := processorTime(b)
+	before, attempts := processorTime(b), attemptsMade(b)
 	begun := time.Now()
 	var wg sync.WaitGroup
 	for range shortWorkers {
@@ -168,6 +171,7 @@
 	wg.Wait()
 	b.ReportMetric(float64(b.N)/time.Since(begun).Seconds(), "requests/s")
 	b.ReportMetric(float64(processorTime(b)-before)/float64(b.N)/float64(time.Microsecond), "cpu-µs/op")
+	b.ReportMetric((attemptsMade(b)-attempts)/float64(b.N), "attempts/op")
 	b.ReportMetric(float64(refused.Load()), "refused")
 }
 
@@ -177,3 +181,19 @@
 	assert.NilError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
+
+// attemptsMade returns how many attempts the routers of this process made.
+func attemptsMade(b *testing.B) float64 {
+	var text bytes.Buffer
+	metrics.WritePrometheus(&text, false)
+	var sum float64
+	for line := range strings.Lines(text.String()) {
+		if !strings.HasPrefix(line, "cactusline_attempts_total{") {
+			continue
+		}
+		value, err := strconv.ParseFloat(strings.TrimSpace(line[strings.LastIndexByte(line, ' '):]), 64)
+		assert.NilError(b, err)
+		sum += value
+	}
+	return sum
+}
--- a/internal/conn/link/link.go
+++ b/internal/conn/link/link.go
@@ -16,10 +16,12 @@
 	"fmt"
 	"io"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -35,8 +37,9 @@
 
 	acceptBacklog      = 4096
 	streamCloseTimeout = 10 * time.Second
-	readBufferBytes    = 4 << 10
-	writeBufferBytes   = 4 << 10
+	readBufferBytes    = 1 << 10
+	// maxKeptFrameBytes bounds the buffers that are kept for later messages.
+	maxKeptFrameBytes = 64 << 10
 )
 
 // Clock is what the package needs of a clock.
@@ -66,7 +69,6 @@
 	conn    net.Conn
 	session *yamux.Session
 	reader  *bufio.Reader
-	writer  *bufio.Writer
 }
 
 func newStream(conn net.Conn, session *yamux.Session) *Stream {
@@ -74,21 +76,35 @@
 		conn:    conn,
 		session: session,
 		reader:  bufio.NewReaderSize(conn, readBufferBytes),
-		writer:  bufio.NewWriterSize(conn, writeBufferBytes),
 	}
 }
 
-// Send writes one message and flushes it.
+// frames keeps the buffers in which messages are encoded.
+var frames = sync.Pool{New: func() any { return new([]byte) }}
+
+// Send writes one message.
 func (s *Stream) Send(m proto.Message) error {
-	if _, err := protodelim.MarshalTo(s.writer, m); err != nil {
-		return fmt.Errorf("send %s: %w", m.ProtoReflect().Descriptor().Name(), err)
+	frame := frames.Get().(*[]byte)
+	defer frames.Put(frame)
+	encoded, err := appendFrame((*frame)[:0], m)
+	if err != nil {
+		return fmt.Errorf("encode %s: %w", m.ProtoReflect().Descriptor().Name(), err)
+	}
+	if cap(encoded) <= maxKeptFrameBytes {
+		*frame = encoded
 	}
-	if err := s.writer.Flush(); err != nil {
-		return fmt.Errorf("flush %s: %w", m.ProtoReflect().Descriptor().Name(), err)
+	if _, err := s.conn.Write(encoded); err != nil {
+		return fmt.Errorf("send %s: %w", m.ProtoReflect().Descriptor().Name(), err)
 	}
 	return nil
 }
 
+// appendFrame appends a message preceded by its length.
+func appendFrame(to []byte, m proto.Message) ([]byte, error) {
+	to = protowire.AppendVarint(to, uint64(proto.Size(m)))
+	return proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(to, m)
+}
+
 // Receive reads the next message into m. It returns an error that wraps
 // io.EOF once the peer has closed the stream between two messages.
 func (s *Stream) Receive(m proto.Message) error {
