--- a/internal/conn/link/link.go
+++ b/internal/conn/link/link.go
@@ -16,6 +16,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,8 +39,11 @@
 	acceptBacklog      = 4096
 	streamCloseTimeout = 10 * time.Second
 	readBufferBytes    = 1 << 10
-	// maxKeptFrameBytes bounds the buffers that are kept for later messages.
-	maxKeptFrameBytes = 64 << 10
+	// maxKeptBytes bounds the buffers that are kept for later messages.
+	maxKeptBytes = 64 << 10
+	// maxPieceBytes bounds one frame. A session keeps a buffer as long as the
+	// longest frame that it ever sent.
+	maxPieceBytes = 16 << 10
 )
 
 // Clock is what the package needs of a clock.
@@ -79,28 +83,30 @@
 	}
 }
 
-// frames keeps the buffers in which messages are encoded.
-var frames = sync.Pool{New: func() any { return new([]byte) }}
+// messages keeps the buffers in which messages are encoded.
+var messages = sync.Pool{New: func() any { return new([]byte) }}
 
-// Send writes one message.
+// Send writes one message, a long one in several frames.
 func (s *Stream) Send(m proto.Message) error {
-	frame := frames.Get().(*[]byte)
-	defer frames.Put(frame)
-	encoded, err := appendFrame((*frame)[:0], m)
+	buffer := messages.Get().(*[]byte)
+	defer messages.Put(buffer)
+	encoded, err := appendMessage((*buffer)[:0], m)
 	if err != nil {
 		return fmt.Errorf("encode %s: %w", m.ProtoReflect().Descriptor().Name(), err)
 	}
-	if cap(encoded) <= maxKeptFrameBytes {
-		*frame = encoded
+	if cap(encoded) <= maxKeptBytes {
+		*buffer = encoded
 	}
-	if _, err := s.conn.Write(encoded); err != nil {
-		return fmt.Errorf("send %s: %w", m.ProtoReflect().Descriptor().Name(), err)
+	for piece := range slices.Chunk(encoded, maxPieceBytes) {
+		if _, err := s.conn.Write(piece); err != nil {
+			return fmt.Errorf("send %s: %w", m.ProtoReflect().Descriptor().Name(), err)
+		}
 	}
 	return nil
 }
 
-// appendFrame appends a message preceded by its length.
-func appendFrame(to []byte, m proto.Message) ([]byte, error) {
+// appendMessage appends a message preceded by its length.
+func appendMessage(to []byte, m proto.Message) ([]byte, error) {
 	to = protowire.AppendVarint(to, uint64(proto.Size(m)))
 	return proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(to, m)
 }
--- a/internal/process/ctrl/ctrl.go
+++ b/internal/process/ctrl/ctrl.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log"
@@ -19,6 +20,7 @@
 	"cactusline.dev/cactusline/internal/conn/watch"
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/process/group"
+	"cactusline.dev/cactusline/internal/process/permit"
 	"cactusline.dev/cactusline/internal/process/trace"
 	"cactusline.dev/cactusline/internal/request/trail"
 	"cactusline.dev/cactusline/internal/version/cmdpb"
@@ -55,6 +57,9 @@
 	// Verdicts returns the requests that crash targets, and a number that
 	// rises when they change.
 	Verdicts() ([]*wire.CrashVerdict, uint64)
+	// CrashedAt returns the requests that were in flight when a target
+	// crashed.
+	CrashedAt(target ident.TargetName) []ident.Fingerprint
 }
 
 // Config makes a Control.
@@ -75,10 +80,14 @@
 	// Group lists and changes the control processes; without it this one is
 	// the only one.
 	Group Members
+	// Audit holds the exported audit entries; nil for none.
+	Audit AuditFolder
 	// Receive takes messages of the replicated log.
 	Receive func(from group.MemberID, message []byte)
 	// Query answers questions other than those of this package.
 	Query func(ctx context.Context, query *wire.Query) *wire.QueryReply
+	// Weights limits the fetches of weights that the fleet may start.
+	Weights permit.Limit
 }
 
 // Control serves the other processes.
@@ -87,12 +96,20 @@
 	hub      *hub
 	balancer *balancer
 	trail    *trail.Ring
+	permits  *permit.Keeper
 	server   *link.Server
+
+	mu   sync.Mutex
+	seen map[ident.VMName]seenMember
 }
 
 // New returns a control process; Run starts it.
 func New(cfg Config) *Control {
-	c := &Control{cfg: cfg, hub: newHub(cfg), balancer: newBalancer(cfg.Clock), trail: trail.NewRing(0)}
+	c := &Control{
+		cfg: cfg, hub: newHub(cfg), balancer: newBalancer(cfg.Clock), trail: trail.NewRing(0),
+		seen:    make(map[ident.VMName]seenMember),
+		permits: permit.NewKeeper(permit.Weights(cfg.Weights)),
+	}
 	c.server = link.NewServer(c)
 	return c
 }
@@ -102,6 +119,8 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.cfg.Listener.Close() })
 	defer stop()
 	go c.hub.confirm(ctx)
+	go c.watchMembers(ctx)
+	go c.fillAudit(ctx)
 	c.measure()
 	go c.balancer.run(ctx)
 	go c.countRouters(ctx)
@@ -144,6 +163,12 @@
 		return c.answerMembers(ctx, query.GetArgument())
 	case queryDecisions:
 		return answerJSON(c.trail.Get(ident.RequestID(query.GetName())))
+	case queryAudit:
+		return c.answerAudit(query.GetName())
+	case QueryCrashed:
+		return c.crashed(ctx, query.GetName())
+	case QueryPermit:
+		return c.permit(ctx, query.GetArgument())
 	case QueryDecided:
 		return c.keep(query.GetArgument())
 	}
--- a/internal/process/side/run.go
+++ b/internal/process/side/run.go
@@ -38,13 +38,18 @@
 type run struct {
 	id          ident.AttemptID
 	fingerprint ident.Fingerprint
+	model       ident.ModelName
 	once        bool
 	// priority goes to the engine, which starts higher ones first.
 	priority int32
 	// solo says that nothing ran beside it.
-	solo   bool
-	ctx    context.Context
-	cancel context.CancelFunc
+	solo bool
+	// cached is how much of the prompt the engine found in its cache, if it
+	// counted that.
+	cached  ident.Tokens
+	counted bool
+	ctx     context.Context
+	cancel  context.CancelFunc
 
 	mu      sync.Mutex
 	readers int
@@ -63,6 +68,7 @@
 	r := &run{
 		id:          ident.AttemptID(submit.GetAttempt()),
 		fingerprint: ident.Fingerprint(submit.GetFingerprint()),
+		model:       ident.ModelName(submit.GetModel()),
 		once:        submit.GetOnce(),
 		solo:        solo,
 		priority:    submit.GetPriority(),
@@ -97,8 +103,7 @@
 		return
 	}
 	if submit.GetChat() != 0 {
-		tokens := ident.Tokens(submit.GetPromptTokens()) + ident.Tokens(submit.GetOutputTokens())
-		s.warm.Put(ident.ChatKey(submit.GetChat()), tokens)
+		s.believe(submit, r)
 	}
 	if r.solo {
 		s.ranAlone(r.fingerprint)
@@ -122,6 +127,7 @@
 		return s.failed(ctx, 0, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	r.cached, r.counted = cachedTokens(resp)
 	s.attempts.SetHead(r.id, s.headOf(resp))
 	return s.keep(ctx, resp.Body, r)
 }
@@ -164,6 +170,9 @@
 		Load:        s.Load(),
 		Incarnation: uint64(s.cfg.Incarnation),
 	}
+	if cached, counted := cachedTokens(resp); counted {
+		head.WarmTokens = uint32(cached)
+	}
 	for name, values := range resp.Header {
 		for _, value := range values {
 			head.Headers = append(head.Headers, &wire.Header{Name: name, Value: value})
@@ -255,6 +264,18 @@
 	return fingerprints
 }
 
+// uses reports whether an attempt at the target runs on the model.
+func (s *runs) uses(model ident.ModelName) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.byID {
+		if r.model == model {
+			return true
+		}
+	}
+	return false
+}
+
 // reader is one router's place in an answer.
 type reader struct{ run *run }
 
