Test that a transfer of prefixes waits for queued work

Cause: the rule that transfers stand still while work is queued at the target had no test. TestTransferWaitsForQueuedWork holds two requests in the queue while a transfer comes in, and looks every millisecond that nothing has been imported yet.

Ruled out: measuring the delay of requests, which on a machine that others use at the same time says little about a pause of milliseconds.

--- a/internal/process/side/caller_test.go
+++ b/internal/process/side/caller_test.go
@@ -74,7 +74,7 @@
 	stream, err := c.link.Open(context.Background(), n.address, &wire.Call{
 		Revision: uint64(c.f.state.Set().Revision()),
 		Body: &wire.Call_Submit{Submit: &wire.Submit{
-			Request: "r", Attempt: fmt.Sprintf("attempt-%d", c.attempts), Customer: string(customer),
+			Request: "r", Attempt: fmt.Sprintf("attempt-%p-%d", c, c.attempts), Customer: string(customer),
 			Model: string(request.Model), Chat: uint64(key), Method: http.MethodPost, Path: "/v1/chat/completions",
 			Body: body, PromptTokens: uint32(request.PromptTokens()), OutputTokens: uint32(request.OutputLimit()),
 			PrefixTokens: uint32(c.read[key]), Final: true, TimeoutMs: 5000,
--- a/internal/process/side/transfer_test.go
+++ b/internal/process/side/transfer_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -36,7 +37,8 @@
 	ranking *rank.Pool
 }
 
-func startPool(t *testing.T, rate ident.Bytes) *pool {
+func startPool(t *testing.T, rate ident.Bytes, cfg engine.Config) *pool {
+	cfg.Models = []ident.ModelName{"m"}
 	p := &pool{
 		fleet: newFleet(t, permit.Limit{}), nodes: make(map[ident.TargetName]*node),
 		engines: make(map[ident.TargetName]*engine.Engine), records: make(map[ident.TargetName]*record.Target),
@@ -47,7 +49,7 @@
 	values := []any{modelRecord("1"), &record.Route{Name: "chats", Model: "m"}}
 	for i := range poolEngines {
 		name := ident.TargetName(fmt.Sprintf("engine-%d", i))
-		p.engines[name] = engine.New(engine.Config{Models: []ident.ModelName{"m"}})
+		p.engines[name] = engine.New(cfg)
 		p.nodes[name] = p.startSidecar(name, p.startEngine(p.engines[name], nil), listen(t))
 		p.records[name] = targetOf(name, p.nodes[name].address, record.TargetModel{Name: "m"})
 		values = append(values, p.records[name])
@@ -110,48 +112,107 @@
 // with and without the transfer of prefixes.
 func TestDepartureKeepsPrefixesWarm(t *testing.T) {
 	t.Parallel()
-	with := startPool(t, 0).reuse()
-	without := startPool(t, -1).reuse()
+	with := startPool(t, 0, engine.Config{}).reuse()
+	without := startPool(t, -1, engine.Config{}).reuse()
 	t.Logf("reuse after a departure: %.3f with transfer, %.3f without", with, without)
 	assert.Assert(t, with > 0.9 && without < 0.05, "%.3f with transfer, %.3f without", with, without)
 }
 
-// TestCutTransferChangesNothing sends transfers that end early or are not what
-// they were announced to be.
-func TestCutTransferChangesNothing(t *testing.T) {
-	t.Parallel()
-	p := startPool(t, 0)
-	const to = ident.TargetName("engine-1")
-	await(t, orderWait, "the sidecar has the records", func() bool { return p.nodes[to].follower.Set().Revision() > 0 })
+// handOff is one transfer of a single chat.
+type handOff struct {
+	*pool
+	to   ident.TargetName
+	data []byte
+}
+
+const handOffChat = ident.ChatKey(7)
+
+func newHandOff(t *testing.T) *handOff {
+	h := &handOff{pool: startPool(t, 0, engine.Config{StepTime: time.Millisecond}), to: "engine-1"}
+	await(t, orderWait, "the sidecar has the records", func() bool { return h.nodes[h.to].follower.Set().Revision() > 0 })
 	data, err := json.Marshal([]any{map[string]any{
-		"Chat": 7, "Tokens": 32, "Model": "m", "Export": engine.Export{Blocks: []chat.Block{1, 2}},
+		"Chat": handOffChat, "Tokens": 32, "Model": "m", "Export": engine.Export{Blocks: []chat.Block{1, 2}},
 	}})
 	assert.NilError(t, err)
-	send := func(announced *wire.Transfer, data []byte) *wire.TransferReply {
-		stream, err := p.link.Open(context.Background(), p.nodes[to].address, &wire.Call{
-			Body: &wire.Call_Transfer{Transfer: announced},
-		})
-		assert.NilError(t, err)
-		defer stream.Abort()
-		assert.NilError(t, stream.Send(&wire.TransferChunk{Data: data}))
-		if len(data) < int(announced.GetLength()) {
-			return nil
-		}
-		reply := new(wire.TransferReply)
-		assert.NilError(t, stream.Receive(reply))
-		return reply
+	h.data = data
+	return h
+}
+
+func (h *handOff) whole() *wire.Transfer {
+	return &wire.Transfer{From: "x", Length: uint64(len(h.data)), Checksum: bulk.Checksum(h.data)}
+}
+
+// send announces a transfer, sends data and returns the reply, if there is to
+// be one.
+func (h *handOff) send(announced *wire.Transfer, data []byte) *wire.TransferReply {
+	stream, err := h.link.Open(context.Background(), h.nodes[h.to].address, &wire.Call{
+		Body: &wire.Call_Transfer{Transfer: announced},
+	})
+	assert.NilError(h.fleet.t, err)
+	defer stream.Abort()
+	assert.NilError(h.fleet.t, stream.Send(&wire.TransferChunk{Data: data}))
+	if len(data) < int(announced.GetLength()) {
+		return nil
 	}
-	whole := &wire.Transfer{From: "x", Length: uint64(len(data)), Checksum: bulk.Checksum(data)}
-	send(whole, data[:len(data)-1])
-	changed := bytes.Replace(data, []byte(`"Tokens":32`), []byte(`"Tokens":16`), 1)
-	assert.Equal(t, len(changed), len(data))
-	for _, wrong := range [][]byte{changed, append(data[:len(data):len(data)], ' ')} {
-		assert.Assert(t, send(whole, wrong).GetError() != "")
+	reply := new(wire.TransferReply)
+	assert.NilError(h.fleet.t, stream.Receive(reply))
+	return reply
+}
+
+// wantHeld wants the tokens of the chat at the engine and in its sidecar's
+// belief.
+func (h *handOff) wantHeld(tokens ident.Tokens) {
+	h.fleet.t.Helper()
+	assert.Equal(h.fleet.t, h.nodes[h.to].Warm(handOffChat), tokens)
+	assert.Equal(h.fleet.t, h.engines[h.to].Load().CachedTokens, tokens)
+}
+
+// TestCutTransferChangesNothing sends transfers that end early or are not what
+// they were announced to be.
+func TestCutTransferChangesNothing(t *testing.T) {
+	t.Parallel()
+	h := newHandOff(t)
+	h.send(h.whole(), h.data[:len(h.data)-1])
+	changed := bytes.Replace(h.data, []byte(`"Tokens":32`), []byte(`"Tokens":16`), 1)
+	assert.Equal(t, len(changed), len(h.data))
+	longer := append(bytes.Clone(h.data), ' ')
+	for _, wrong := range [][]byte{changed, longer} {
+		assert.Assert(t, h.send(h.whole(), wrong).GetError() != "")
 	}
-	assert.Equal(t, p.nodes[to].Warm(7), ident.Tokens(0))
-	assert.Equal(t, p.engines[to].Load().CachedTokens, ident.Tokens(0))
-	reply := send(whole, data)
+	h.wantHeld(0)
+	reply := h.send(h.whole(), h.data)
 	assert.Equal(t, reply.GetChats(), uint32(1), reply.GetError())
-	assert.Equal(t, p.nodes[to].Warm(7), ident.Tokens(32))
-	assert.Equal(t, p.engines[to].Load().CachedTokens, ident.Tokens(32))
+	h.wantHeld(32)
+}
+
+// TestTransferWaitsForQueuedWork has a transfer come to a target at which work
+// is queued.
+func TestTransferWaitsForQueuedWork(t *testing.T) {
+	t.Parallel()
+	h := newHandOff(t)
+	n := h.nodes[h.to]
+	h.records[h.to].Capacity.Requests = 1
+	h.submit(h.records[h.to])
+	var work sync.WaitGroup
+	for i := range 3 {
+		c := h.newCaller()
+		request := c.newChat(i, 100)
+		request.MaxTokens = 300
+		work.Go(func() { c.attempt(n, request) })
+	}
+	await(t, orderWait, "work is queued", func() bool { return n.Load().GetQueued() == 2 })
+	replied := make(chan *wire.TransferReply, 1)
+	go func() { replied <- h.send(h.whole(), h.data) }()
+	queued := 0
+	for len(replied) == 0 {
+		held := n.Warm(handOffChat)
+		if load := n.Load(); load.GetQueued() > 0 {
+			queued++
+			assert.Assert(t, held == 0, "imported while %d are queued", load.GetQueued())
+		}
+		time.Sleep(time.Millisecond)
+	}
+	assert.Assert(t, queued > 10, "%d looks at a queue", queued)
+	assert.Equal(t, (<-replied).GetChats(), uint32(1))
+	work.Wait()
 }
