Let a target's record ask for its engine's role

Cause: engines take orders to change role, but no record could ask for one. Target gets Role: Mixed, Prefill or Decode, empty to leave the engine's own. Sidecars order it like models and adapters.

Ruled out: a schema version 3 for one optional field; older programs keep and pass on fields that they do not know. Routers do not yet choose by role.

--- a/internal/process/side/orders.go
+++ b/internal/process/side/orders.go
@@ -132,7 +132,7 @@
 		return err
 	}
 	s.deployed.list(models)
-	order, found := s.deployed.next(orders.Desired{Models: target.Models}, s.inUse)
+	order, found := s.deployed.next(orders.Desired{Models: target.Models, Role: engine.Role(target.Role)}, s.inUse)
 	if !found {
 		return nil
 	}
--- a/internal/process/side/orders_test.go
+++ b/internal/process/side/orders_test.go
@@ -67,10 +67,13 @@
 	f.submit(target)
 	await(t, orderWait, "the other model is gone", func() bool { return runs(e, "1") })
 	target.Models = []record.TargetModel{{Name: "m", Version: "2", Adapters: []string{"a"}}}
+	target.Role = record.RolePrefill
 	f.submit(target)
-	await(t, orderWait, "version 2 is loaded", func() bool { return runs(e, "2", "a") })
+	await(t, orderWait, "version 2 is loaded", func() bool {
+		return runs(e, "2", "a") && e.Deployment().Role == engine.RolePrefill
+	})
 	assert.Equal(t, e.Deployment().Fence, f.state.Fence("t"))
-	assert.DeepEqual(t, f.audited(audit.KindOrder), []string{"t", "t", "t", "t"})
+	assert.DeepEqual(t, f.audited(audit.KindOrder), []string{"t", "t", "t", "t", "t"})
 }
 
 // orderGate holds orders back, as a frozen sidecar or a slow network does.
--- a/internal/process/side/transfer_test.go
+++ b/internal/process/side/transfer_test.go
@@ -148,23 +148,23 @@
 	stream, err := h.link.Open(context.Background(), h.nodes[h.to].address, &wire.Call{
 		Body: &wire.Call_Transfer{Transfer: announced},
 	})
-	assert.NilError(h.fleet.t, err)
+	assert.NilError(h.t, err)
 	defer stream.Abort()
-	assert.NilError(h.fleet.t, stream.Send(&wire.TransferChunk{Data: data}))
+	assert.NilError(h.t, stream.Send(&wire.TransferChunk{Data: data}))
 	if len(data) < int(announced.GetLength()) {
 		return nil
 	}
 	reply := new(wire.TransferReply)
-	assert.NilError(h.fleet.t, stream.Receive(reply))
+	assert.NilError(h.t, stream.Receive(reply))
 	return reply
 }
 
 // wantHeld wants the tokens of the chat at the engine and in its sidecar's
 // belief.
 func (h *handOff) wantHeld(tokens ident.Tokens) {
-	h.fleet.t.Helper()
-	assert.Equal(h.fleet.t, h.nodes[h.to].Warm(handOffChat), tokens)
-	assert.Equal(h.fleet.t, h.engines[h.to].Load().CachedTokens, tokens)
+	h.t.Helper()
+	assert.Equal(h.t, h.nodes[h.to].Warm(handOffChat), tokens)
+	assert.Equal(h.t, h.engines[h.to].Load().CachedTokens, tokens)
 }
 
 // TestCutTransferChangesNothing sends transfers that end early or are not what
--- a/internal/version/record/check.go
+++ b/internal/version/record/check.go
@@ -98,6 +98,12 @@
 	for i, model := range t.Models {
 		out.require(model.Name != "", fmt.Sprintf("Models[%d].Name", i), "is empty")
 	}
+	switch t.Role {
+	case "", RoleMixed, RolePrefill, RoleDecode:
+	default:
+		out.require(false, "Role", "%q is unknown", t.Role)
+	}
+	out.require(t.Role == "" || len(t.Models) > 0, "Role", "needs Models")
 	out.require(t.Capacity.Requests >= 0, "Capacity.Requests", "is negative")
 	out.require(t.Capacity.Tokens >= 0, "Capacity.Tokens", "is negative")
 	out.require(t.Capacity.CacheTokens >= 0, "Capacity.CacheTokens", "is negative")
--- a/internal/version/record/record_test.go
+++ b/internal/version/record/record_test.go
@@ -72,7 +72,7 @@
 }
 
 func TestFaultsAreReportedAtOnce(t *testing.T) {
-	file := `[{"Kind":"Target","SchemaVersion":2,"Name":"e","Address":"nowhere"},
+	file := `[{"Kind":"Target","SchemaVersion":2,"Name":"e","Address":"nowhere","Role":"Cook"},
 		{"Kind":"Customer","SchemaVersion":1,"Name":"c","Keys":["zz"]},
 		{"Kind":"Route","SchemaVersion":1,"Name":"r","LoadBound":0.5,"Timeout":"-1s"},
 		{"Kind":"Customer","SchemaVersion":1,"Name":"d","Keys":"no list"},
@@ -83,6 +83,8 @@
 	for _, want := range []string{
 		"fleet.json: record 1 (Target/e): VM: is empty",
 		"fleet.json: record 1 (Target/e): Address: \"nowhere\" is not host:port",
+		"fleet.json: record 1 (Target/e): Role: \"Cook\" is unknown",
+		"fleet.json: record 1 (Target/e): Role: needs Models",
 		"fleet.json: record 2 (Customer/c): decode fields: key hash has 2 digits, want 64",
 		"fleet.json: record 3 (Route/r): LoadBound: 0.5 is below 1",
 		"fleet.json: record 3 (Route/r): Timeout: is negative",
--- a/internal/version/record/types.go
+++ b/internal/version/record/types.go
@@ -120,6 +120,9 @@
 	Address string
 	// Models lists what an engine serves; empty for a service's replica.
 	Models []TargetModel `json:",omitempty"`
+	// Role is the part of the work that an engine takes; empty leaves it as
+	// it is.
+	Role EngineRole `json:",omitempty"`
 	// Service is the service of a replica; empty for an engine.
 	Service  ident.ServiceName `json:",omitempty"`
 	Capacity Capacity          `json:",omitzero"`
@@ -130,6 +133,16 @@
 	Leaving bool `json:",omitempty"`
 }
 
+// EngineRole is the part of the work that an engine takes.
+type EngineRole string
+
+// The roles of engines.
+const (
+	RoleMixed   EngineRole = "Mixed"
+	RolePrefill EngineRole = "Prefill"
+	RoleDecode  EngineRole = "Decode"
+)
+
 // TargetModel is one model as an engine serves it.
 type TargetModel struct {
 	Name ident.ModelName
