--- a/internal/process/cmds/control.go
+++ b/internal/process/cmds/control.go
@@ -35,6 +35,8 @@
 
 	WeightRate  float64 `help:"Fetches of weights that the fleet may start in a second." default:"1"`
 	WeightBurst uint32  `help:"Fetches of weights that the fleet may start at once." default:"4"`
+
+	LinkKeys `embed:""`
 }
 
 // Run implements the command.
@@ -59,16 +61,20 @@
 		return err
 	}
 	defer closeTracer(tracer)
-	return c.serve(s.ctx, logger, tracer, internal, operators)
+	secure, err := c.LinkKeys.open(logger)
+	if err != nil {
+		return err
+	}
+	return c.serve(s.ctx, logger, tracer, secure, internal, operators)
 }
 
 // serve runs the control process on its listeners until ctx ends.
-func (c *ControlCommand) serve(ctx context.Context, logger log.Logger, tracer *trace.Tracer, internal, operators net.Listener) error {
+func (c *ControlCommand) serve(ctx context.Context, logger log.Logger, tracer *trace.Tracer, secure linkTLS, internal, operators net.Listener) error {
 	members := membersOf(c.Peer)
 	if len(members) == 0 {
 		members = []group.Member{{VM: c.VM, Address: internal.Addr().String()}}
 	}
-	links, remotes := newLinks(string(c.VM), addressesOf(members))
+	links, remotes := newLinks(string(c.VM), addressesOf(members), secure)
 	defer func() { _ = links.Close() }()
 	peers := ctrl.NewPeers(ctrl.PeersConfig{Self: c.VM, Members: members, Link: links, Clock: clock.System{}})
 	disk, err := c.openDisk(logger, members, peers)
@@ -77,7 +83,7 @@
 	}
 	control := ctrl.New(ctrl.Config{
 		VM:       c.VM,
-		Listener: internal,
+		Listener: secure.secure(internal),
 		Clock:    clock.System{},
 		Logger:   logger,
 		Tracer:   tracer,
@@ -86,6 +92,7 @@
 		Remote:   remotes,
 		Link:     links,
 		Group:    disk.replicas,
+		Audit:    disk.folder,
 		Receive:  disk.replicas.Receive,
 		Weights:  permit.Limit{Rate: c.WeightRate, Burst: c.WeightBurst},
 	})
--- a/internal/process/cmds/sidecar.go
+++ b/internal/process/cmds/sidecar.go
@@ -31,6 +31,8 @@
 
 	TransferRate    ident.Bytes   `help:"Bytes per second in which a leaving target hands chats' prefixes over; below zero for none." default:"50000000"`
 	TransferTimeout time.Duration `help:"How long that may take." default:"30s"`
+
+	LinkKeys `embed:""`
 }
 
 // Run implements the command.
@@ -48,12 +50,16 @@
 		return err
 	}
 	defer closeTracer(tracer)
-	return c.serve(s.ctx, logger, tracer, listener)
+	secure, err := c.LinkKeys.open(logger)
+	if err != nil {
+		return err
+	}
+	return c.serve(s.ctx, logger, tracer, secure, listener)
 }
 
 // serve runs the sidecar on a listener until ctx ends.
-func (c *SidecarCommand) serve(ctx context.Context, logger log.Logger, tracer *trace.Tracer, listener net.Listener) error {
-	links, control := newLinks(string(c.Name), texts(c.Control))
+func (c *SidecarCommand) serve(ctx context.Context, logger log.Logger, tracer *trace.Tracer, secure linkTLS, listener net.Listener) error {
+	links, control := newLinks(string(c.Name), texts(c.Control), secure)
 	defer func() { _ = links.Close() }()
 	incarnation, err := register(ctx, control, "sidecar/"+string(c.Name))
 	if err != nil {
@@ -62,7 +68,7 @@
 	sidecar, err := side.New(side.Config{
 		Name:     c.Name,
 		Target:   c.Target,
-		Listener: listener,
+		Listener: secure.secure(listener),
 		Clock:    clock.System{},
 		Logger:   logger,
 		Tracer:   tracer,
