--- a/internal/process/side/cache.go
+++ b/internal/process/side/cache.go
@@ -1,9 +1,7 @@
 package side
 
 import (
-	"bytes"
 	"context"
-	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -35,7 +33,7 @@
 		Customer: ident.CustomerName(submit.GetCustomer()),
 		Model:    ident.ModelName(submit.GetModel()),
 	}
-	if request, err := chat.Decode(bytes.NewReader(submit.GetBody()), 0); err == nil {
+	if request, err := chat.Parse(submit.GetBody()); err == nil {
 		prefix.Blocks = chat.Blocks(request.Model, request.Messages)
 	}
 	if r.counted {
@@ -88,33 +86,26 @@
 		}
 		*reader = cacheReader{start: load.Incarnation}
 	}
-	var list engine.EventList
-	path := fmt.Sprintf("/cache/events?after=%d", reader.after)
-	if err := s.target.exchange(ctx, http.MethodGet, path, nil, &list); err != nil {
-		return err
-	}
-	s.takeEvents(reader, list.Events)
-	return nil
-}
-
-// takeEvents lowers the belief by events and by those that are missing.
-func (s *Sidecar) takeEvents(reader *cacheReader, events []engine.Event) {
 	var lost uint64
-	for _, e := range events {
+	err := s.target.events(ctx, reader.after, func(e engine.Event) {
 		if e.Number <= reader.after {
-			continue
+			return
 		}
 		lost += e.Number - reader.after - 1
 		reader.after = e.Number
-		switch e.Kind {
-		case engine.EventRemoved:
-			s.warm.Removed(e.Block)
-		case engine.EventCleared:
-			s.warm.Reset()
-		}
-	}
-	if lost > 0 {
-		s.warm.Lost(lost)
+		s.takeEvent(e)
+	})
+	s.warm.Lost(lost)
+	return err
+}
+
+// takeEvent lowers the belief by one event.
+func (s *Sidecar) takeEvent(e engine.Event) {
+	switch e.Kind {
+	case engine.EventRemoved:
+		s.warm.Removed(e.Block)
+	case engine.EventCleared:
+		s.warm.Reset()
 	}
 }
 
--- a/internal/process/side/engine.go
+++ b/internal/process/side/engine.go
@@ -57,9 +57,44 @@
 	return answer, nil
 }
 
+// events reads the engine's cache events above a number and passes on one by
+// one, since an engine keeps very many.
+func (t *targetClient) events(ctx context.Context, after uint64, take func(engine.Event)) error {
+	path := fmt.Sprintf("/cache/events?after=%d", after)
+	return t.ask(ctx, http.MethodGet, path, nil, func(decoder *json.Decoder) error {
+		for {
+			token, err := decoder.Token()
+			if err != nil {
+				return fmt.Errorf("decode cache events: %w", err)
+			}
+			if token == json.Delim('[') {
+				break
+			}
+		}
+		for decoder.More() {
+			var e engine.Event
+			if err := decoder.Decode(&e); err != nil {
+				return fmt.Errorf("decode cache event: %w", err)
+			}
+			take(e)
+		}
+		return nil
+	})
+}
+
 // exchange sends in as JSON, unless it is nil, and reads the answer into out.
-// The path may have a query.
 func (t *targetClient) exchange(ctx context.Context, method, path string, in, out any) error {
+	return t.ask(ctx, method, path, in, func(decoder *json.Decoder) error {
+		if err := decoder.Decode(out); err != nil {
+			return fmt.Errorf("decode answer of %s: %w", path, err)
+		}
+		return nil
+	})
+}
+
+// ask sends in as JSON, unless it is nil, and has the answer read. The path
+// may have a query.
+func (t *targetClient) ask(ctx context.Context, method, path string, in any, read func(*json.Decoder) error) error {
 	reference, err := url.Parse(path)
 	if err != nil {
 		return fmt.Errorf("parse path: %w", err)
@@ -89,10 +124,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return refusalOf(resp.StatusCode, decoder)
 	}
-	if err := decoder.Decode(out); err != nil {
-		return fmt.Errorf("decode answer of %s: %w", path, err)
-	}
-	return nil
+	return read(decoder)
 }
 
 func refusalOf(status int, decoder *json.Decoder) error {
