Measure what probes cost, and wait for updates where they are counted

The idle router sends no probe within the run, since targets are probed only when unheard for a minute, so probes get a benchmark of their own: one over a fresh and one over a standing connection to each target. BenchmarkCapacity with role=force failed at size 205: it waited for the set and then read when the update was seen, which comes a moment later; it now waits for the latter.

--- a/cmd/cactusline/capacity_test.go
+++ b/cmd/cactusline/capacity_test.go
@@ -46,6 +46,7 @@
 	each("sums", []int{175, 350, 700}, benchSums)
 	each("commits", []int{50, 100, 200}, benchCommits)
 	each("router", []int{350, 700, 1400}, benchRouter)
+	each("probes", []int{175, 350, 700}, benchProbes)
 	each("chats", []int{16, 32, 64}, benchChats)
 	each("force", []int{100, 205, 410}, benchForce)
 	each("herd-1", []int{278, 555, 1110}, func(b *testing.B, size int) { benchHerd(b, 1, size) })
@@ -149,29 +150,55 @@
 	}
 }
 
-// benchRouter runs one idle router that knows some targets and probes them.
-func benchRouter(b *testing.B, size int) {
-	ports := make(map[int]bool)
+// standIns starts n targets' sidecars that only answer probes, and returns
+// their addresses.
+func standIns(b *testing.B, n int) []string {
 	var addresses []string
-	for i := range size {
+	for i := range n {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		assert.NilError(b, err)
 		server := link.NewServer(standIn{target: planTarget(i)})
 		go func() { _ = server.Serve(context.Background(), listener) }()
 		b.Cleanup(func() { _ = listener.Close(); _ = server.Close() })
 		addresses = append(addresses, listener.Addr().String())
-		ports[portIn(b, listener.Addr().String())] = true
 	}
-	s := startScale(b, 1, size, addresses)
-	s.ports = ports
+	return addresses
+}
+
+// benchRouter runs one idle router that knows some targets.
+func benchRouter(b *testing.B, size int) {
+	s := startScale(b, 1, size, standIns(b, size))
 	s.startRouter("router-1")
 	s.awaitReady(s.routerAddresses[0])
 	time.Sleep(warmTime)
-	m := s.measure(2*sampleTime, s.routers)
+	m := s.measure(3*sampleTime, s.routers)
 	b.ReportMetric(m.core(0), "router-%core")
 	b.ReportMetric(m.after[0].resident, "router-MB")
 	b.ReportMetric(m.after[0].peak, "router-peak-MB")
-	b.ReportMetric(m.traffic.bytes()/m.seconds, "probes-B/s")
+}
+
+// benchProbes probes each target once over a fresh connection and once over
+// one that stands.
+func benchProbes(b *testing.B, size int) {
+	addresses := standIns(b, size)
+	links := link.NewClient(link.Config{Clock: clock.System{}, Caller: "router-0001", Sessions: 1})
+	defer links.Close()
+	ports := make(map[int]bool)
+	for _, address := range addresses {
+		ports[portIn(b, address)] = true
+	}
+	round := func() float64 {
+		passed := trafficOf(b, ports)
+		for _, address := range addresses {
+			call := &wire.Call{Body: &wire.Call_Probe{Probe: new(wire.Probe)}}
+			assert.NilError(b, links.Ask(context.Background(), address, call, new(wire.ProbeReply)))
+		}
+		time.Sleep(time.Second)
+		// Both ends of each connection are in this process.
+		return trafficOf(b, ports).minus(passed).bytes() / 2
+	}
+	b.ReportMetric(round(), "fresh-B")
+	b.ReportMetric(round(), "again-B")
 }
 
 // benchChats has one router and one sidecar relay streamed answers, one token
@@ -231,7 +258,7 @@
 		})
 		revision := ident.Revision(i + 2)
 		await(b, 10*time.Second, "the change is in force", func() bool {
-			return !slices.ContainsFunc(watchers, func(w *watcher) bool { return w.Set().Revision() < revision })
+			return !slices.ContainsFunc(watchers, func(w *watcher) bool { _, ok := w.reachedAt(revision); return !ok })
 		})
 		for _, w := range watchers {
 			at, ok := w.reachedAt(revision)
