Name the part that failed when the small fleet does not start

Cause: a second dev on one data folder waited for control and then told only that control was out of reach; the folder's lock, the cause, was lost. The first failure of a part now ends the others and is what is reported.

Measured: by hand, the second process ends in 16 ms naming the folder.

--- a/internal/process/cmds/dev.go
+++ b/internal/process/cmds/dev.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -69,7 +70,8 @@
 	defer cancel()
 	f := &devFleet{ctx: ctx, cancel: cancel, logger: logger, tracer: tracer, failed: make(chan error, devParts)}
 	if err := f.start(folder, callers, operators); err != nil {
-		return err
+		// The failure of a part is the cause, and tells more.
+		return cmp.Or(f.failure(), err)
 	}
 	c.announce(s, callers, operators)
 	return f.wait()
@@ -116,6 +118,7 @@
 		err := part()
 		if err != nil {
 			err = fmt.Errorf("%s: %w", name, err)
+			f.cancel()
 		}
 		f.failed <- err
 	}()
