--- a/cmd/cactusline/fleet_test.go
+++ b/cmd/cactusline/fleet_test.go
@@ -161,6 +161,8 @@
 	peers func(control string) string
 	// inside runs all roles inside the test's process, without traces.
 	inside bool
+	// secured has all processes verify each other by certificates.
+	secured bool
 	// untraced keeps no spans.
 	untraced bool
 }
@@ -268,6 +270,9 @@
 	if !f.cfg.inside && !f.cfg.untraced {
 		args = append(args, "--trace-file", f.traceFile(name))
 	}
+	if f.cfg.secured {
+		args = append(args, f.linkKeys(args[0], name)...)
+	}
 	p := &process{t: f.t, name: name, args: args, folder: f.folder, inside: f.cfg.inside}
 	p.start()
 	return p
