Report a revision once it is in force, not before

Cause: the holder stored the set and woke the reporter before OnUpdate, in which the router rebuilds its view and the sidecar sets its limits, so that control was told that a revision was in force while the process still acted on the one before. The lease was confirmed early as well, and two updates taken at once could run OnUpdate out of order.

Ruled out: a report from OnUpdate itself, which would leave the order to each role. Take now holds a mutex over apply, OnUpdate, the revision in force, the wake-up and the lease, in this order; reports and Await go by the revision in force.

Seen failing: with the revision put in force before OnUpdate, TestInForceIsReportedOnceItIs sees revision 7 reported while OnUpdate waits. Now: it passes, and with -race so do the tests of watch, ctrl and side.

--- a/internal/conn/watch/follow.go
+++ b/internal/conn/watch/follow.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -55,7 +56,9 @@
 	// Silence is how long a control process may send nothing before this
 	// process turns to another one.
 	Silence time.Duration
-	// OnUpdate is called with each update once its records are in force.
+	// OnUpdate puts an update in force. It is called with one update at a
+	// time; the revision is reported, and the lease confirmed, once it has
+	// returned.
 	OnUpdate func(update *wire.Update, set *record.Set)
 }
 
@@ -64,6 +67,8 @@
 	Holder
 
 	cfg Config
+	// taking is held while an update is brought into force.
+	taking sync.Mutex
 	// started is where stamps count from, so that they follow the monotonic
 	// clock.
 	started time.Time
@@ -166,17 +171,21 @@
 	}
 }
 
-// Take brings an update into force.
+// Take brings an update into force. Only then does it tell of it.
 func (f *Follower) Take(update *wire.Update) error {
+	f.taking.Lock()
+	defer f.taking.Unlock()
 	if _, err := f.Apply(update); err != nil {
 		return err
 	}
+	set := f.Set()
+	if f.cfg.OnUpdate != nil {
+		f.cfg.OnUpdate(update, set)
+	}
+	f.enforce(set.Revision())
 	if echo := update.GetEcho(); echo > f.confirmed.Load() {
 		f.confirmed.Store(echo)
 	}
-	if f.cfg.OnUpdate != nil {
-		f.cfg.OnUpdate(update, f.Set())
-	}
 	return nil
 }
 
@@ -217,7 +226,7 @@
 	return &wire.Watch{
 		Process: f.cfg.Process,
 		Role:    f.cfg.Role,
-		InForce: uint64(f.Set().Revision()),
+		InForce: uint64(f.InForce()),
 		Target:  f.cfg.Target,
 		Stamp:   f.stamp(),
 	}
--- a/internal/conn/watch/holder.go
+++ b/internal/conn/watch/holder.go
@@ -15,12 +15,14 @@
 // zero value holds the empty set. It is safe for use by several goroutines.
 type Holder struct {
 	set atomic.Pointer[record.Set]
+	// inForce is the revision of the newest set that the process acts on.
+	inForce atomic.Uint64
 
 	mu      sync.Mutex
 	changed chan struct{}
 }
 
-// Set returns the set in force.
+// Set returns the newest set, which InForce may still follow.
 func (h *Holder) Set() *record.Set {
 	if set := h.set.Load(); set != nil {
 		return set
@@ -49,14 +51,28 @@
 		return false, nil
 	}
 	h.set.Store(after)
+	return true, nil
+}
+
+// InForce returns the highest revision that this process acts on.
+func (h *Holder) InForce() ident.Revision { return ident.Revision(h.inForce.Load()) }
+
+// enforce notes that the process acts on the revision and wakes those who
+// wait for it.
+func (h *Holder) enforce(revision ident.Revision) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if revision <= h.InForce() {
+		return
+	}
+	h.inForce.Store(uint64(revision))
 	if h.changed != nil {
 		close(h.changed)
 		h.changed = nil
 	}
-	return true, nil
 }
 
-// Changed returns a channel that is closed once the set changes.
+// Changed returns a channel that is closed once a higher revision is in force.
 func (h *Holder) Changed() <-chan struct{} {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -66,11 +82,11 @@
 	return h.changed
 }
 
-// Await returns once the set stands at revision or above, or ctx ends.
+// Await returns once revision or a higher one is in force, or ctx ends.
 func (h *Holder) Await(ctx context.Context, revision ident.Revision) error {
 	for {
 		changed := h.Changed()
-		if h.Set().Revision() >= revision {
+		if h.InForce() >= revision {
 			return nil
 		}
 		select {
