End a call that waits to be sent with its context

Cause: Open sent the call without regard to its context. A call longer than the 256 KiB window of a new stream waits, without limit, for the peer to read it; neither the context nor a peer that was gone ended the wait.

Ruled out: a deadline on the stream, since the context may have none and may be cancelled. Calls that fit into the window are left alone: no window holds them up, and yamux bounds the write by PingTimeout. A longer call is now guarded while it is sent, as answers were. Guard no longer lets a ping under way hold up the end of the context.

Seen failing: without the guard both TestOpenEndsWithItsContext and TestOpenGivesUpOnAPeerThatIsGone hang for the 5 s that they allow, with a body of 1 MiB and a server that reads no stream. Now: both pass with -race.

--- a/internal/conn/link/client.go
+++ b/internal/conn/link/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -88,13 +89,23 @@
 	}
 	call.Protocol = wire.Protocol
 	call.Caller = c.cfg.Caller
-	if err := stream.Send(call); err != nil {
+	if err := c.send(ctx, stream, call); err != nil {
 		_ = stream.Close()
-		return nil, fmt.Errorf("call %s: %w", address, err)
+		return nil, fmt.Errorf("call %s: %w", address, errors.Join(err, ctx.Err()))
 	}
 	return stream, nil
 }
 
+// send writes the call. A call that is longer than the window of a new stream
+// waits for the peer to read it, and so is guarded.
+func (c *Client) send(ctx context.Context, stream *Stream, call *wire.Call) error {
+	if proto.Size(call) > windowBytes-maxLengthBytes {
+		stop := c.Guard(ctx, stream)
+		defer stop()
+	}
+	return stream.Send(call)
+}
+
 // Ask makes a call that has one answer, read into reply.
 func (c *Client) Ask(ctx context.Context, address string, call *wire.Call, reply proto.Message) error {
 	stream, err := c.Open(ctx, address, call)
@@ -115,20 +126,24 @@
 // returns ends the watch.
 func (c *Client) Guard(ctx context.Context, stream *Stream) (stop func()) {
 	done := make(chan struct{})
+	// A ping may take long, so it must not hold up the end of ctx.
+	forget := context.AfterFunc(ctx, stream.Abort)
 	go func() {
 		for {
 			select {
 			case <-done:
 				return
 			case <-ctx.Done():
-				stream.Abort()
 				return
 			case <-c.cfg.Clock.After(c.cfg.PatienceInterval):
 				stream.verify()
 			}
 		}
 	}()
-	return sync.OnceFunc(func() { close(done) })
+	return sync.OnceFunc(func() {
+		forget()
+		close(done)
+	})
 }
 
 // Close ends every session.
--- a/internal/conn/link/link.go
+++ b/internal/conn/link/link.go
@@ -44,6 +44,10 @@
 	// maxPieceBytes bounds one frame. A session keeps a buffer as long as the
 	// longest frame that it ever sent.
 	maxPieceBytes = 16 << 10
+	// windowBytes is how much a new stream takes before the peer has read any.
+	windowBytes = 256 << 10
+	// maxLengthBytes bounds the length that precedes a message.
+	maxLengthBytes = 10
 )
 
 // Clock is what the package needs of a clock.
@@ -166,6 +170,7 @@
 	cfg.EnableKeepAlive = false
 	cfg.ConnectionWriteTimeout = pingTimeout
 	cfg.StreamOpenTimeout = 0
+	cfg.MaxStreamWindowSize = windowBytes
 	cfg.StreamCloseTimeout = streamCloseTimeout
 	cfg.LogOutput = io.Discard
 	return cfg
--- /dev/null
+++ b/internal/conn/link/stall_test.go
@@ -0,0 +1,97 @@
+package link_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"gotest.tools/v3/assert"
+
+	"cactusline.dev/cactusline/internal/conn/link"
+	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/process/clock"
+)
+
+// unread accepts a session and its streams and reads none of them. Once
+// frozen is closed it doesn't read the connection either.
+func unread(t *testing.T, frozen <-chan struct{}) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = conn.Close() })
+			cfg := yamux.DefaultConfig()
+			cfg.EnableKeepAlive = false
+			cfg.LogOutput = io.Discard
+			_, _ = yamux.Server(&freezing{Conn: conn, frozen: frozen}, cfg)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// freezing is a connection that loses all that comes once frozen is closed.
+type freezing struct {
+	net.Conn
+	frozen <-chan struct{}
+}
+
+func (f *freezing) Read(p []byte) (int, error) {
+	n, err := f.Conn.Read(p)
+	select {
+	case <-f.frozen:
+		select {}
+	default:
+		return n, err
+	}
+}
+
+func longCall() *wire.Call {
+	return &wire.Call{Body: &wire.Call_Command{Command: &wire.Command{Entry: make([]byte, 1<<20)}}}
+}
+
+// openWithin returns what Open returned, and fails if that took too long.
+func openWithin(t *testing.T, ctx context.Context, limit time.Duration, cfg link.Config, address string) error {
+	t.Helper()
+	cfg.Clock = clock.System{}
+	client := link.NewClient(cfg)
+	t.Cleanup(func() { _ = client.Close() })
+	opened := make(chan error, 1)
+	go func() {
+		_, err := client.Open(ctx, address, longCall())
+		opened <- err
+	}()
+	select {
+	case err := <-opened:
+		return err
+	case <-time.After(limit):
+		t.Fatal("Open waits on")
+		return nil
+	}
+}
+
+func TestOpenEndsWithItsContext(t *testing.T) {
+	address := unread(t, nil)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	err := openWithin(t, ctx, 5*time.Second, link.Config{}, address)
+	assert.Assert(t, errors.Is(err, context.DeadlineExceeded), "%v", err)
+}
+
+func TestOpenGivesUpOnAPeerThatIsGone(t *testing.T) {
+	frozen := make(chan struct{})
+	address := unread(t, frozen)
+	time.AfterFunc(50*time.Millisecond, func() { close(frozen) })
+	cfg := link.Config{PatienceInterval: 100 * time.Millisecond, PingTimeout: 100 * time.Millisecond}
+	err := openWithin(t, t.Context(), 5*time.Second, cfg, address)
+	assert.Assert(t, err != nil)
+}
