Share one dial among the calls that wait for it

Cause: a slot held its mutex over the dial. With a peer that doesn't answer, each of N waiting calls dialled anew, one after the other, for up to the dial timeout each, and none looked at its own context while it waited.

Ruled out: to dial in the context of the call that comes first, as its end would fail the others.

--- a/internal/conn/link/client.go
+++ b/internal/conn/link/client.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/proto"
 
 	"cactusline.dev/cactusline/internal/conn/wire"
@@ -48,17 +47,6 @@
 	peers map[string]*peer
 }
 
-// peer holds the sessions to one address. Each slot has its own lock, so that
-// a slow dial holds up only those who need that slot.
-type peer struct {
-	slots []slot
-}
-
-type slot struct {
-	mu      sync.Mutex
-	session *yamux.Session
-}
-
 // NewClient returns a client.
 func NewClient(cfg Config) *Client {
 	if cfg.DialTimeout == 0 {
@@ -163,16 +151,6 @@
 	clear(s.peers)
 }
 
-func (p *peer) close() {
-	for i := range p.slots {
-		p.slots[i].mu.Lock()
-		if p.slots[i].session != nil {
-			_ = p.slots[i].session.Close()
-		}
-		p.slots[i].mu.Unlock()
-	}
-}
-
 func (c *Client) stream(ctx context.Context, address string) (*Stream, error) {
 	p := c.peer(address)
 	index := c.turn.Add(1) % uint64(len(p.slots))
@@ -199,22 +177,3 @@
 	}
 	return p
 }
-
-func (s *slot) open(ctx context.Context, address string, cfg Config) (*yamux.Session, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.session != nil && !s.session.IsClosed() {
-		return s.session, nil
-	}
-	conn, err := dial(ctx, address, cfg.TLS, cfg.DialTimeout)
-	if err != nil {
-		return nil, err
-	}
-	session, err := yamux.Client(&joinedConn{Conn: conn}, sessionConfig(cfg.PingTimeout))
-	if err != nil {
-		_ = conn.Close()
-		return nil, fmt.Errorf("start session: %w", err)
-	}
-	s.session = session
-	return session, nil
-}
--- a/internal/conn/link/stall_test.go
+++ b/internal/conn/link/stall_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -95,3 +97,32 @@
 	err := openWithin(t, t.Context(), 5*time.Second, cfg, address)
 	assert.Assert(t, err != nil)
 }
+
+// TestWaitersShareOneDial dials a listener that never ends the TLS handshake.
+func TestWaitersShareOneDial(t *testing.T) {
+	const waiters, timeout = 8, 500 * time.Millisecond
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	cfg := link.Config{Clock: clock.System{}, TLS: new(tls.Config), DialTimeout: timeout, Sessions: 1}
+	client := link.NewClient(cfg)
+	defer client.Close()
+	begun := time.Now()
+	var wg sync.WaitGroup
+	for range waiters {
+		wg.Go(func() {
+			_, err := client.Open(t.Context(), listener.Addr().String(), new(wire.Call))
+			var dial *link.DialError
+			assert.Check(t, errors.As(err, &dial), "%v", err)
+		})
+	}
+	wg.Go(func() {
+		ctx, cancel := context.WithTimeout(t.Context(), timeout/10)
+		defer cancel()
+		_, err := client.Open(ctx, listener.Addr().String(), new(wire.Call))
+		assert.Check(t, errors.Is(err, context.DeadlineExceeded), "%v", err)
+		assert.Check(t, time.Since(begun) < timeout)
+	})
+	wg.Wait()
+	assert.Assert(t, time.Since(begun) < 2*timeout, "%s", time.Since(begun))
+}
