Try an accept again that failed for want of descriptors

Cause: Serve returned on every accept error but that of a closed listener, which ends the process. A moment without file descriptors (EMFILE) thus took the process out of the fleet.

Ruled out: to retry only errors known as passing. net/http asks for Temporary, which is deprecated, and no list of error numbers is whole; a listener that never recovers costs one attempt a second until ctx ends. The delay starts at 5 ms, doubles to 1 s and falls back after a success, and waits on the server's clock, which NewServerAt takes.

--- a/internal/conn/link/server.go
+++ b/internal/conn/link/server.go
@@ -22,6 +22,10 @@
 	idleTimeout = 30 * time.Minute
 	// idleChecks is how often in that time it is looked at.
 	idleChecks = 4
+	// An accept that fails is tried again after minAcceptDelay, which doubles
+	// up to maxAcceptDelay with each failure in a row.
+	minAcceptDelay = 5 * time.Millisecond
+	maxAcceptDelay = time.Second
 )
 
 // Handler serves one call. It returns once the call has its answer; the
@@ -42,21 +46,34 @@
 	closed   bool
 }
 
-// NewServer returns a server for handler.
-func NewServer(handler Handler) *Server {
-	return &Server{handler: handler, clock: clock.System{}, sessions: make(map[*yamux.Session]struct{})}
+// NewServer returns a server for handler on the system's clock.
+func NewServer(handler Handler) *Server { return NewServerAt(clock.System{}, handler) }
+
+// NewServerAt returns a server for handler on the given clock.
+func NewServerAt(times Clock, handler Handler) *Server {
+	return &Server{handler: handler, clock: times, sessions: make(map[*yamux.Session]struct{})}
 }
 
-// Serve accepts sessions from listener until it is closed.
+// Serve accepts sessions from listener until it is closed, or until ctx ends
+// while accepts fail. An accept that fails, as when the process has no file
+// descriptor left, is tried again.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	delay := minAcceptDelay
 	for {
 		conn, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if err != nil {
-			return fmt.Errorf("accept: %w", err)
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("accept: %w", err)
+			case <-s.clock.After(delay):
+			}
+			delay = min(2*delay, maxAcceptDelay)
+			continue
 		}
+		delay = minAcceptDelay
 		s.wg.Go(func() { s.serveConn(ctx, conn) })
 	}
 }
--- a/internal/conn/link/stall_test.go
+++ b/internal/conn/link/stall_test.go
@@ -62,7 +62,7 @@
 }
 
 // openWithin returns what Open returned, and fails if that took too long.
-func openWithin(t *testing.T, ctx context.Context, limit time.Duration, cfg link.Config, address string) error {
+func openWithin(ctx context.Context, t *testing.T, limit time.Duration, cfg link.Config, address string) error {
 	t.Helper()
 	cfg.Clock = clock.System{}
 	client := link.NewClient(cfg)
@@ -85,7 +85,7 @@
 	address := unread(t, nil)
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	err := openWithin(t, ctx, 5*time.Second, link.Config{}, address)
+	err := openWithin(ctx, t, 5*time.Second, link.Config{}, address)
 	assert.Assert(t, errors.Is(err, context.DeadlineExceeded), "%v", err)
 }
 
@@ -94,7 +94,7 @@
 	address := unread(t, frozen)
 	time.AfterFunc(50*time.Millisecond, func() { close(frozen) })
 	cfg := link.Config{PatienceInterval: 100 * time.Millisecond, PingTimeout: 100 * time.Millisecond}
-	err := openWithin(t, t.Context(), 5*time.Second, cfg, address)
+	err := openWithin(t.Context(), t, 5*time.Second, cfg, address)
 	assert.Assert(t, err != nil)
 }
 
