Keep verdicts on crashing requests from going back

Cause: a control process sends its verdicts to whoever joins, before any quorum has confirmed them, and numbered them by a count of its own; a router that turned to a control process that lagged took older verdicts. Each list also wiped the marks that a router had made of crashes that it saw itself and that control had not heard of yet.

Ruled out: to hold verdicts back until a quorum confirms, which would delay a quarantine for the time of a barrier. A local mark stays until a list names its request; at most 1,024 marks are kept. A mark that no list ever names has no time limit: that needs the time at which the router calls Watch.

--- a/internal/conn/watch/follow.go
+++ b/internal/conn/watch/follow.go
@@ -69,6 +69,8 @@
 	cfg Config
 	// taking is held while an update is brought into force.
 	taking sync.Mutex
+	// verdicts is the highest index of verdicts that were taken.
+	verdicts uint64
 	// started is where stamps count from, so that they follow the monotonic
 	// clock.
 	started time.Time
@@ -178,6 +180,7 @@
 	if _, err := f.Apply(update); err != nil {
 		return err
 	}
+	f.dropOldVerdicts(update)
 	set := f.Set()
 	if f.cfg.OnUpdate != nil {
 		f.cfg.OnUpdate(update, set)
@@ -189,6 +192,20 @@
 	return nil
 }
 
+// dropOldVerdicts takes verdicts out of an update that are older than those
+// taken before, as a control process that lags sends. The caller holds taking.
+func (f *Follower) dropOldVerdicts(update *wire.Update) {
+	index := update.GetVerdictsIndex()
+	if !update.GetVerdictsSet() || index == 0 {
+		return
+	}
+	if index < f.verdicts {
+		update.Verdicts, update.VerdictsSet = nil, false
+		return
+	}
+	f.verdicts = index
+}
+
 // errSilent ends a watch whose control process sends nothing.
 var errSilent = errors.New("control sends nothing")
 
--- a/internal/process/ctrl/hub.go
+++ b/internal/process/ctrl/hub.go
@@ -169,10 +169,11 @@
 		w.sent = ident.Revision(update.GetRevision())
 		some = true
 	}
-	if verdicts, number := h.cfg.Store.Verdicts(); number != w.verdicts {
+	if verdicts, index := h.cfg.Store.Verdicts(); index != w.verdicts {
 		update.Verdicts = verdicts
 		update.VerdictsSet = true
-		w.verdicts = number
+		update.VerdictsIndex = index
+		w.verdicts = index
 		some = true
 	}
 	if echo := w.echo(since); echo != 0 {
--- a/internal/request/poison/poison_test.go
+++ b/internal/request/poison/poison_test.go
@@ -163,6 +163,27 @@
 	assert.DeepEqual(t, tracker.CrashedAt(epoch, "a"), []ident.Fingerprint{1, 2})
 }
 
+func TestMarksStayUntilNamed(t *testing.T) {
+	var set poison.Set
+	unrelated := poison.Change{Fingerprint: 1, Verdict: poison.VerdictQuarantined}
+	set.Watch(7)
+	set.Replace([]poison.Change{unrelated})
+	assert.Equal(t, set.Verdict(7), poison.VerdictWatched, "a list from before the crash wiped the mark")
+	set.Replace([]poison.Change{unrelated, {Fingerprint: 7, Verdict: poison.VerdictSuspect}})
+	assert.Equal(t, set.Verdict(7), poison.VerdictSuspect)
+	set.Replace(nil)
+	assert.Equal(t, set.Verdict(7), poison.VerdictNone)
+
+	for fingerprint := range ident.Fingerprint(poison.MaxMarks + 1) {
+		set.Watch(fingerprint)
+	}
+	assert.Equal(t, set.Verdict(0), poison.VerdictNone)
+	assert.Equal(t, set.Verdict(poison.MaxMarks), poison.VerdictWatched)
+	set.Apply([]poison.Change{{Fingerprint: 5}})
+	set.Replace(nil)
+	assert.Equal(t, set.Verdict(5), poison.VerdictNone)
+}
+
 func TestLookupDoesNotAllocate(t *testing.T) {
 	var set poison.Set
 	set.Replace([]poison.Change{{Fingerprint: 7, Verdict: poison.VerdictQuarantined}})
--- a/internal/request/poison/set.go
+++ b/internal/request/poison/set.go
@@ -2,17 +2,24 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 
 	"cactusline.dev/cactusline/internal/version/ident"
 )
 
+// MaxMarks bounds the crashes that a Set notes by itself.
+const MaxMarks = 1 << 10
+
 // Set holds the verdicts in force at a router or sidecar. Its zero value is
 // empty and ready for use. It is safe for concurrent use; readers take no
 // lock.
 type Set struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	// marks are the crashes that Watch noted and that no list has named yet,
+	// oldest first.
+	marks    []ident.Fingerprint
 	verdicts atomic.Pointer[map[ident.Fingerprint]Verdict]
 }
 
@@ -30,12 +37,17 @@
 	return (*verdicts)[fingerprint]
 }
 
-// Replace puts a whole set in the place of what was held.
+// Replace puts a whole set in the place of what was held. What Watch noted
+// stays until a set has named it.
 func (s *Set) Replace(changes []Change) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	verdicts := make(map[ident.Fingerprint]Verdict, len(changes))
 	apply(verdicts, changes)
+	s.settle(changes)
+	for _, fingerprint := range s.marks {
+		verdicts[fingerprint] = VerdictWatched
+	}
 	s.verdicts.Store(&verdicts)
 }
 
@@ -43,6 +55,12 @@
 func (s *Set) Apply(changes []Change) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.settle(changes)
+	s.store(changes)
+}
+
+// store adds changes to what is held. The caller holds the lock.
+func (s *Set) store(changes []Change) {
 	verdicts := make(map[ident.Fingerprint]Verdict)
 	if held := s.verdicts.Load(); held != nil {
 		maps.Copy(verdicts, *held)
@@ -51,11 +69,36 @@
 	s.verdicts.Store(&verdicts)
 }
 
-// Watch notes a crash that this process saw, until control says more.
+// settle forgets the marks that the changes name. The caller holds the lock.
+func (s *Set) settle(changes []Change) {
+	if len(s.marks) == 0 {
+		return
+	}
+	named := make(map[ident.Fingerprint]struct{}, len(changes))
+	for _, change := range changes {
+		named[change.Fingerprint] = struct{}{}
+	}
+	s.marks = slices.DeleteFunc(s.marks, func(fingerprint ident.Fingerprint) bool {
+		_, ok := named[fingerprint]
+		return ok
+	})
+}
+
+// Watch notes a crash that this process saw, until control says more. Beyond
+// MaxMarks the oldest note goes.
 func (s *Set) Watch(fingerprint ident.Fingerprint) {
-	if s.Verdict(fingerprint) == VerdictNone {
-		s.Apply([]Change{{Fingerprint: fingerprint, Verdict: VerdictWatched}})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.Verdict(fingerprint) != VerdictNone {
+		return
+	}
+	changes := []Change{{Fingerprint: fingerprint, Verdict: VerdictWatched}}
+	s.marks = append(s.marks, fingerprint)
+	if len(s.marks) > MaxMarks {
+		changes = append(changes, Change{Fingerprint: s.marks[0]})
+		s.marks = slices.Delete(s.marks, 0, 1)
 	}
+	s.store(changes)
 }
 
 func apply(verdicts map[ident.Fingerprint]Verdict, changes []Change) {
--- a/internal/version/store/crash.go
+++ b/internal/version/store/crash.go
@@ -13,8 +13,10 @@
 
 // verdicts holds the verdicts in force for the other processes.
 type verdicts struct {
-	list   []*wire.CrashVerdict
-	number uint64
+	list []*wire.CrashVerdict
+	// index is the log entry that last changed them, so that lists from
+	// different replicas can be put in order.
+	index uint64
 }
 
 // crash takes a report of a target's crash.
@@ -92,7 +94,7 @@
 			Fingerprint: uint64(change.Fingerprint), Verdict: uint32(change.Verdict),
 		})
 	}
-	s.verdicts = verdicts{list: list, number: s.verdicts.number + 1}
+	s.verdicts = verdicts{list: list, index: s.applied}
 	s.notify()
 }
 
--- a/internal/version/store/store.go
+++ b/internal/version/store/store.go
@@ -276,10 +276,11 @@
 	return err
 }
 
-// Verdicts returns the requests that crash targets, and a number that rises
-// when they change. The caller must not change them.
+// Verdicts returns the requests that crash targets, and the index of the log
+// entry that last changed them, or of the snapshot that brought them. The
+// caller must not change them.
 func (s *Store) Verdicts() ([]*wire.CrashVerdict, uint64) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return s.verdicts.list, s.verdicts.number
+	return s.verdicts.list, s.verdicts.index
 }
--- a/internal/version/store/store_test.go
+++ b/internal/version/store/store_test.go
@@ -133,7 +133,8 @@
 
 	copied := store.New(store.Config{})
 	assert.NilError(t, copied.Restore(r.snapshot()))
-	list, _ = copied.Verdicts()
+	list, restored := copied.Verdicts()
+	assert.Equal(t, restored, after, "replicas must agree on the order of verdicts")
 	assert.Equal(t, list[0].GetFingerprint(), uint64(7))
 
 	r.apply(&cmdpb.Command{Body: &cmdpb.Command_Clear{Clear: &cmdpb.ClearQuarantine{Fingerprint: 7}}})
