Drop the control processes that left the member list

Cause: Peers only ever added. After a VM was replaced or removed, its stream was kept, or its address dialled each 100 ms, for as long as the process ran.

Ruled out: to drop all that a list lacks. A process that asks to join has an empty list, and one that was away for long has an old one; both reach the others only by the addresses of their configuration. A peer is dropped once a list that came after one that held it doesn't. So a VM that stands in the configuration alone, and in no list since the start, is still dialled.

--- a/internal/process/ctrl/peers.go
+++ b/internal/process/ctrl/peers.go
@@ -44,26 +44,51 @@
 	queue   chan []byte
 	// cancel ends the stream; nil before Run.
 	cancel context.CancelFunc
+	// listed says that a member list has held the peer.
+	listed bool
 }
 
 // NewPeers returns the transport; Run starts it.
 func NewPeers(cfg PeersConfig) *Peers {
 	p := &Peers{cfg: cfg, peers: make(map[ident.VMName]*peer)}
-	p.Learn(cfg.Members)
+	p.add(cfg.Members)
 	return p
 }
 
-// Learn takes in control processes that are new or have a new address.
+// Learn takes a list of the control processes: it adds those that are new or
+// have a new address, and drops those that an earlier list held and this one
+// doesn't. Those of the configuration stay until a list has held them, since a
+// process that joins, or was away for long, needs them to reach the others.
 func (p *Peers) Learn(members []group.Member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.add(members)
+	listed := make(map[ident.VMName]struct{}, len(members))
+	for _, member := range members {
+		listed[member.VM] = struct{}{}
+	}
+	for vm, known := range p.peers {
+		if _, ok := listed[vm]; ok {
+			known.listed = true
+			continue
+		}
+		if known.listed {
+			known.stop()
+			delete(p.peers, vm)
+		}
+	}
+}
+
+// add takes in control processes that are new or have a new address. The
+// caller holds the lock, or is the only one to know p.
+func (p *Peers) add(members []group.Member) {
 	for _, member := range members {
 		known := p.peers[member.VM]
 		if member.VM == p.cfg.Self || member.Address == "" || (known != nil && known.address == member.Address) {
 			continue
 		}
-		if known != nil && known.cancel != nil {
-			known.cancel()
+		if known != nil {
+			known.stop()
 		}
 		fresh := &peer{address: member.Address, queue: make(chan []byte, peerBacklog)}
 		p.peers[member.VM] = fresh
@@ -71,6 +96,13 @@
 	}
 }
 
+// stop ends the stream to the peer, if there is one.
+func (p *peer) stop() {
+	if p.cancel != nil {
+		p.cancel()
+	}
+}
+
 // start begins to carry to a peer, once Run was called. The caller holds the
 // lock.
 func (p *Peers) start(to *peer) {
