Never give a part of a recorded answer as the whole one

Cause, found by reading: the ledger keeps 16 KiB of an answer and marks a longer one as truncated; the router ignored the mark and gave a resend the first part as the whole answer, status 200 and outcome ran. It also collected up to 256 KiB itself and left a hole where one chunk did not fit and a later one did. An answer is now kept whole or not at all, and a resend of one that is not kept is told that the request ran: 409, AnswerNotKept, outcome ran.

Ruled out: a larger ledger (every control process keeps every answer).

--- a/internal/process/router/chat.go
+++ b/internal/process/router/chat.go
@@ -195,7 +195,12 @@
 		Outcome:    outcomeOf(result.Outcome),
 		RetryAfter: httpd.Delay(result.RetryAfter),
 	}
-	if result.Conflict {
+	if result.NotKept {
+		e.Code = codeNotKept
+		e.Message = "the request ran under this key before; its answer is not kept"
+		e.Status = http.StatusConflict
+		e.RetryAfter = 0
+	} else if result.Conflict {
 		e.Code = codeKeyConflict
 		e.Message = "the idempotency key was used with another request"
 		e.Status = http.StatusUnprocessableEntity
--- a/internal/process/router/error.go
+++ b/internal/process/router/error.go
@@ -24,6 +24,7 @@
 	codeNotReady       = "NotReady"
 	codeLimited        = "LimitReached"
 	codeAnswerCut      = "AnswerCut"
+	codeNotKept        = "AnswerNotKept"
 )
 
 // refusal returns an error for a request that was not run.
--- a/internal/process/router/ledger.go
+++ b/internal/process/router/ledger.go
@@ -88,7 +88,7 @@
 		Unknown:  outcome != wire.Outcome_OUTCOME_RAN,
 	}
 	if answer != nil {
-		body.Answer = &cmdpb.Answer{Status: int32(answer.Status), Body: answer.Body}
+		body.Answer = &cmdpb.Answer{Status: int32(answer.Status), Body: answer.Body, Truncated: answer.Truncated}
 		for _, h := range answer.Headers {
 			body.Answer.Headers = append(body.Answer.Headers, &cmdpb.HeaderField{Name: h.GetName(), Value: h.GetValue()})
 		}
@@ -142,7 +142,9 @@
 		event.Kind = tries.EventLedgerHeld
 	case cmdpb.EntryState_ENTRY_STATE_SETTLED:
 		return recordedOf(event, entry.GetAnswer())
-	case cmdpb.EntryState_ENTRY_STATE_UNKNOWN, cmdpb.EntryState_ENTRY_STATE_EXPIRED:
+	case cmdpb.EntryState_ENTRY_STATE_EXPIRED:
+		return recordedOf(event, &cmdpb.Answer{Truncated: true})
+	case cmdpb.EntryState_ENTRY_STATE_UNKNOWN:
 		event.Kind = tries.EventLedgerAnswer
 		event.Outcome = wire.Outcome_OUTCOME_UNKNOWN
 	case cmdpb.EntryState_ENTRY_STATE_MISMATCH:
@@ -159,7 +161,7 @@
 	event.Kind = tries.EventLedgerAnswer
 	event.Outcome = wire.Outcome_OUTCOME_RAN
 	event.Status = int(kept.GetStatus())
-	answer := &relay.Answer{Status: int(kept.GetStatus()), Body: kept.GetBody()}
+	answer := &relay.Answer{Status: int(kept.GetStatus()), Body: kept.GetBody(), Truncated: kept.GetTruncated()}
 	for _, h := range kept.GetHeaders() {
 		answer.Headers = append(answer.Headers, &wire.Header{Name: h.GetName(), Value: h.GetValue()})
 	}
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -36,7 +36,7 @@
 // Defaults of Config.
 const (
 	DefaultBodyLimit      ident.Bytes = 8 << 20
-	DefaultRecordedLimit  ident.Bytes = 256 << 10
+	DefaultRecordedLimit  ident.Bytes = 16 << 10
 	DefaultRequestTimeout             = 10 * time.Minute
 
 	// startRetryAfter is when callers of a router that has just started may
--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -192,15 +192,29 @@
 }
 
 func (x *exchange) deliver(data []byte) {
-	if x.request.Tries.Once && ident.Bytes(len(x.answer.Body)+len(data)) <= x.cfg.MaxRecordedBytes {
-		x.answer.Body = append(x.answer.Body, data...)
-	}
+	x.keep(data)
 	// A caller that can't be written to ends the context, which the loop sees.
 	_ = x.caller.Data(data)
 }
 
+// keep collects the answer for the ledger, all of it or nothing.
+func (x *exchange) keep(data []byte) {
+	if !x.request.Tries.Once || x.answer.Truncated {
+		return
+	}
+	if ident.Bytes(len(x.answer.Body)+len(data)) > x.cfg.MaxRecordedBytes {
+		x.answer.Truncated = true
+		x.answer.Body = nil
+		return
+	}
+	x.answer.Body = append(x.answer.Body, data...)
+}
+
+// recorded writes the answer that the ledger kept. One that is not whole is
+// never written: a caller would take it for the whole one.
 func (x *exchange) recorded() {
-	if x.held == nil {
+	if x.held == nil || x.held.Truncated {
+		x.result.NotKept = true
 		return
 	}
 	x.result.Started = true
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -105,6 +105,8 @@
 	Status  int
 	Headers []*wire.Header
 	Body    []byte
+	// Truncated says that the answer was too long to be kept; Body is empty.
+	Truncated bool
 }
 
 // Caller takes the answer as it comes. Its methods are called in order: Head
@@ -123,6 +125,9 @@
 	Truncated bool
 	// Started says that the caller was given a head.
 	Started bool
+	// NotKept says that the request ran before, under the same key, and that
+	// its answer is not kept any more.
+	NotKept bool
 	// Conflict says that the idempotency key was used with other content.
 	Conflict bool
 	// WarmTokens is how many tokens of the prompt were found in cache.
