Let no spelling of a path get by what runs at most once

Cause, found by reading: the router matched NotRepeatable on the decoded path and the sidecar joined, cleaned and decoded it a second time, so that /x/%2e%2e/deposits or /%2564eposits reached the service as /deposits without a claim. Paths with dot or empty segments, backslashes or bytes that are no UTF-8 are now refused, not run; the escaped path goes to the service as it is. Header values that are no UTF-8, which the frames can't carry and which made healthy targets look dead, are made valid.

Ruled out: cleaning at the router (a service may tell the spellings apart).

--- a/internal/process/router/service.go
+++ b/internal/process/router/service.go
@@ -52,20 +52,23 @@
 	if !ok {
 		return nil, refusal(http.StatusNotFound, codeNoService, "no route for service "+string(name))
 	}
+	path, failed := pathOf(req)
+	if failed != nil {
+		return nil, failed
+	}
 	body, failed := r.readBody(w, req, customer)
 	if failed != nil {
 		return nil, failed
 	}
 	c := r.newCall(id, customer, route, snap.routes[route.Name])
-	path := "/" + req.PathValue("path")
 	c.submit.Service = string(name)
 	c.submit.Method = req.Method
-	c.submit.Path = path
+	c.submit.Path = path.escaped
 	c.submit.Query = req.URL.RawQuery
 	c.submit.Headers = passedHeaders(req.Header)
 	c.submit.Body = body
 	c.submit.Fingerprint = fingerprint(c.submit)
-	c.submit.Once = service.RunsOnce(req.Method, path) || req.Header.Get(httpd.OnceHeader) == "true"
+	c.submit.Once = service.RunsOnce(req.Method, path.plain) || req.Header.Get(httpd.OnceHeader) == "true"
 	c.submit.LedgerKey = req.Header.Get(httpd.KeyHeader)
 	c.tries.Once = c.submit.GetOnce()
 	c.tries.LedgerKey = c.submit.GetLedgerKey()
@@ -117,7 +120,7 @@
 	var passed []*wire.Header
 	for name, values := range header {
 		for _, value := range values {
-			passed = append(passed, &wire.Header{Name: name, Value: value})
+			passed = append(passed, &wire.Header{Name: name, Value: strings.ToValidUTF8(value, "?")})
 		}
 	}
 	return passed
--- a/internal/process/side/target.go
+++ b/internal/process/side/target.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"cactusline.dev/cactusline/internal/conn/wire"
@@ -49,11 +50,27 @@
 	}
 }
 
+// address returns the URL of an attempt: the target's base and the path as the
+// caller escaped it, neither cleaned nor decoded on the way.
+func (t *targetClient) address(submit *wire.Submit) (string, error) {
+	plain, err := url.PathUnescape(submit.GetPath())
+	if err != nil {
+		return "", fmt.Errorf("read path: %w", err)
+	}
+	address := *t.base
+	address.RawPath = strings.TrimSuffix(t.base.EscapedPath(), "/") + submit.GetPath()
+	address.Path = strings.TrimSuffix(t.base.Path, "/") + plain
+	address.RawQuery = submit.GetQuery()
+	return address.String(), nil
+}
+
 // do sends one attempt to the target. The context cancels it.
 func (t *targetClient) do(ctx context.Context, submit *wire.Submit, priority int32, traceParent string) (*http.Response, error) {
-	address := t.base.JoinPath(submit.GetPath())
-	address.RawQuery = submit.GetQuery()
-	req, err := http.NewRequestWithContext(ctx, submit.GetMethod(), address.String(), bodyOf(submit))
+	address, err := t.address(submit)
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, submit.GetMethod(), address, bodyOf(submit))
 	if err != nil {
 		return nil, fmt.Errorf("build request: %w", err)
 	}
