Let a process that is no member of control say so at once

Verbs name every control process in turn, and a newcomer was asked to add itself: it is in no member list, so it never learns who leads, and waited. A process that is no member now refuses changes at once, and one that knows no leader after 2 s, both as NoQuorum, so that the command goes on to the next address. The test now also asks the newcomer first, which makes the fault certain rather than a matter of order. A longer patience was ruled out, since no wait helps there.

--- a/internal/process/admin/member.go
+++ b/internal/process/admin/member.go
@@ -29,6 +29,10 @@
 	if errors.As(err, &refusal) {
 		return problem(http.StatusConflict, CodeRefused, refusal.Message)
 	}
+	var leaderless *ctrl.NoLeaderError
+	if errors.As(err, &leaderless) {
+		return problem(http.StatusServiceUnavailable, CodeNoQuorum, leaderless.Message+"; nothing was changed")
+	}
 	if err != nil {
 		return problem(http.StatusGatewayTimeout, CodeOutcomeUnknown,
 			"the change of members may have been made in part; ask again with the same body to go on: "+err.Error())
--- a/internal/process/cmds/verbs_test.go
+++ b/internal/process/cmds/verbs_test.go
@@ -254,6 +254,10 @@
 	for _, name := range []string{"d", "e"} {
 		f.start(name)
 		f.await(asksToJoin(name))
+		// The newcomer itself knows no leader; others must be asked.
+		own := "http://" + f.members[name].admin
+		lost := run(t, "member", "add", name, "--admin", own, "--patience", "10ms")
+		assert.Equal(t, lost.code, cmds.ExitRefused, lost.stderr)
 		f.ok("member", "add", name)
 	}
 	f.ok("member", "transfer", "d")
--- a/internal/process/ctrl/ctrl.go
+++ b/internal/process/ctrl/ctrl.go
@@ -193,6 +193,9 @@
 // encoded result. A *remote.RefusedError means that it was not committed, any
 // other error that it may have been. It implements admin.Control.
 func (c *Control) Command(ctx context.Context, entry []byte) ([]byte, error) {
+	if err := c.joined(); err != nil {
+		return nil, &remote.RefusedError{Message: err.Error()}
+	}
 	for {
 		reply := c.command(ctx, &wire.Command{Entry: entry})
 		if reply.GetError() == "" {
--- a/internal/process/ctrl/member.go
+++ b/internal/process/ctrl/member.go
@@ -21,6 +21,8 @@
 	// promoteInterval is how often the leader looks whether a newcomer has
 	// caught up.
 	promoteInterval = 50 * time.Millisecond
+	// leaderTimeout is how long a change of members waits for a leader.
+	leaderTimeout = 2 * time.Second
 )
 
 // Members changes the member list of the replicated log. *group.Group is one.
@@ -66,6 +68,30 @@
 // Error returns the reason.
 func (e *MemberRefusedError) Error() string { return e.Message }
 
+// NoLeaderError says that a change of the control processes was not begun,
+// because this process knows no leader. Another one may.
+type NoLeaderError struct {
+	Message string
+}
+
+// Error returns the reason.
+func (e *NoLeaderError) Error() string { return e.Message }
+
+// joined returns an error if this process is no member of control yet, which
+// knows no leader however long it waits.
+func (c *Control) joined() error {
+	if c.cfg.Group == nil {
+		return nil
+	}
+	status := c.cfg.Group.Status()
+	for _, member := range status.Members {
+		if member.ID == status.ID {
+			return nil
+		}
+	}
+	return &NoLeaderError{Message: fmt.Sprintf("%s is no member of control yet", status.ID)}
+}
+
 // memberAnswer is the leader's answer to a change.
 type memberAnswer struct {
 	Refused string
@@ -75,10 +101,14 @@
 }
 
 // ChangeMembers changes the control processes at their leader and returns
-// once the change has committed. A *MemberRefusedError tells why it can't; any
-// other error means that it may have been made, in part too, and asking again
+// once the change has committed. A *MemberRefusedError tells why it can't, and
+// a *NoLeaderError that another process is to be asked; any other error means that it may have been made, in part too, and asking again
 // goes on from there.
 func (c *Control) ChangeMembers(ctx context.Context, change MemberChange) error {
+	if err := c.joined(); err != nil {
+		return err
+	}
+	until := c.cfg.Clock.Now().Add(leaderTimeout)
 	for {
 		answer := c.changeAtLeader(ctx, change)
 		switch {
@@ -89,8 +119,8 @@
 		case !answer.Elsewhere:
 			return errors.New(answer.Failed)
 		}
-		if err := c.cfg.Clock.Sleep(ctx, leaderInterval); err != nil {
-			return &MemberRefusedError{Message: "no leader took the change: " + answer.Failed}
+		if c.cfg.Clock.Sleep(ctx, leaderInterval) != nil || c.cfg.Clock.Now().After(until) {
+			return &NoLeaderError{Message: "no leader took the change: " + answer.Failed}
 		}
 	}
 }
