--- a/internal/process/cmds/dev.go
+++ b/internal/process/cmds/dev.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -69,7 +70,8 @@
 	defer cancel()
 	f := &devFleet{ctx: ctx, cancel: cancel, logger: logger, tracer: tracer, failed: make(chan error, devParts)}
 	if err := f.start(folder, callers, operators); err != nil {
-		return err
+		// The failure of a part is the cause, and tells more.
+		return cmp.Or(f.failure(), err)
 	}
 	c.announce(s, callers, operators)
 	return f.wait()
@@ -116,6 +118,7 @@
 		err := part()
 		if err != nil {
 			err = fmt.Errorf("%s: %w", name, err)
+			f.cancel()
 		}
 		f.failed <- err
 	}()
@@ -143,20 +146,20 @@
 	control := internal.Addr().String()
 	f.run("control", func() error {
 		command := &ControlCommand{VM: "dev", Data: folder}
-		return command.serve(f.ctx, log.With(f.logger, "part", "control"), f.tracer, internal, operators)
+		return command.serve(f.ctx, log.With(f.logger, "part", "control"), f.tracer, linkTLS{}, internal, operators)
 	})
 	targets, err := f.startTargets(control)
 	if err != nil {
 		return err
 	}
-	links, client := newLinks("dev", []string{control})
+	links, client := newLinks("dev", []string{control}, linkTLS{})
 	defer func() { _ = links.Close() }()
 	if err := f.submit(client, targets); err != nil {
 		return err
 	}
 	f.run("router", func() error {
 		command := &RouterCommand{Name: "dev", Domain: "dev", Control: []flags.Address{flags.Address(control)}}
-		return command.serve(f.ctx, log.With(f.logger, "part", "router"), f.tracer, callers)
+		return command.serve(f.ctx, log.With(f.logger, "part", "router"), f.tracer, linkTLS{}, callers)
 	})
 	return f.awaitReady(callers.Addr().String())
 }
@@ -209,7 +212,7 @@
 			Target:  &url.URL{Scheme: "http", Host: back.Addr().String()},
 			Control: []flags.Address{flags.Address(control)},
 		}
-		return command.serve(f.ctx, log.With(f.logger, "part", "sidecar "+string(name)), f.tracer, front)
+		return command.serve(f.ctx, log.With(f.logger, "part", "sidecar "+string(name)), f.tracer, linkTLS{}, front)
 	})
 	return nil
 }
--- a/internal/process/cmds/sidecar.go
+++ b/internal/process/cmds/sidecar.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/url"
+	"time"
 
 	"github.com/go-kit/log"
 
@@ -27,6 +28,11 @@
 	Target  *url.URL         `help:"Base URL of the target." required:""`
 	Listen  flags.Address    `help:"Address for routers." default:"127.0.0.1:9000"`
 	Control []flags.Address  `help:"Addresses of the control processes." required:""`
+
+	TransferRate    ident.Bytes   `help:"Bytes per second in which a leaving target hands chats' prefixes over; below zero for none." default:"50000000"`
+	TransferTimeout time.Duration `help:"How long that may take." default:"30s"`
+
+	Links LinkKeys `embed:""`
 }
 
 // Run implements the command.
@@ -44,12 +50,16 @@
 		return err
 	}
 	defer closeTracer(tracer)
-	return c.serve(s.ctx, logger, tracer, listener)
+	secure, err := c.Links.open(logger)
+	if err != nil {
+		return err
+	}
+	return c.serve(s.ctx, logger, tracer, secure, listener)
 }
 
 // serve runs the sidecar on a listener until ctx ends.
-func (c *SidecarCommand) serve(ctx context.Context, logger log.Logger, tracer *trace.Tracer, listener net.Listener) error {
-	links, control := newLinks(string(c.Name), texts(c.Control))
+func (c *SidecarCommand) serve(ctx context.Context, logger log.Logger, tracer *trace.Tracer, secure linkTLS, listener net.Listener) error {
+	links, control := newLinks(string(c.Name), texts(c.Control), secure)
 	defer func() { _ = links.Close() }()
 	incarnation, err := register(ctx, control, "sidecar/"+string(c.Name))
 	if err != nil {
@@ -58,7 +68,7 @@
 	sidecar, err := side.New(side.Config{
 		Name:     c.Name,
 		Target:   c.Target,
-		Listener: listener,
+		Listener: secure.secure(listener),
 		Clock:    clock.System{},
 		Logger:   logger,
 		Tracer:   tracer,
@@ -67,11 +77,16 @@
 
 		ControlAddresses: texts(c.Control),
 		Incarnation:      incarnation,
+		TransferRate:     c.TransferRate,
+		TransferTimeout:  c.TransferTimeout,
 		Seed:             rand.Uint64(),
 	})
 	if err != nil {
 		return fmt.Errorf("make sidecar: %w", err)
 	}
+	if err := sidecar.Recall(ctx); err != nil {
+		return err
+	}
 	follower := watch.NewFollower(watch.Config{
 		Addresses: texts(c.Control),
 		Link:      links,
--- a/internal/process/side/submit.go
+++ b/internal/process/side/submit.go
@@ -19,7 +19,7 @@
 // serveSubmit runs an attempt, or joins one that runs already, and relays its
 // answer.
 func (s *Sidecar) serveSubmit(call *wire.Call, submit *wire.Submit, stream *link.Stream) {
-	out := &answer{stream: stream, attempt: submit.GetAttempt(), offset: submit.GetResumeOffset(), revision: s.revision, logger: s.cfg.Logger}
+	out := &answer{stream: stream, attempt: submit.GetAttempt(), offset: submit.GetResumeOffset(), revision: s.revision, logger: s.cfg.Logger, refused: s.countRefused}
 	ctx, cancel := context.WithCancel(s.life)
 	defer cancel()
 	watcher := &callerWatch{stream: stream, cancel: cancel}
@@ -66,6 +66,8 @@
 		reason = wire.RefusalReason_REFUSAL_REASON_QUARANTINED
 	case s.recent.Holds(s.cfg.Clock.Now(), ident.Fingerprint(submit.GetFingerprint())):
 		reason = wire.RefusalReason_REFUSAL_REASON_TARGET_DOWN
+	case s.unloaded(ident.ModelName(submit.GetModel())):
+		reason = wire.RefusalReason_REFUSAL_REASON_WRONG_TARGET
 	default:
 		return nil
 	}
@@ -114,6 +116,7 @@
 		Weight:   submit.GetWeight(),
 		Priority: submit.GetPriority(),
 		Final:    submit.GetFinal(),
+		Stay:     submit.GetStay(),
 	}
 	if submit.GetTimeoutMs() > 0 {
 		work.Deadline = s.cfg.Clock.Now().Add(time.Duration(submit.GetTimeoutMs()) * time.Millisecond)
@@ -150,7 +153,9 @@
 	id := ident.AttemptID(submit.GetAttempt())
 	reader := s.runs.attach(id)
 	defer func() { s.detach(reader, watcher.canceled.Load()) }()
-	buffer := make([]byte, answerChunkBytes)
+	chunk := chunks.Get().(*[answerChunkBytes]byte)
+	defer chunks.Put(chunk)
+	buffer := chunk[:]
 	headSent := false
 	for {
 		read, err := s.attempts.ReadFrom(id, out.offset, buffer)
@@ -205,11 +210,14 @@
 	offset   uint64
 	revision func() ident.Revision
 	logger   log.Logger
+	// refused counts a refusal.
+	refused func(wire.RefusalReason)
 	// digest goes with the head.
 	digest *wire.LoadDigest
 }
 
 func (a *answer) refuse(refusal *wire.Refusal) error {
+	a.refused(refusal.GetReason())
 	_ = level.Debug(a.logger).Log("msg", "attempt refused", "attempt", a.attempt, "reason", refusal.GetReason(),
 		"running", refusal.GetLoad().GetRequests(), "queued", refusal.GetLoad().GetQueued())
 	return a.send(&wire.Reply{Body: &wire.Reply_Refusal{Refusal: refusal}})
