Route by one revision, follow an amended bound, and tell sidecars to stop

Causes, all found by reading: - a request was stamped with the newest revision at the time of sending though it was routed under an older one, which disarmed the sidecars' check; and a stale refusal was answered by the same target again. It now carries the revision of its routing, and a stale refusal has the plan made anew, from the customer on, or ends the request as not run; - an amended LoadBound reached sidecars but no running router; - of two digests taken at once the older could stay; - the Cancel for a caller that has gone raced with the abort of its stream, so that the engine worked on for 5 s; streams now outlive the exchange until the sidecar has been told; - a reused address could run another target's work: the attempt now names its target, and probes of a wrong sidecar are not believed.

Ruled out for the first: resolving again at each send, which costs every request what one in thousands needs.

None of the five has a test of its own yet.

--- a/internal/process/router/chat.go
+++ b/internal/process/router/chat.go
@@ -37,6 +37,8 @@
 	tries    tries.Config
 	query    rank.Query
 	stream   bool
+	// revision is that of the records by which the request was routed.
+	revision ident.Revision
 }
 
 // readChat checks a chat completion and finds its pool.
@@ -61,6 +63,7 @@
 	}
 	key := asked.Key(customer.Name, req.Header.Get(chat.KeyHeader))
 	c := r.newCall(id, customer, route, snap.routes[route.Name])
+	c.revision = set.Revision()
 	c.stream = asked.Stream
 	c.query.Chat = key
 	c.query.Prefix = prefixTokens(asked.Messages)
@@ -136,9 +139,9 @@
 	r.budget.Request(c.query.Now, c.customer.Name)
 	request := relay.Request{
 		Tries:       c.tries,
-		Plan:        c.plan(),
+		Plan:        r.plan(c),
 		Submit:      c.submit,
-		Revision:    func() ident.Revision { return r.view.set().Revision() },
+		Revision:    func() ident.Revision { return c.revision },
 		Fingerprint: ident.Fingerprint(c.submit.GetFingerprint()),
 	}
 	if c.stream {
@@ -182,8 +185,32 @@
 func crashed(attempt tries.AttemptRecord) bool { return attempt.Result == tries.ResultCrashed }
 
 // plan returns the plan of the request's offers.
-func (c *call) plan() *offers {
-	return &offers{plan: c.pool.ranking.Plan(c.query)}
+func (r *Router) plan(c *call) *offers {
+	return &offers{
+		plan:  c.pool.ranking.Plan(c.query),
+		again: func() *rank.Plan { return r.replan(c) },
+	}
+}
+
+// replan looks the request up in the newest records, under which a sidecar has
+// found it stale: its customer and route may be gone, or lead elsewhere.
+func (r *Router) replan(c *call) *rank.Plan {
+	snap := r.view.current.Load()
+	customer, ok := snap.set.Customer(c.customer.Name)
+	if !ok {
+		return nil
+	}
+	route, ok := snap.set.ModelRoute(customer.Name, ident.ModelName(c.submit.GetModel()))
+	if service := c.submit.GetService(); service != "" {
+		route, ok = snap.set.ServiceRoute(customer.Name, ident.ServiceName(service))
+	}
+	if !ok || snap.routes[route.Name] == nil {
+		return nil
+	}
+	c.customer = customer
+	c.pool = snap.routes[route.Name]
+	c.revision = snap.set.Revision()
+	return c.pool.ranking.Plan(c.query)
 }
 
 // errorOf words the end of a request that has no answer.
--- a/internal/process/router/health.go
+++ b/internal/process/router/health.go
@@ -84,8 +84,9 @@
 	reply := new(wire.ProbeReply)
 	call := &wire.Call{Body: &wire.Call_Probe{Probe: new(wire.Probe)}}
 	err := v.cfg.Link.Ask(ctx, address, call, reply)
-	v.judge(target, health.Result{Probe: true, Failed: err != nil || reply.GetTarget() != string(target)})
-	if err == nil {
+	failed := err != nil || reply.GetTarget() != string(target)
+	v.judge(target, health.Result{Probe: true, Failed: failed})
+	if !failed {
 		v.learn(target, reply.GetLoad(), ident.Revision(reply.GetRevision()))
 	}
 }
--- a/internal/process/router/plan.go
+++ b/internal/process/router/plan.go
@@ -17,10 +17,21 @@
 	last rank.Step
 	// made lists the offers so far.
 	made []rank.Step
+	// again finds the request's pool in the newest records; it returns nil if
+	// they no longer let the request run.
+	again func() *rank.Plan
+	// renewed counts the plans that were made anew.
+	renewed int
 }
 
+// maxRenewed bounds how often new records change the plan of one request.
+const maxRenewed = 3
+
 // Next implements tries.Plan.
 func (o *offers) Next() (tries.Candidate, bool) {
+	if o.plan == nil {
+		return tries.Candidate{}, false
+	}
 	step, ok := o.plan.Next()
 	if !ok {
 		return tries.Candidate{}, false
@@ -38,13 +49,18 @@
 // Refused implements relay.Plan.
 func (o *offers) Refused(target ident.TargetName, refusal *wire.Refusal) {
 	step, ok := o.stepOf(target)
-	if !ok {
+	if !ok || o.plan == nil {
 		return
 	}
 	if refusal == nil {
 		o.plan.Refused(step, rank.Refusal{Closed: true})
 		return
 	}
+	if refusal.GetReason() == wire.RefusalReason_REFUSAL_REASON_STALE_REVISION && o.renewed < maxRenewed {
+		o.renewed++
+		o.plan = o.again()
+		return
+	}
 	o.plan.Refused(step, rank.Refusal{
 		Load:    watch.Load(refusal.GetLoad()),
 		Forward: ident.TargetName(refusal.GetForward()),
--- a/internal/process/router/service.go
+++ b/internal/process/router/service.go
@@ -61,6 +61,7 @@
 		return nil, failed
 	}
 	c := r.newCall(id, customer, route, snap.routes[route.Name])
+	c.revision = set.Revision()
 	c.submit.Service = string(name)
 	c.submit.Method = req.Method
 	c.submit.Path = path.escaped
--- a/internal/process/router/view.go
+++ b/internal/process/router/view.go
@@ -22,7 +22,8 @@
 	ranking *rank.Pool
 	digest  digest.PoolName
 	targets []*record.Target
-	// stamp is that of the newest digest.
+	// news orders the digests, and stamp is that of the newest.
+	news  *sync.Mutex
 	stamp *atomic.Uint64
 }
 
@@ -80,9 +81,10 @@
 	p := &pool{targets: set.Candidates(route), digest: poolName(route)}
 	if before, ok := old.routes[route.Name]; ok {
 		p.ranking = before.ranking
-		p.stamp = before.stamp
+		p.news, p.stamp = before.news, before.stamp
+		p.ranking.SetBound(route.LoadBound)
 	} else {
-		p.stamp = new(atomic.Uint64)
+		p.news, p.stamp = new(sync.Mutex), new(atomic.Uint64)
 		p.ranking = rank.New(rank.Config{Domain: v.cfg.Domain, Bound: route.LoadBound, Seed: v.cfg.Seed})
 	}
 	targets := make([]rank.Target, 0, len(p.targets))
@@ -109,13 +111,22 @@
 	}
 	d := watch.Digest(v.cfg.Clock.Now(), frame)
 	for _, p := range v.current.Load().routes {
-		if p.digest == d.Pool && d.Stamp > p.stamp.Load() {
-			p.stamp.Store(d.Stamp)
-			p.ranking.SetDigest(d)
+		if p.digest == d.Pool {
+			p.takeDigest(d)
 		}
 	}
 }
 
+// takeDigest passes on a digest that is newer than the last one.
+func (p *pool) takeDigest(d digest.Digest) {
+	p.news.Lock()
+	defer p.news.Unlock()
+	if d.Stamp > p.stamp.Load() {
+		p.stamp.Store(d.Stamp)
+		p.ranking.SetDigest(d)
+	}
+}
+
 // set returns the records in force.
 func (v *view) set() *record.Set { return v.current.Load().set }
 
--- a/internal/request/rank/rank.go
+++ b/internal/request/rank/rank.go
@@ -99,13 +99,12 @@
 	state atomic.Pointer[snapshot]
 	draws atomic.Uint64
 	mean  atomic.Uint64
+	// bound holds the bits of the multiple of the mean.
+	bound atomic.Uint64
 }
 
 // New returns an empty pool.
 func New(cfg Config) *Pool {
-	if cfg.Bound == 0 {
-		cfg.Bound = DefaultBound
-	}
 	if cfg.Limit <= 0 {
 		cfg.Limit = DefaultLimit
 	}
@@ -123,6 +122,7 @@
 		cfg.Belief = DefaultBelief
 	}
 	p := &Pool{cfg: cfg}
+	p.SetBound(cfg.Bound)
 	p.state.Store(newSnapshot(cfg, nil, nil))
 	return p
 }
@@ -135,6 +135,15 @@
 	p.state.Store(newSnapshot(p.cfg, targets, p.state.Load()))
 }
 
+// SetBound sets the multiple of the mean load that a target may carry; zero
+// means DefaultBound.
+func (p *Pool) SetBound(bound float64) {
+	if bound == 0 {
+		bound = DefaultBound
+	}
+	p.bound.Store(math.Float64bits(bound))
+}
+
 // SetDigest takes the pool's mean load from a digest.
 func (p *Pool) SetDigest(d digest.Digest) {
 	p.mean.Store(math.Float64bits(d.Mean()))
@@ -163,5 +172,5 @@
 // capacity returns the requests that a target may carry as far as is known.
 func (p *Pool) capacity() int {
 	mean := math.Float64frombits(p.mean.Load())
-	return max(1, int(math.Ceil(p.cfg.Bound*mean)))
+	return max(1, int(math.Ceil(math.Float64frombits(p.bound.Load())*mean)))
 }
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -36,7 +36,8 @@
 	ctx, span := x.cfg.Tracer.Start(ctx, "", "router.attempt",
 		attribute.String("attempt", string(action.Attempt)),
 		attribute.String("target", string(action.Target)))
-	ctx, cancel := context.WithCancel(ctx)
+	// A stream outlives the exchange while its sidecar is told to stop.
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	s := &attemptStream{
 		id:      action.Stream,
 		attempt: action.Attempt,
@@ -55,6 +56,7 @@
 func (x *exchange) call(ctx context.Context, action *tries.Action) *wire.Call {
 	submit := proto.CloneOf(x.request.Submit)
 	submit.Attempt = string(action.Attempt)
+	submit.Target = string(action.Target)
 	submit.Incarnation = uint64(action.Incarnation)
 	submit.ResumeOffset = action.Offset
 	submit.Join = action.Join
@@ -120,7 +122,7 @@
 	defer unguard()
 	finished := make(chan struct{})
 	defer close(finished)
-	go s.awaitStop(stream, finished)
+	go s.awaitStop(stream, finished, x.cfg.Clock)
 	x.receive(ctx, s, stream)
 }
 
@@ -135,9 +137,10 @@
 }
 
 // awaitStop tells the sidecar that the caller has gone.
-func (s *attemptStream) awaitStop(stream *link.Stream, finished <-chan struct{}) {
+func (s *attemptStream) awaitStop(stream *link.Stream, finished <-chan struct{}, clock Clock) {
 	select {
 	case <-s.stop:
+		_ = stream.SetDeadline(clock.Now().Add(askTimeout))
 		_ = stream.Send(new(wire.Cancel))
 		s.cancel()
 	case <-finished:
@@ -233,7 +236,7 @@
 	defer cancel()
 	reply := new(wire.ProbeReply)
 	call := &wire.Call{Body: &wire.Call_Probe{Probe: new(wire.Probe)}}
-	if err := x.cfg.Links.Ask(ctx, address, call, reply); err != nil {
+	if err := x.cfg.Links.Ask(ctx, address, call, reply); err != nil || reply.GetTarget() != string(target) {
 		x.cfg.Directory.Failed(target)
 		return 0
 	}
--- a/internal/request/tries/stream.go
+++ b/internal/request/tries/stream.go
@@ -84,6 +84,10 @@
 	if !stale || m.stale {
 		return
 	}
+	if m.cfg.Plan != nil && e.Reason == wire.RefusalReason_REFUSAL_REASON_STALE_REVISION {
+		// The plan chooses anew under the records that it has now.
+		return
+	}
 	m.stale = true
 	a.again = true
 	m.forwardTo(a.target, cmp.Or(e.Incarnation, a.incarnation), "again with fresh news")
