--- a/internal/process/router/chat.go
+++ b/internal/process/router/chat.go
@@ -222,17 +222,18 @@
 		Outcome:    outcomeOf(result.Outcome),
 		RetryAfter: httpd.Delay(result.RetryAfter),
 	}
-	if result.NotKept {
+	switch {
+	case result.NotKept:
 		e.Code = codeNotKept
 		e.Message = "the request ran under this key before; its answer is not kept"
 		e.Status = http.StatusConflict
 		e.RetryAfter = 0
-	} else if result.Conflict {
+	case result.Conflict:
 		e.Code = codeKeyConflict
 		e.Message = "the idempotency key was used with another request"
 		e.Status = http.StatusUnprocessableEntity
 		e.RetryAfter = 0
-	} else if result.Outcome != wire.Outcome_OUTCOME_NOT_RUN {
+	case result.Outcome != wire.Outcome_OUTCOME_NOT_RUN:
 		e.Code = codeOutcomeUnknown
 		e.Message = "it is not known whether the request ran"
 	}
--- a/internal/request/rank/rank_test.go
+++ b/internal/request/rank/rank_test.go
@@ -156,3 +156,16 @@
 		})
 	}
 }
+
+func TestAmendedBoundCounts(t *testing.T) {
+	pool := rank.New(rank.Config{})
+	pool.Update([]rank.Target{{Name: "a"}, {Name: "b"}})
+	pool.SetDigest(digest.Digest{Targets: 2, Requests: 4, At: start, Stamp: 1})
+	home, ok := pool.Home(rank.Query{Now: start, Chat: 1})
+	assert.Assert(t, ok)
+	pool.Observe(start, home.Target, digest.Load{Requests: 3})
+	query := rank.Query{Now: start, Chat: 1}
+	assert.Assert(t, pool.Choose(nil, query)[0].Target != home.Target)
+	pool.SetBound(2)
+	assert.Equal(t, pool.Choose(nil, query)[0].Target, home.Target)
+}
