--- a/internal/conn/link/client.go
+++ b/internal/conn/link/client.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/proto"
 
 	"cactusline.dev/cactusline/internal/conn/wire"
@@ -47,17 +47,6 @@
 	peers map[string]*peer
 }
 
-// peer holds the sessions to one address. Each slot has its own lock, so that
-// a slow dial holds up only those who need that slot.
-type peer struct {
-	slots []slot
-}
-
-type slot struct {
-	mu      sync.Mutex
-	session *yamux.Session
-}
-
 // NewClient returns a client.
 func NewClient(cfg Config) *Client {
 	if cfg.DialTimeout == 0 {
@@ -88,13 +77,23 @@
 	}
 	call.Protocol = wire.Protocol
 	call.Caller = c.cfg.Caller
-	if err := stream.Send(call); err != nil {
+	if err := c.send(ctx, stream, call); err != nil {
 		_ = stream.Close()
-		return nil, fmt.Errorf("call %s: %w", address, err)
+		return nil, fmt.Errorf("call %s: %w", address, errors.Join(err, ctx.Err()))
 	}
 	return stream, nil
 }
 
+// send writes the call. A call that is longer than the window of a new stream
+// waits for the peer to read it, and so is guarded.
+func (c *Client) send(ctx context.Context, stream *Stream, call *wire.Call) error {
+	if proto.Size(call) > windowBytes-maxLengthBytes {
+		stop := c.Guard(ctx, stream)
+		defer stop()
+	}
+	return stream.Send(call)
+}
+
 // Ask makes a call that has one answer, read into reply.
 func (c *Client) Ask(ctx context.Context, address string, call *wire.Call, reply proto.Message) error {
 	stream, err := c.Open(ctx, address, call)
@@ -115,20 +114,24 @@
 // returns ends the watch.
 func (c *Client) Guard(ctx context.Context, stream *Stream) (stop func()) {
 	done := make(chan struct{})
+	// A ping may take long, so it must not hold up the end of ctx.
+	forget := context.AfterFunc(ctx, stream.Abort)
 	go func() {
 		for {
 			select {
 			case <-done:
 				return
 			case <-ctx.Done():
-				stream.Abort()
 				return
 			case <-c.cfg.Clock.After(c.cfg.PatienceInterval):
 				stream.verify()
 			}
 		}
 	}()
-	return sync.OnceFunc(func() { close(done) })
+	return sync.OnceFunc(func() {
+		forget()
+		close(done)
+	})
 }
 
 // Close ends every session.
@@ -148,16 +151,6 @@
 	clear(s.peers)
 }
 
-func (p *peer) close() {
-	for i := range p.slots {
-		p.slots[i].mu.Lock()
-		if p.slots[i].session != nil {
-			_ = p.slots[i].session.Close()
-		}
-		p.slots[i].mu.Unlock()
-	}
-}
-
 func (c *Client) stream(ctx context.Context, address string) (*Stream, error) {
 	p := c.peer(address)
 	index := c.turn.Add(1) % uint64(len(p.slots))
@@ -184,22 +177,3 @@
 	}
 	return p
 }
-
-func (s *slot) open(ctx context.Context, address string, cfg Config) (*yamux.Session, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.session != nil && !s.session.IsClosed() {
-		return s.session, nil
-	}
-	conn, err := dial(ctx, address, cfg.TLS, cfg.DialTimeout)
-	if err != nil {
-		return nil, err
-	}
-	session, err := yamux.Client(&joinedConn{Conn: conn}, sessionConfig(cfg.PingTimeout))
-	if err != nil {
-		_ = conn.Close()
-		return nil, fmt.Errorf("start session: %w", err)
-	}
-	s.session = session
-	return session, nil
-}
