Report every request in flight when a target crashes

A refused connection took the same mark, so that the runs that then broke were never reported.

Each later run that breaks adds its own fingerprint, if it lacks, in a partial report with the same number. The note is cleared when the target answers again.

TestCrashReportHoldsAllInFlight (300 runs): with the old code the case of a connection refused first failed in the one run of it (nothing is reported); the case of all at once, a race, failed in 1 of 7 runs. With the new code both pass, 3 runs with -race.

--- a/internal/process/side/crash.go
+++ b/internal/process/side/crash.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -22,18 +23,16 @@
 	crashReportTimeout = 10 * time.Second
 )
 
-// targetDown refuses work until the target takes connections again. It
-// returns false if the target is known to be down.
-func (s *Sidecar) targetDown() bool {
+// targetDown refuses work until the target takes connections again.
+func (s *Sidecar) targetDown() {
 	if !s.down.CompareAndSwap(false, true) {
-		return false
+		return
 	}
 	_ = level.Warn(s.cfg.Logger).Log("msg", "target does not answer", "target", s.cfg.Name)
 	s.settle(s.admitted.SetDown(s.cfg.Clock.Now(), true))
 	s.warm.Reset()
 	s.deployed.forget()
 	go s.awaitTarget()
-	return true
 }
 
 func (s *Sidecar) awaitTarget() {
@@ -43,27 +42,74 @@
 		}
 	}
 	_ = level.Info(s.cfg.Logger).Log("msg", "target answers again", "target", s.cfg.Name)
-	s.down.Store(false)
+	s.crash.over(func() { s.down.Store(false) })
 	s.settle(s.admitted.SetDown(s.cfg.Clock.Now(), false))
 }
 
-// targetCrashed notes a crash: what was in flight is not run here again until
-// it is cleared, and control hears of it.
-func (s *Sidecar) targetCrashed() {
-	if !s.targetDown() {
-		return
+// crashNote is what was noted of the crash that began the time in which the
+// target is down. Its zero value is that of a target that is up.
+type crashNote struct {
+	mu    sync.Mutex
+	noted bool
+	// number counts the crashes.
+	number uint64
+	told   map[ident.Fingerprint]bool
+}
+
+// note returns the report on the crash that the run of a fingerprint met, nil
+// if an earlier report holds that fingerprint. The first report of a crash
+// holds all of inFlight; each later one adds what was missing.
+func (c *crashNote) note(own ident.Fingerprint, inFlight func() []ident.Fingerprint) *cmdpb.CrashReport {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	fingerprints := []ident.Fingerprint{own}
+	first := !c.noted
+	if first {
+		c.noted = true
+		c.number++
+		c.told = make(map[ident.Fingerprint]bool)
+		fingerprints = inFlight()
+	}
+	report := &cmdpb.CrashReport{Number: c.number, Partial: !first}
+	for _, fingerprint := range fingerprints {
+		if first || !c.told[fingerprint] {
+			report.Fingerprints = append(report.Fingerprints, uint64(fingerprint))
+		}
+		c.told[fingerprint] = true
 	}
-	inFlight := s.runs.inFlight()
-	s.recent.Note(s.cfg.Clock.Now().Add(poison.DefaultWindow), inFlight)
-	report := &cmdpb.CrashReport{
-		Target:      string(s.cfg.Name),
-		Incarnation: uint64(s.cfg.Incarnation),
-		Number:      s.crashes.Add(1),
+	if len(report.Fingerprints) == 0 {
+		return nil
+	}
+	return report
+}
+
+// over ends the time in which the target is down.
+func (c *crashNote) over(up func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	up()
+	c.noted = false
+	c.told = nil
+}
+
+// targetCrashed notes a crash that the run of a fingerprint met: what was in
+// flight is not run here again until it is cleared, and control hears of it.
+// The run must still be among the runs.
+func (s *Sidecar) targetCrashed(fingerprint ident.Fingerprint) {
+	report := s.crash.note(fingerprint, s.runs.inFlight)
+	s.targetDown()
+	if report == nil {
+		return
 	}
-	for _, fingerprint := range inFlight {
-		report.Fingerprints = append(report.Fingerprints, uint64(fingerprint))
+	report.Target = string(s.cfg.Name)
+	report.Incarnation = uint64(s.cfg.Incarnation)
+	noted := make([]ident.Fingerprint, 0, len(report.GetFingerprints()))
+	for _, inFlight := range report.GetFingerprints() {
+		noted = append(noted, ident.Fingerprint(inFlight))
 	}
-	_ = level.Error(s.cfg.Logger).Log("msg", "target crashed", "target", s.cfg.Name, "in_flight", len(inFlight))
+	s.recent.Note(s.cfg.Clock.Now().Add(poison.DefaultWindow), noted)
+	_ = level.Error(s.cfg.Logger).Log("msg", "target crashed", "target", s.cfg.Name, "in_flight", len(noted),
+		"partial", report.GetPartial())
 	go s.tell(&cmdpb.Command{Body: &cmdpb.Command_Crash{Crash: report}})
 }
 
--- /dev/null
+++ b/internal/process/side/faults_test.go
@@ -0,0 +1,117 @@
+package side_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"slices"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cactusline.dev/cactusline/internal/conn/link"
+	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/process/clock"
+	"cactusline.dev/cactusline/internal/process/permit"
+	"cactusline.dev/cactusline/internal/version/ident"
+	"cactusline.dev/cactusline/internal/version/record"
+)
+
+// plainTarget is a target of a plain service with its sidecar.
+type plainTarget struct {
+	*fleet
+	*node
+	server *httptest.Server
+	link   *link.Client
+}
+
+// startPlain serves handler as the target t. Requests for / are answered.
+func startPlain(t *testing.T, handler http.HandlerFunc) *plainTarget {
+	t.Helper()
+	p := &plainTarget{fleet: newFleet(t, permit.Limit{})}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("/work", handler)
+	p.server = httptest.NewServer(mux)
+	t.Cleanup(p.server.CloseClientConnections)
+	address, err := url.Parse(p.server.URL)
+	assert.NilError(t, err)
+	listener := listen(t)
+	p.node = p.startSidecar("t", address, listener)
+	target := targetOf("t", listener.Addr().String())
+	target.Service = "s"
+	target.Capacity = record.Capacity{Requests: 1000, Tokens: 1_000_000}
+	p.submit(&record.Service{Name: "s"}, target)
+	p.link = link.NewClient(link.Config{Clock: clock.System{}, Caller: "caller"})
+	t.Cleanup(func() { _ = p.link.Close() })
+	await(t, orderWait, "the sidecar has the records", func() bool {
+		return p.follower.Confirmed() && p.follower.Set().Revision() == p.state.Set().Revision()
+	})
+	return p
+}
+
+// open submits an attempt at /work.
+func (p *plainTarget) open(submit *wire.Submit) *link.Stream {
+	p.t.Helper()
+	submit.Request, submit.Customer, submit.Path, submit.Final = "r", string(customer), "/work", true
+	if submit.GetMethod() == "" {
+		submit.Method = http.MethodPost
+	}
+	stream, err := p.link.Open(context.Background(), p.address, &wire.Call{
+		Revision: uint64(p.state.Set().Revision()), Body: &wire.Call_Submit{Submit: submit},
+	})
+	assert.NilError(p.t, err)
+	return stream
+}
+
+// read reads the whole answer of an attempt.
+func (p *plainTarget) read(stream *link.Stream) (a outcome, status int32) {
+	p.t.Helper()
+	for a.refusal == nil && a.end == nil {
+		reply := new(wire.Reply)
+		assert.NilError(p.t, stream.Receive(reply))
+		a.refusal, a.end = reply.GetRefusal(), reply.GetEnd()
+		a.body = append(a.body, reply.GetData()...)
+		status = max(status, reply.GetHead().GetStatus())
+	}
+	return a, status
+}
+
+// TestCrashReportHoldsAllInFlight has a target die under many runs, before or
+// after another attempt was refused a connection.
+func TestCrashReportHoldsAllInFlight(t *testing.T) {
+	for name, refusedFirst := range map[string]bool{"all at once": false, "connection refused first": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const count = 300
+			var running atomic.Int32
+			p := startPlain(t, func(_ http.ResponseWriter, r *http.Request) {
+				running.Add(1)
+				<-r.Context().Done()
+			})
+			var streams []*link.Stream
+			var want []ident.Fingerprint
+			for i := range count {
+				fingerprint := ident.Fingerprint(i + 1)
+				streams = append(streams, p.open(&wire.Submit{Attempt: fmt.Sprintf("a%d", i), Fingerprint: uint64(fingerprint)}))
+				want = append(want, fingerprint)
+			}
+			await(t, orderWait, "all run", func() bool { return running.Load() == count })
+			assert.NilError(t, p.server.Listener.Close())
+			if refusedFirst {
+				p.read(p.open(&wire.Submit{Attempt: "late", Fingerprint: count + 1}))
+			}
+			p.server.CloseClientConnections()
+			for _, stream := range streams {
+				a, _ := p.read(stream)
+				assert.Assert(t, a.end.GetTargetCrashed(), "%v", a)
+			}
+			await(t, orderWait, "control has heard of all that was in flight", func() bool {
+				return slices.Equal(p.state.CrashedAt("t"), want)
+			})
+		})
+	}
+}
--- a/internal/process/side/run.go
+++ b/internal/process/side/run.go
@@ -124,7 +124,7 @@
 		return nil
 	}
 	if err != nil {
-		return s.failed(ctx, 0, err)
+		return s.failed(ctx, r, 0, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	r.cached, r.counted = cachedTokens(resp)
@@ -149,17 +149,17 @@
 			return &wire.End{Outcome: wire.Outcome_OUTCOME_RAN, Length: length}
 		}
 		if err != nil {
-			return s.failed(ctx, length, err)
+			return s.failed(ctx, r, length, err)
 		}
 	}
 }
 
 // failed words the end of an attempt whose answer is not whole.
-func (s *Sidecar) failed(ctx context.Context, length uint64, err error) *wire.End {
+func (s *Sidecar) failed(ctx context.Context, r *run, length uint64, err error) *wire.End {
 	end := &wire.End{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Length: length, Error: err.Error()}
 	if ctx.Err() == nil && (s.down.Load() || !s.target.answers()) {
 		end.TargetCrashed = true
-		s.targetCrashed()
+		s.targetCrashed(r.fingerprint)
 	}
 	return end
 }
--- a/internal/process/side/side.go
+++ b/internal/process/side/side.go
@@ -79,7 +79,7 @@
 	attempts *replay.Table
 	poisoned poison.Set
 	recent   poison.Recent
-	crashes  atomic.Uint64
+	crash    crashNote
 	warm     *warm.Index
 	newest   newest
 	deployed deployment
