Let a planned stop wait for places and readers

Cause: a sidecar that stops waited only for the attempts at the target. An attempt enters those after its admission, and the router's reading of an answer, which may lag behind the target, was not waited for at all: after the last run and a linger of 200 ms all streams were cut.

Now the stop waits until no place is held (from before admission to the end of the run) and no stream answers an attempt, and this must hold all through the linger. The orders to the engine count places by model as well, so that a model isn't unloaded between an attempt's admission and its start.

Ruled out: a longer linger, which only moves the bound. Not bounded here: a reader that stands still for ever on a live link holds the stop, as its run did before.

The count of places has no test of its own.

--- a/internal/process/side/faults_test.go
+++ b/internal/process/side/faults_test.go
@@ -1,6 +1,7 @@
 package side_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
@@ -9,6 +10,7 @@
 	"slices"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -115,3 +117,25 @@
 		})
 	}
 }
+
+// TestPlannedStopLetsSlowReadersFinish stops a sidecar while a long answer is
+// read slowly.
+func TestPlannedStopLetsSlowReadersFinish(t *testing.T) {
+	t.Parallel()
+	want := bytes.Repeat([]byte("0123456789abcdef"), 1<<16)
+	p := startPlain(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(want) })
+	stream := p.open(&wire.Submit{Attempt: "slow"})
+	var got []byte
+	for end := (*wire.End)(nil); end == nil; {
+		reply := new(wire.Reply)
+		assert.NilError(t, stream.Receive(reply), "after %d of %d bytes", len(got), len(want))
+		if got == nil {
+			p.stop()
+		}
+		got = append(got, reply.GetData()...)
+		end = reply.GetEnd()
+		time.Sleep(100 * time.Millisecond)
+	}
+	assert.Assert(t, bytes.Equal(got, want))
+	await(t, orderWait, "the sidecar ends", func() bool { return p.Life().Err() != nil })
+}
--- a/internal/process/side/fleet_test.go
+++ b/internal/process/side/fleet_test.go
@@ -148,6 +148,8 @@
 	*side.Sidecar
 	follower *watch.Follower
 	address  string
+	// stop has the sidecar end as planned.
+	stop context.CancelFunc
 }
 
 // startSidecar registers a sidecar and runs it.
@@ -172,7 +174,7 @@
 	go follower.Run(sidecar.Life())
 	go func() { _ = sidecar.Run(ctx) }()
 	f.t.Cleanup(cancel)
-	return &node{Sidecar: sidecar, follower: follower, address: listener.Addr().String()}
+	return &node{Sidecar: sidecar, follower: follower, address: listener.Addr().String(), stop: cancel}
 }
 
 // targetOf returns the record of an engine.
--- a/internal/process/side/run.go
+++ b/internal/process/side/run.go
@@ -85,7 +85,7 @@
 		defer span.End()
 		end := s.perform(ctx, submit, r)
 		s.runs.remove(r)
-		s.runs.release()
+		s.runs.release(r.model)
 		s.learn(submit, r, end)
 		now := s.cfg.Clock.Now()
 		if end == nil {
@@ -212,6 +212,8 @@
 	byID map[ident.AttemptID]*run
 	// places are held by attempts from before admission until they end.
 	places int
+	// models counts the places by model.
+	models map[ident.ModelName]int
 	// solo says that the one place is held by a request that may only run
 	// alone.
 	solo bool
@@ -219,22 +221,30 @@
 
 // reserve takes a place. A request that may only run alone gets one if there
 // is no other, and then there is no other until it ends.
-func (s *runs) reserve(solo bool) bool {
+func (s *runs) reserve(model ident.ModelName, solo bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.solo || (solo && s.places > 0) {
 		return false
 	}
+	if s.models == nil {
+		s.models = make(map[ident.ModelName]int)
+	}
 	s.places++
+	s.models[model]++
 	s.solo = solo
 	return true
 }
 
 // release gives a place back.
-func (s *runs) release() {
+func (s *runs) release(model ident.ModelName) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.places--
+	s.models[model]--
+	if s.models[model] == 0 {
+		delete(s.models, model)
+	}
 	s.solo = false
 }
 
@@ -264,16 +274,12 @@
 	return fingerprints
 }
 
-// uses reports whether an attempt at the target runs on the model.
+// uses reports whether an attempt that holds a place runs on the model, or may
+// once it is admitted.
 func (s *runs) uses(model ident.ModelName) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, r := range s.byID {
-		if r.model == model {
-			return true
-		}
-	}
-	return false
+	return s.models[model] > 0
 }
 
 // reader is one router's place in an answer.
@@ -339,9 +345,9 @@
 	return r.readers == 0
 }
 
-// count returns how many attempts are at the target.
-func (s *runs) count() int {
+// held returns how many places are held.
+func (s *runs) held() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.byID)
+	return s.places
 }
--- a/internal/process/side/side.go
+++ b/internal/process/side/side.go
@@ -87,10 +87,12 @@
 	departing departure
 	waiting   waiting
 	runs      runs
-	follower  atomic.Pointer[watch.Follower]
-	leaving   atomic.Bool
-	down      atomic.Bool
-	stopping  atomic.Bool
+	// serving counts the streams on which an attempt is answered.
+	serving  atomic.Int64
+	follower atomic.Pointer[watch.Follower]
+	leaving  atomic.Bool
+	down     atomic.Bool
+	stopping atomic.Bool
 	// life ends, by end, when the process has nothing left to do.
 	life context.Context
 	end  context.CancelFunc
@@ -152,23 +154,29 @@
 	return nil
 }
 
-// shutDown lets the runs finish and then closes the listener. Routers may
-// read the answers until the last run has ended and a moment longer.
+// shutDown lets the work that was taken on finish and its answers be read,
+// and then closes the listener. A router may come back for an answer for a
+// moment after that.
 func (s *Sidecar) shutDown() {
 	s.stopping.Store(true)
 	s.setLeaving(s.cfg.Clock.Now(), true)
-	_ = level.Info(s.cfg.Logger).Log("msg", "sidecar finishes its runs", "runs", s.runs.count())
-	for s.runs.count() > 0 {
+	_ = level.Info(s.cfg.Logger).Log("msg", "sidecar finishes its runs", "runs", s.runs.held())
+	for quiet := time.Duration(0); quiet < lingerTime; quiet += tickInterval {
 		if s.cfg.Clock.Sleep(s.life, tickInterval) != nil {
 			break
 		}
+		if s.busy() {
+			quiet = 0
+		}
 	}
-	_ = s.cfg.Clock.Sleep(s.life, lingerTime)
 	_ = s.cfg.Listener.Close()
 	s.end()
 }
 
-// lingerTime is how long a stopping sidecar serves after its last run.
+// busy reports whether an attempt holds a place or is answered.
+func (s *Sidecar) busy() bool { return s.runs.held() > 0 || s.serving.Load() > 0 }
+
+// lingerTime is how long a stopping sidecar serves after its last answer.
 const lingerTime = 200 * time.Millisecond
 
 // Update takes news from control.
--- a/internal/process/side/submit.go
+++ b/internal/process/side/submit.go
@@ -19,6 +19,8 @@
 // serveSubmit runs an attempt, or joins one that runs already, and relays its
 // answer.
 func (s *Sidecar) serveSubmit(call *wire.Call, submit *wire.Submit, stream *link.Stream) {
+	s.serving.Add(1)
+	defer s.serving.Add(-1)
 	out := &answer{stream: stream, attempt: submit.GetAttempt(), offset: submit.GetResumeOffset(), revision: s.revision, logger: s.cfg.Logger, refused: s.countRefused}
 	ctx, cancel := context.WithCancel(s.life)
 	defer cancel()
@@ -78,7 +80,8 @@
 func (s *Sidecar) begin(ctx context.Context, call *wire.Call, submit *wire.Submit, out *answer, watcher *callerWatch) {
 	id := ident.AttemptID(submit.GetAttempt())
 	solo := s.suspect(ident.Fingerprint(submit.GetFingerprint()))
-	if !s.runs.reserve(solo) {
+	model := ident.ModelName(submit.GetModel())
+	if !s.runs.reserve(model, solo) {
 		s.attempts.Withdraw(s.cfg.Clock.Now(), id)
 		_ = out.refuse(&wire.Refusal{
 			Reason:       wire.RefusalReason_REFUSAL_REASON_OVERLOADED,
@@ -89,7 +92,7 @@
 	}
 	decision := s.offer(ctx, s.work(submit))
 	if decision.Kind != admit.Admitted {
-		s.runs.release()
+		s.runs.release(model)
 		s.attempts.Withdraw(s.cfg.Clock.Now(), id)
 		refusal := s.refusalOf(decision)
 		refusal.Digest = s.digestAbove(submit.GetDigestStamp())
