Put records into force in the order of their revisions

Cause: the sidecar's Update runs from the follower and from a router's push, without a lock: an older set could come into force after a newer one, and a set that arrived during a planned stop could read that the sidecar does not stop, then undo the departure. A push also carried its echo on, so that a router's word renewed the lease on the records, as no peer's word may.

Now one lock orders those who put records into force, the last revision is kept and older sets are skipped; whether the sidecar stops is read under the same lock. A set of the same revision still counts, as control's word after a drain did before. A push has its echo taken out, as a pull has.

Ruled out: a lock in the follower, since the planned stop and the drain call change the departure too.

Seen failing with each part switched off: TestOlderSetChangesNothing (the old set ends the departure) and TestPushMovesNoLease (the sidecar counts as confirmed). The race with the stop has no test.

--- a/internal/process/side/faults_test.go
+++ b/internal/process/side/faults_test.go
@@ -139,3 +139,30 @@
 	assert.Assert(t, bytes.Equal(got, want))
 	await(t, orderWait, "the sidecar ends", func() bool { return p.Life().Err() != nil })
 }
+
+// TestOlderSetChangesNothing has a set come late, after a newer one.
+func TestOlderSetChangesNothing(t *testing.T) {
+	t.Parallel()
+	p := startPlain(t, func(http.ResponseWriter, *http.Request) {})
+	older := p.state.Set()
+	target, _ := older.Target("t")
+	leaving := *target
+	leaving.Leaving = true
+	p.submit(&leaving)
+	await(t, orderWait, "the target leaves", func() bool { return p.Load().GetLeaving() })
+	p.Update(new(wire.Update), older)
+	assert.Assert(t, p.Load().GetLeaving())
+}
+
+// TestPushMovesNoLease pushes to a sidecar that no quorum has confirmed.
+func TestPushMovesNoLease(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, permit.Limit{})
+	gone := listen(t)
+	assert.NilError(t, gone.Close())
+	f.control = gone.Addr().String()
+	n := f.startSidecar("t", &url.URL{Scheme: "http", Host: f.control}, listen(t))
+	call := &wire.Call{Body: &wire.Call_Push{Push: &wire.Update{Echo: int64(time.Hour)}}}
+	assert.NilError(t, f.newCaller().link.Ask(context.Background(), n.address, call, new(wire.PushReply)))
+	assert.Assert(t, !n.follower.Confirmed())
+}
--- a/internal/process/side/side.go
+++ b/internal/process/side/side.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/url"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -80,6 +81,7 @@
 	poisoned poison.Set
 	recent   poison.Recent
 	crash    crashNote
+	applied  applied
 	warm     *warm.Index
 	newest   newest
 	deployed deployment
@@ -179,19 +181,39 @@
 // lingerTime is how long a stopping sidecar serves after its last answer.
 const lingerTime = 200 * time.Millisecond
 
-// Update takes news from control.
+// applied is what is in force of the records. Its lock orders those who put
+// them into force.
+type applied struct {
+	mu       sync.Mutex
+	revision ident.Revision
+}
+
+// Update takes news from control. A set older than the one in force changes
+// nothing.
 func (s *Sidecar) Update(update *wire.Update, set *record.Set) {
 	now := s.cfg.Clock.Now()
+	s.applied.mu.Lock()
+	defer s.applied.mu.Unlock()
 	if update.GetVerdictsSet() {
 		s.poisoned.Replace(watch.Verdicts(update.GetVerdicts()))
 	}
-	if set.Revision() > 0 {
-		s.admitted.SetLimits(s.limitsOf(set))
-		s.setLeaving(now, set.Leaving(s.cfg.Name))
+	if set.Revision() == 0 || set.Revision() < s.applied.revision {
+		return
 	}
+	s.applied.revision = set.Revision()
+	s.admitted.SetLimits(s.limitsOf(set))
+	s.putLeaving(now, set.Leaving(s.cfg.Name))
 }
 
 func (s *Sidecar) setLeaving(now time.Time, leaving bool) {
+	s.applied.mu.Lock()
+	defer s.applied.mu.Unlock()
+	s.putLeaving(now, leaving)
+}
+
+// putLeaving starts or ends the departure; a sidecar that stops is leaving
+// whatever it is told. The caller holds the lock of applied.
+func (s *Sidecar) putLeaving(now time.Time, leaving bool) {
 	leaving = leaving || s.stopping.Load()
 	was := s.leaving.Swap(leaving)
 	s.settle(s.admitted.SetLeaving(now, leaving))
@@ -249,6 +271,8 @@
 
 // takePush takes records from a router that is ahead.
 func (s *Sidecar) takePush(update *wire.Update, stream *link.Stream) {
+	// A peer's word moves the set but never the lease.
+	update.Echo = 0
 	if f := s.follower.Load(); f != nil {
 		_ = f.Take(update)
 	}
