--- a/internal/process/side/side.go
+++ b/internal/process/side/side.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/url"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -79,7 +80,8 @@
 	attempts *replay.Table
 	poisoned poison.Set
 	recent   poison.Recent
-	crashes  atomic.Uint64
+	crash    crashNote
+	applied  applied
 	warm     *warm.Index
 	newest   newest
 	deployed deployment
@@ -87,10 +89,12 @@
 	departing departure
 	waiting   waiting
 	runs      runs
-	follower  atomic.Pointer[watch.Follower]
-	leaving   atomic.Bool
-	down      atomic.Bool
-	stopping  atomic.Bool
+	// serving counts the streams on which an attempt is answered.
+	serving  atomic.Int64
+	follower atomic.Pointer[watch.Follower]
+	leaving  atomic.Bool
+	down     atomic.Bool
+	stopping atomic.Bool
 	// life ends, by end, when the process has nothing left to do.
 	life context.Context
 	end  context.CancelFunc
@@ -152,38 +156,64 @@
 	return nil
 }
 
-// shutDown lets the runs finish and then closes the listener. Routers may
-// read the answers until the last run has ended and a moment longer.
+// shutDown lets the work that was taken on finish and its answers be read,
+// and then closes the listener. A router may come back for an answer for a
+// moment after that.
 func (s *Sidecar) shutDown() {
 	s.stopping.Store(true)
 	s.setLeaving(s.cfg.Clock.Now(), true)
-	_ = level.Info(s.cfg.Logger).Log("msg", "sidecar finishes its runs", "runs", s.runs.count())
-	for s.runs.count() > 0 {
+	_ = level.Info(s.cfg.Logger).Log("msg", "sidecar finishes its runs", "runs", s.runs.held())
+	for quiet := time.Duration(0); quiet < lingerTime; quiet += tickInterval {
 		if s.cfg.Clock.Sleep(s.life, tickInterval) != nil {
 			break
 		}
+		if s.busy() {
+			quiet = 0
+		}
 	}
-	_ = s.cfg.Clock.Sleep(s.life, lingerTime)
 	_ = s.cfg.Listener.Close()
 	s.end()
 }
 
-// lingerTime is how long a stopping sidecar serves after its last run.
+// busy reports whether an attempt holds a place or is answered.
+func (s *Sidecar) busy() bool { return s.runs.held() > 0 || s.serving.Load() > 0 }
+
+// lingerTime is how long a stopping sidecar serves after its last answer.
 const lingerTime = 200 * time.Millisecond
 
-// Update takes news from control.
+// applied is what is in force of the records. Its lock orders those who put
+// them into force.
+type applied struct {
+	mu       sync.Mutex
+	revision ident.Revision
+}
+
+// Update takes news from control. A set older than the one in force changes
+// nothing.
 func (s *Sidecar) Update(update *wire.Update, set *record.Set) {
 	now := s.cfg.Clock.Now()
+	s.applied.mu.Lock()
+	defer s.applied.mu.Unlock()
 	if update.GetVerdictsSet() {
 		s.poisoned.Replace(watch.Verdicts(update.GetVerdicts()))
 	}
-	if set.Revision() > 0 {
-		s.admitted.SetLimits(s.limitsOf(set))
-		s.setLeaving(now, set.Leaving(s.cfg.Name))
+	if set.Revision() == 0 || set.Revision() < s.applied.revision {
+		return
 	}
+	s.applied.revision = set.Revision()
+	s.admitted.SetLimits(s.limitsOf(set))
+	s.putLeaving(now, set.Leaving(s.cfg.Name))
 }
 
 func (s *Sidecar) setLeaving(now time.Time, leaving bool) {
+	s.applied.mu.Lock()
+	defer s.applied.mu.Unlock()
+	s.putLeaving(now, leaving)
+}
+
+// putLeaving starts or ends the departure; a sidecar that stops is leaving
+// whatever it is told. The caller holds the lock of applied.
+func (s *Sidecar) putLeaving(now time.Time, leaving bool) {
 	leaving = leaving || s.stopping.Load()
 	was := s.leaving.Swap(leaving)
 	s.settle(s.admitted.SetLeaving(now, leaving))
@@ -241,6 +271,8 @@
 
 // takePush takes records from a router that is ahead.
 func (s *Sidecar) takePush(update *wire.Update, stream *link.Stream) {
+	// A peer's word moves the set but never the lease.
+	update.Echo = 0
 	if f := s.follower.Load(); f != nil {
 		_ = f.Take(update)
 	}
