--- a/internal/version/store/change.go
+++ b/internal/version/store/change.go
@@ -192,6 +192,7 @@
 	switch {
 	case found && body.GetCancel():
 		d.retired = append(d.retired, r.Key())
+		d.committed = append(d.committed, versionOf(r.Key(), current.Version()))
 		return s.commit(c, d, audit.KindUndrain)
 	case body.GetCancel():
 		return s.commit(c, d, audit.KindUndrain)
--- a/internal/version/store/store_test.go
+++ b/internal/version/store/store_test.go
@@ -86,7 +86,11 @@
 	<-changed
 	assert.Assert(t, r.store.Set().Leaving("t"))
 	assert.Equal(t, r.apply(drainOf("f", "vm1", false)).GetRevision(), uint64(2), "planned already")
-	assert.Equal(t, r.apply(drainOf("g", "vm1", true)).GetStatus(), ok)
+	undrained := r.apply(drainOf("g", "vm1", true))
+	assert.Equal(t, undrained.GetStatus(), ok)
+	entries, err := r.store.AuditAfter(undrained.GetAudit() - 1)
+	assert.NilError(t, err)
+	assert.Equal(t, entries[0].Subject, "Departure/vm/vm1@1")
 	assert.Assert(t, !r.store.Set().Leaving("t"))
 	assert.Equal(t, r.apply(drainOf("h", "", false)).GetStatus(), cmdpb.Status_STATUS_INVALID)
 }
