Give the target's redirects to the caller

Cause: the sidecar's client of its target was http.Client with the standard treatment of redirects. It followed them, so that a 303 after a POST became a second request at the target, also for an attempt that may run only once, and the caller never saw the answer; to another host, it would have gone there.

Now CheckRedirect is http.ErrUseLastResponse in effect: a redirect is an answer like any other.

Ruled out: a client apart for the engine's own questions. Those refuse any status but success, and no engine redirects them.

--- a/internal/process/side/faults_test.go
+++ b/internal/process/side/faults_test.go
@@ -166,3 +166,18 @@
 	assert.NilError(t, f.newCaller().link.Ask(context.Background(), n.address, call, new(wire.PushReply)))
 	assert.Assert(t, !n.follower.Confirmed())
 }
+
+// TestRedirectIsTheAnswer has the target answer a POST with a redirect to
+// itself.
+func TestRedirectIsTheAnswer(t *testing.T) {
+	t.Parallel()
+	var asked atomic.Int32
+	p := startPlain(t, func(w http.ResponseWriter, r *http.Request) {
+		asked.Add(1)
+		http.Redirect(w, r, "/work?again", http.StatusSeeOther)
+	})
+	a, status := p.read(p.open(&wire.Submit{Attempt: "a", Once: true, Incarnation: p.Load().GetIncarnation()}))
+	assert.Equal(t, a.end.GetOutcome(), wire.Outcome_OUTCOME_RAN, "%v", a)
+	assert.Equal(t, status, int32(http.StatusSeeOther))
+	assert.Equal(t, asked.Load(), int32(1))
+}
--- a/internal/process/side/target.go
+++ b/internal/process/side/target.go
@@ -39,16 +39,22 @@
 	dialer := &net.Dialer{Timeout: targetDialTimeout}
 	return &targetClient{
 		base: base,
-		client: &http.Client{Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxIdleConnsPerHost: targetIdleConns,
-			MaxIdleConns:        targetIdleConns,
-			IdleConnTimeout:     targetIdleInterval,
-			DisableCompression:  true,
-		}},
+		client: &http.Client{
+			CheckRedirect: keepRedirect,
+			Transport: &http.Transport{
+				DialContext:         dialer.DialContext,
+				MaxIdleConnsPerHost: targetIdleConns,
+				MaxIdleConns:        targetIdleConns,
+				IdleConnTimeout:     targetIdleInterval,
+				DisableCompression:  true,
+			},
+		},
 	}
 }
 
+// keepRedirect makes a redirect the answer, which is for the caller to follow.
+func keepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // do sends one attempt to the target. The context cancels it.
 func (t *targetClient) do(ctx context.Context, submit *wire.Submit, priority int32, traceParent string) (*http.Response, error) {
 	address := t.base.JoinPath(submit.GetPath())
