Let no slow caller hold an engine, and admit what is not known of a member change

Cause, found by reading: nothing bounded how long a caller may take none of its answer or send none of its body, and while the write waited neither the deadline nor a cancel ran; and a change of members whose answer was lost was reported as 'nothing was changed'. Writes now fail after 30 s, a body must come within a minute, and the verb says that the outcome is not known.

Measured: build, vet and the packages' tests pass; no test of its own.

--- a/internal/process/cmds/client.go
+++ b/internal/process/cmds/client.go
@@ -101,9 +101,12 @@
 
 // unanswered words the end of patience.
 func (c *Client) unanswered(err error, r request, unknown bool) error {
-	if r.change != "" && unknown {
-		return &codedError{code: ExitUnknown, err: fmt.Errorf(
-			"it is not known whether the change was made; send it again with --change %s: %w", r.change, err)}
+	if unknown && r.method != http.MethodGet {
+		next := "look at it with 'cactusline status'"
+		if r.change != "" {
+			next = "send it again with --change " + string(r.change)
+		}
+		return &codedError{code: ExitUnknown, err: fmt.Errorf("it is not known whether the change was made; %s: %w", next, err)}
 	}
 	return &codedError{code: ExitRefused, err: fmt.Errorf("no answer; nothing was changed: %w", err)}
 }
--- a/internal/process/router/answer.go
+++ b/internal/process/router/answer.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"time"
 
 	"cactusline.dev/cactusline/internal/conn/httpd"
 	"cactusline.dev/cactusline/internal/conn/wire"
@@ -15,12 +16,16 @@
 type streamed struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
+	clock   Clock
 }
 
-func newStreamed(w http.ResponseWriter) *streamed {
-	return &streamed{w: w, control: http.NewResponseController(w)}
+func newStreamed(w http.ResponseWriter, clock Clock) *streamed {
+	return &streamed{w: w, control: http.NewResponseController(w), clock: clock}
 }
 
+// writeTimeout is how long a caller may take none of an answer.
+const writeTimeout = 30 * time.Second
+
 // Head implements relay.Caller.
 func (s *streamed) Head(status int, headers []*wire.Header) {
 	copyHeaders(s.w.Header(), headers)
@@ -29,8 +34,10 @@
 	s.w.WriteHeader(status)
 }
 
-// Data implements relay.Caller.
+// Data implements relay.Caller. A caller that takes nothing for writeTimeout
+// counts as gone, so that it does not hold its place at the engine.
 func (s *streamed) Data(data []byte) error {
+	_ = s.control.SetWriteDeadline(s.clock.Now().Add(writeTimeout))
 	if _, err := s.w.Write(data); err != nil {
 		return err
 	}
@@ -57,8 +64,7 @@
 	panic(http.ErrAbortHandler)
 }
 
-// buffered keeps an answer until it is whole, so that its outcome can head it
-// and a broken attempt can be run again unseen.
+// buffered keeps an answer until it is whole, so that its outcome can head it.
 type buffered struct {
 	status  int
 	headers []*wire.Header
--- a/internal/process/router/chat.go
+++ b/internal/process/router/chat.go
@@ -159,7 +159,7 @@
 }
 
 func (r *Router) stream(w http.ResponseWriter, req *http.Request, c *call, request relay.Request) {
-	live := newStreamed(w)
+	live := newStreamed(w, r.cfg.Clock)
 	result := r.run(req.Context(), request, live)
 	r.noteServed(c, result)
 	if !result.Started {
--- a/internal/process/router/service.go
+++ b/internal/process/router/service.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -89,12 +90,18 @@
 	return customer, nil
 }
 
+// bodyTimeout bounds the reading of one body.
+const bodyTimeout = time.Minute
+
 // readBody reads the body within the bounds of the router and the customer.
 func (r *Router) readBody(w http.ResponseWriter, req *http.Request, customer *record.Customer) ([]byte, *httpd.Error) {
 	limit := r.cfg.BodyLimit
 	if customer.Limits.Body > 0 {
 		limit = min(limit, customer.Limits.Body)
 	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(r.cfg.Clock.Now().Add(bodyTimeout))
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, int64(limit)))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
