Bound an idempotent run by its caller's timeout

Cause: the sidecar used the timeout of an attempt for admission only. A run whose reader stands still, on a link that lives, waited for that reader for ever and held its place at the engine.

Now the context of a run that may run again elsewhere ends with the time that its caller still waits, counted from before the queue. A run that may run only once keeps no deadline: its end must stay known.

Ruled out: a deadline on the stream, which frees the reader and leaves the run to the orphan timeout.

--- a/internal/process/side/faults_test.go
+++ b/internal/process/side/faults_test.go
@@ -181,3 +181,26 @@
 	assert.Equal(t, status, int32(http.StatusSeeOther))
 	assert.Equal(t, asked.Load(), int32(1))
 }
+
+// TestStalledReaderHoldsNoPlace submits an attempt with a long answer and
+// reads nothing of it.
+func TestStalledReaderHoldsNoPlace(t *testing.T) {
+	t.Parallel()
+	var running atomic.Int32
+	p := startPlain(t, func(w http.ResponseWriter, _ *http.Request) {
+		running.Add(1)
+		defer running.Add(-1)
+		for {
+			if _, err := w.Write(make([]byte, 1<<16)); err != nil {
+				return
+			}
+		}
+	})
+	const timeout = time.Second
+	begun := time.Now()
+	stream := p.open(&wire.Submit{Attempt: "a", TimeoutMs: uint32(timeout.Milliseconds())})
+	defer stream.Abort()
+	await(t, orderWait, "it runs", func() bool { return running.Load() == 1 && p.Load().GetRequests() == 1 })
+	await(t, orderWait, "its place is free", func() bool { return running.Load() == 0 && p.Load().GetRequests() == 0 })
+	assert.Assert(t, time.Since(begun) >= timeout)
+}
--- a/internal/process/side/run.go
+++ b/internal/process/side/run.go
@@ -60,11 +60,11 @@
 }
 
 // start runs an admitted attempt in the background.
-func (s *Sidecar) start(call *wire.Call, submit *wire.Submit, solo, urgent bool) {
+func (s *Sidecar) start(call *wire.Call, submit *wire.Submit, deadline time.Time, solo, urgent bool) {
 	ctx, span := s.cfg.Tracer.Start(s.life, call.GetTraceParent(), "sidecar.attempt",
 		attribute.String("request", submit.GetRequest()),
 		attribute.String("attempt", submit.GetAttempt()))
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := s.bounded(ctx, submit, deadline)
 	r := &run{
 		id:          ident.AttemptID(submit.GetAttempt()),
 		fingerprint: ident.Fingerprint(submit.GetFingerprint()),
@@ -97,6 +97,16 @@
 	}()
 }
 
+// bounded returns the context of a run. One that may run again elsewhere ends
+// with its caller's patience, so that no reader holds its place for longer;
+// the end of one that runs only once must stay known.
+func (s *Sidecar) bounded(ctx context.Context, submit *wire.Submit, deadline time.Time) (context.Context, context.CancelFunc) {
+	if submit.GetOnce() || deadline.IsZero() {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, deadline.Sub(s.cfg.Clock.Now()))
+}
+
 // learn notes what the end of a run says about its chat and its request.
 func (s *Sidecar) learn(submit *wire.Submit, r *run, end *wire.End) {
 	if end.GetOutcome() != wire.Outcome_OUTCOME_RAN {
--- a/internal/process/side/submit.go
+++ b/internal/process/side/submit.go
@@ -90,7 +90,8 @@
 		})
 		return
 	}
-	decision := s.offer(ctx, s.work(submit))
+	work := s.work(submit)
+	decision := s.offer(ctx, work)
 	if decision.Kind != admit.Admitted {
 		s.runs.release(model)
 		s.attempts.Withdraw(s.cfg.Clock.Now(), id)
@@ -99,7 +100,7 @@
 		_ = out.refuse(refusal)
 		return
 	}
-	s.start(call, submit, solo, decision.Urgent)
+	s.start(call, submit, work.Deadline, solo, decision.Urgent)
 	out.digest = s.digestAbove(submit.GetDigestStamp())
 	s.join(ctx, submit, out, watcher)
 }
