Name atomic.Bool where the caller's cancel is kept

Cause: a type alias, flag, hid the standard type behind a name of its own in one place, and the rest of the package says atomic.Bool. The alias is gone.

--- a/internal/process/side/run.go
+++ b/internal/process/side/run.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -32,8 +31,6 @@
 // chunks keeps the buffers through which answers are copied.
 var chunks = sync.Pool{New: func() any { return new([answerChunkBytes]byte) }}
 
-type flag = atomic.Bool
-
 // run is one attempt at the target.
 type run struct {
 	id          ident.AttemptID
--- a/internal/process/side/submit.go
+++ b/internal/process/side/submit.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -197,7 +198,7 @@
 type callerWatch struct {
 	stream   *link.Stream
 	cancel   context.CancelFunc
-	canceled flag
+	canceled atomic.Bool
 }
 
 func (c *callerWatch) wait() {
