--- a/internal/process/side/submit.go
+++ b/internal/process/side/submit.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -92,7 +93,8 @@
 		})
 		return
 	}
-	decision := s.offer(ctx, s.work(submit))
+	work := s.work(submit)
+	decision := s.offer(ctx, work)
 	if decision.Kind != admit.Admitted {
 		s.runs.release(model)
 		s.attempts.Withdraw(s.cfg.Clock.Now(), id)
@@ -101,7 +103,7 @@
 		_ = out.refuse(refusal)
 		return
 	}
-	s.start(call, submit, solo, decision.Urgent)
+	s.start(call, submit, work.Deadline, solo, decision.Urgent)
 	out.digest = s.digestAbove(submit.GetDigestStamp())
 	s.join(ctx, submit, out, watcher)
 }
@@ -198,7 +200,7 @@
 type callerWatch struct {
 	stream   *link.Stream
 	cancel   context.CancelFunc
-	canceled flag
+	canceled atomic.Bool
 }
 
 func (c *callerWatch) wait() {
