End the handing over of prefixes with its time

Cause: handOver went on through all its batches after its context had ended (its timeout, or a departure that was taken back), with a warning for each batch that it could not send. Now the rest is counted as failed, and no further batch is tried.

Ruled out: leaving the loop without the count, since the last log line says how many chats were not handed over.

The tests' fleet takes a logger and a timeout for it.

--- a/internal/process/side/fleet_test.go
+++ b/internal/process/side/fleet_test.go
@@ -41,6 +41,10 @@
 	clock side.Clock
 	// transferRate is theirs, too.
 	transferRate ident.Bytes
+	// transferTimeout is theirs as well.
+	transferTimeout time.Duration
+	// logger takes what they log.
+	logger log.Logger
 }
 
 // directLog applies what is proposed at once.
@@ -73,7 +77,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	state := store.New(store.Config{})
-	f := &fleet{t: t, ctx: ctx, state: state, log: &directLog{state: state}, clock: clock.System{}}
+	f := &fleet{t: t, ctx: ctx, state: state, log: &directLog{state: state}, clock: clock.System{}, logger: log.NewNopLogger()}
 	listener := listen(t)
 	f.control = listener.Addr().String()
 	links := link.NewClient(link.Config{Clock: clock.System{}, Caller: "control"})
@@ -159,10 +163,10 @@
 	f.t.Cleanup(func() { _ = links.Close() })
 	addresses := []string{f.control}
 	sidecar, err := side.New(side.Config{
-		Name: name, Target: target, Listener: listener, Clock: f.clock, Logger: log.NewNopLogger(),
+		Name: name, Target: target, Listener: listener, Clock: f.clock, Logger: f.logger,
 		Tracer: trace.Off(), Link: links, ControlAddresses: addresses, Incarnation: f.register(name),
-		TransferRate: f.transferRate,
-		Control:      remote.NewClient(remote.Config{Addresses: addresses, Link: links, Clock: clock.System{}}),
+		TransferRate: f.transferRate, TransferTimeout: f.transferTimeout,
+		Control: remote.NewClient(remote.Config{Addresses: addresses, Link: links, Clock: clock.System{}}),
 	})
 	assert.NilError(f.t, err)
 	follower := watch.NewFollower(watch.Config{
--- a/internal/process/side/transfer.go
+++ b/internal/process/side/transfer.go
@@ -94,6 +94,10 @@
 	pace := &bulk.Pace{Clock: s.cfg.Clock, Rate: s.cfg.TransferRate}
 	sent, failed := 0, 0
 	for _, b := range s.batches() {
+		if ctx.Err() != nil {
+			failed += len(b.prefixes)
+			continue
+		}
 		count, err := s.sendBatch(ctx, pace, b)
 		sent += count
 		if err != nil {
--- a/internal/process/side/transfer_test.go
+++ b/internal/process/side/transfer_test.go
@@ -5,10 +5,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
 
 	"cactusline.dev/cactusline/internal/conn/bulk"
@@ -37,7 +40,7 @@
 	ranking *rank.Pool
 }
 
-func startPool(t *testing.T, rate ident.Bytes, cfg engine.Config) *pool {
+func startPool(t *testing.T, rate ident.Bytes, cfg engine.Config, adjust ...func(*fleet)) *pool {
 	cfg.Models = []ident.ModelName{"m"}
 	p := &pool{
 		fleet: newFleet(t, permit.Limit{}), nodes: make(map[ident.TargetName]*node),
@@ -45,6 +48,9 @@
 		ranking: rank.New(rank.Config{}),
 	}
 	p.transferRate = rate
+	for _, change := range adjust {
+		change(p.fleet)
+	}
 	p.caller = p.newCaller()
 	values := []any{modelRecord("1"), &record.Route{Name: "chats", Model: "m"}}
 	for i := range poolEngines {
@@ -118,6 +124,33 @@
 	assert.Assert(t, with > 0.9 && without < 0.05, "%.3f with transfer, %.3f without", with, without)
 }
 
+// TestHandOverEndsWithItsTime has a target leave whose time for the handing
+// over has ended before the first batch.
+func TestHandOverEndsWithItsTime(t *testing.T) {
+	t.Parallel()
+	var tried, ended atomic.Int32
+	p := startPool(t, 0, engine.Config{}, func(f *fleet) {
+		f.transferTimeout = time.Nanosecond
+		f.logger = log.LoggerFunc(func(pairs ...any) error {
+			if slices.Contains(pairs, any("prefixes not handed over")) {
+				tried.Add(1)
+			}
+			if slices.Contains(pairs, any("prefixes handed over")) {
+				ended.Add(1)
+			}
+			return nil
+		})
+	})
+	const leaving = ident.TargetName("engine-0")
+	for i := range poolChats / 4 {
+		p.turn(p.nodes[leaving], p.newChat(i, chatTokens))
+	}
+	p.records[leaving].Leaving = true
+	p.submit(p.records[leaving])
+	await(t, orderWait, "the handing over ends", func() bool { return ended.Load() == 1 })
+	assert.Equal(t, tried.Load(), int32(0))
+}
+
 // handOff is one transfer of a single chat.
 type handOff struct {
 	*pool
