Leave another router's claim alone for a moment before it is looked into

The claim is now given 50 ms in which its attempt comes to be seen and can be joined.

Ruled out: claiming again instead (a dead claim would hold the key for ever).

The share of unknown answers after it is not measured.

--- a/internal/request/tries/config.go
+++ b/internal/request/tries/config.go
@@ -17,6 +17,7 @@
 	DefaultMaxTries       = 4
 	DefaultMaxRuns        = 2
 	DefaultMaxResumes     = 6
+	DefaultHeldDelay      = 50 * time.Millisecond
 	DefaultResumeDelay    = 100 * time.Millisecond
 	DefaultRetryAfter     = time.Second
 	DefaultAttemptTimeout = 30 * time.Second
@@ -65,6 +66,9 @@
 	// ResumeDelay is the wait before a target that did not answer a join is
 	// asked again; it doubles each time.
 	ResumeDelay time.Duration
+	// HeldDelay is how long the claim of another router is left alone before it
+	// is looked into.
+	HeldDelay time.Duration
 	// MaxTakeovers bounds how many claims of other routers are looked into.
 	MaxTakeovers int
 	// HedgeAfter is the wait for the first byte after which an idempotent
@@ -87,6 +91,7 @@
 	c.MaxRuns = cmp.Or(c.MaxRuns, DefaultMaxRuns)
 	c.MaxResumes = cmp.Or(c.MaxResumes, DefaultMaxResumes)
 	c.MaxTakeovers = cmp.Or(c.MaxTakeovers, DefaultMaxTakeovers)
+	c.HeldDelay = cmp.Or(c.HeldDelay, DefaultHeldDelay)
 	c.ResumeDelay = cmp.Or(c.ResumeDelay, DefaultResumeDelay)
 	c.RetryAfter = cmp.Or(c.RetryAfter, DefaultRetryAfter)
 	if c.Watched {
--- a/internal/request/tries/ledger.go
+++ b/internal/request/tries/ledger.go
@@ -79,7 +79,20 @@
 		Result:  ResultOpen,
 		Sent:    now,
 	})
-	m.bury(len(m.attempts) - 1)
+	// A claim that was only just made is not a dead one: its attempt is given
+	// time to reach the target, where it can be joined.
+	m.phase = phaseBurying
+	m.buried = len(m.attempts) - 1
+	m.buryAt = now.Add(m.cfg.HeldDelay)
+}
+
+// buryDue asks for the burial of a held claim whose time has come.
+func (m *Machine) buryDue(now time.Time) {
+	if m.buryAt.IsZero() || now.Before(m.buryAt) {
+		return
+	}
+	m.buryAt = time.Time{}
+	m.bury(m.buried)
 }
 
 func (m *Machine) onAnswer(now time.Time, e *Event) {
--- a/internal/request/tries/machine.go
+++ b/internal/request/tries/machine.go
@@ -65,7 +65,9 @@
 	// holder is the attempt that holds the ledger key, if the router knows.
 	holder ident.AttemptID
 	// buried is the index in attempts of the one that is being buried.
-	buried    int
+	buried int
+	// buryAt is when that is asked for, zero once it has been.
+	buryAt    time.Time
 	takeovers int
 	refusal   refusal
 
@@ -119,6 +121,9 @@
 	if m.mayHedge() && m.hedgeAt.Before(wake) {
 		wake = m.hedgeAt
 	}
+	if !m.buryAt.IsZero() && m.buryAt.Before(wake) {
+		wake = m.buryAt
+	}
 	return wake
 }
 
--- a/internal/request/tries/timer.go
+++ b/internal/request/tries/timer.go
@@ -34,6 +34,7 @@
 	if m.mayHedge() && !now.Before(m.hedgeAt) {
 		m.hedge(now)
 	}
+	m.buryDue(now)
 }
 
 // onSilent joins a silent attempt again if part of its answer went out, and
