--- /dev/null
+++ b/internal/process/sizing/sizing_test.go
@@ -0,0 +1,34 @@
+package sizing_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cactusline.dev/cactusline/internal/process/sizing"
+)
+
+func TestCapacityPageFollowsFromTheOutput(t *testing.T) {
+	file, err := os.Open("../../../docs/capacity.txt")
+	assert.NilError(t, err)
+	defer file.Close()
+	output, err := sizing.Read(file)
+	assert.NilError(t, err)
+	page, err := os.ReadFile("../../../docs/CAPACITY.md")
+	assert.NilError(t, err)
+	wanted, err := sizing.Rewrite(string(page), output)
+	assert.NilError(t, err)
+	assert.Equal(t, string(page), wanted, "run: go run ./cmd/sizing docs/capacity.txt docs/CAPACITY.md")
+}
+
+func TestLineThroughPoints(t *testing.T) {
+	l := sizing.FitLine([]sizing.Point{{Size: 1, Value: 5}, {Size: 2, Value: 7}, {Size: 4, Value: 11}})
+	assert.Equal(t, l, sizing.Line{Base: 3, Slope: 2, Fit: 1})
+}
+
+func TestMalformedOutputIsRefused(t *testing.T) {
+	_, err := sizing.Read(strings.NewReader("BenchmarkCapacity/role=watch/size=205 1 many watcher-B/s\n"))
+	assert.ErrorContains(t, err, "value of watcher-B/s")
+}
