--- a/internal/process/router/service.go
+++ b/internal/process/router/service.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -52,20 +53,24 @@
 	if !ok {
 		return nil, refusal(http.StatusNotFound, codeNoService, "no route for service "+string(name))
 	}
+	path, failed := pathOf(req)
+	if failed != nil {
+		return nil, failed
+	}
 	body, failed := r.readBody(w, req, customer)
 	if failed != nil {
 		return nil, failed
 	}
 	c := r.newCall(id, customer, route, snap.routes[route.Name])
-	path := "/" + req.PathValue("path")
+	c.revision = set.Revision()
 	c.submit.Service = string(name)
 	c.submit.Method = req.Method
-	c.submit.Path = path
+	c.submit.Path = path.escaped
 	c.submit.Query = req.URL.RawQuery
 	c.submit.Headers = passedHeaders(req.Header)
 	c.submit.Body = body
 	c.submit.Fingerprint = fingerprint(c.submit)
-	c.submit.Once = service.RunsOnce(req.Method, path) || req.Header.Get(httpd.OnceHeader) == "true"
+	c.submit.Once = service.RunsOnce(req.Method, path.plain) || req.Header.Get(httpd.OnceHeader) == "true"
 	c.submit.LedgerKey = req.Header.Get(httpd.KeyHeader)
 	c.tries.Once = c.submit.GetOnce()
 	c.tries.LedgerKey = c.submit.GetLedgerKey()
@@ -85,12 +90,18 @@
 	return customer, nil
 }
 
+// bodyTimeout bounds the reading of one body.
+const bodyTimeout = time.Minute
+
 // readBody reads the body within the bounds of the router and the customer.
 func (r *Router) readBody(w http.ResponseWriter, req *http.Request, customer *record.Customer) ([]byte, *httpd.Error) {
 	limit := r.cfg.BodyLimit
 	if customer.Limits.Body > 0 {
 		limit = min(limit, customer.Limits.Body)
 	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(r.cfg.Clock.Now().Add(bodyTimeout))
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, int64(limit)))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -117,7 +128,7 @@
 	var passed []*wire.Header
 	for name, values := range header {
 		for _, value := range values {
-			passed = append(passed, &wire.Header{Name: name, Value: value})
+			passed = append(passed, &wire.Header{Name: name, Value: strings.ToValidUTF8(value, "?")})
 		}
 	}
 	return passed
--- a/internal/process/side/run.go
+++ b/internal/process/side/run.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -32,8 +31,6 @@
 // chunks keeps the buffers through which answers are copied.
 var chunks = sync.Pool{New: func() any { return new([answerChunkBytes]byte) }}
 
-type flag = atomic.Bool
-
 // run is one attempt at the target.
 type run struct {
 	id          ident.AttemptID
@@ -60,11 +57,11 @@
 }
 
 // start runs an admitted attempt in the background.
-func (s *Sidecar) start(call *wire.Call, submit *wire.Submit, solo, urgent bool) {
+func (s *Sidecar) start(call *wire.Call, submit *wire.Submit, deadline time.Time, solo, urgent bool) {
 	ctx, span := s.cfg.Tracer.Start(s.life, call.GetTraceParent(), "sidecar.attempt",
 		attribute.String("request", submit.GetRequest()),
 		attribute.String("attempt", submit.GetAttempt()))
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := s.bounded(ctx, submit, deadline)
 	r := &run{
 		id:          ident.AttemptID(submit.GetAttempt()),
 		fingerprint: ident.Fingerprint(submit.GetFingerprint()),
@@ -85,7 +82,7 @@
 		defer span.End()
 		end := s.perform(ctx, submit, r)
 		s.runs.remove(r)
-		s.runs.release()
+		s.runs.release(r.model)
 		s.learn(submit, r, end)
 		now := s.cfg.Clock.Now()
 		if end == nil {
@@ -97,6 +94,16 @@
 	}()
 }
 
+// bounded returns the context of a run. One that may run again elsewhere ends
+// with its caller's patience, so that no reader holds its place for longer;
+// the end of one that runs only once must stay known.
+func (s *Sidecar) bounded(ctx context.Context, submit *wire.Submit, deadline time.Time) (context.Context, context.CancelFunc) {
+	if submit.GetOnce() || deadline.IsZero() {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, deadline.Sub(s.cfg.Clock.Now()))
+}
+
 // learn notes what the end of a run says about its chat and its request.
 func (s *Sidecar) learn(submit *wire.Submit, r *run, end *wire.End) {
 	if end.GetOutcome() != wire.Outcome_OUTCOME_RAN {
@@ -124,7 +131,7 @@
 		return nil
 	}
 	if err != nil {
-		return s.failed(ctx, 0, err)
+		return s.failed(ctx, r, 0, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	r.cached, r.counted = cachedTokens(resp)
@@ -149,17 +156,17 @@
 			return &wire.End{Outcome: wire.Outcome_OUTCOME_RAN, Length: length}
 		}
 		if err != nil {
-			return s.failed(ctx, length, err)
+			return s.failed(ctx, r, length, err)
 		}
 	}
 }
 
 // failed words the end of an attempt whose answer is not whole.
-func (s *Sidecar) failed(ctx context.Context, length uint64, err error) *wire.End {
+func (s *Sidecar) failed(ctx context.Context, r *run, length uint64, err error) *wire.End {
 	end := &wire.End{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Length: length, Error: err.Error()}
 	if ctx.Err() == nil && (s.down.Load() || !s.target.answers()) {
 		end.TargetCrashed = true
-		s.targetCrashed()
+		s.targetCrashed(r.fingerprint)
 	}
 	return end
 }
@@ -212,6 +219,8 @@
 	byID map[ident.AttemptID]*run
 	// places are held by attempts from before admission until they end.
 	places int
+	// models counts the places by model.
+	models map[ident.ModelName]int
 	// solo says that the one place is held by a request that may only run
 	// alone.
 	solo bool
@@ -219,22 +228,30 @@
 
 // reserve takes a place. A request that may only run alone gets one if there
 // is no other, and then there is no other until it ends.
-func (s *runs) reserve(solo bool) bool {
+func (s *runs) reserve(model ident.ModelName, solo bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.solo || (solo && s.places > 0) {
 		return false
 	}
+	if s.models == nil {
+		s.models = make(map[ident.ModelName]int)
+	}
 	s.places++
+	s.models[model]++
 	s.solo = solo
 	return true
 }
 
 // release gives a place back.
-func (s *runs) release() {
+func (s *runs) release(model ident.ModelName) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.places--
+	s.models[model]--
+	if s.models[model] == 0 {
+		delete(s.models, model)
+	}
 	s.solo = false
 }
 
@@ -264,16 +281,12 @@
 	return fingerprints
 }
 
-// uses reports whether an attempt at the target runs on the model.
+// uses reports whether an attempt that holds a place runs on the model, or may
+// once it is admitted.
 func (s *runs) uses(model ident.ModelName) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, r := range s.byID {
-		if r.model == model {
-			return true
-		}
-	}
-	return false
+	return s.models[model] > 0
 }
 
 // reader is one router's place in an answer.
@@ -339,9 +352,9 @@
 	return r.readers == 0
 }
 
-// count returns how many attempts are at the target.
-func (s *runs) count() int {
+// held returns how many places are held.
+func (s *runs) held() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.byID)
+	return s.places
 }
--- a/internal/process/side/submit.go
+++ b/internal/process/side/submit.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -19,6 +20,8 @@
 // serveSubmit runs an attempt, or joins one that runs already, and relays its
 // answer.
 func (s *Sidecar) serveSubmit(call *wire.Call, submit *wire.Submit, stream *link.Stream) {
+	s.serving.Add(1)
+	defer s.serving.Add(-1)
 	out := &answer{stream: stream, attempt: submit.GetAttempt(), offset: submit.GetResumeOffset(), revision: s.revision, logger: s.cfg.Logger, refused: s.countRefused}
 	ctx, cancel := context.WithCancel(s.life)
 	defer cancel()
@@ -56,6 +59,8 @@
 	switch {
 	case incarnation != uint64(s.cfg.Incarnation) && (incarnation != 0 || submit.GetOnce()):
 		reason = wire.RefusalReason_REFUSAL_REASON_INCARNATION
+	case submit.GetTarget() != "" && submit.GetTarget() != string(s.cfg.Name):
+		reason = wire.RefusalReason_REFUSAL_REASON_WRONG_TARGET
 	case submit.GetJoin():
 		return nil
 	case !s.confirmed():
@@ -78,7 +83,8 @@
 func (s *Sidecar) begin(ctx context.Context, call *wire.Call, submit *wire.Submit, out *answer, watcher *callerWatch) {
 	id := ident.AttemptID(submit.GetAttempt())
 	solo := s.suspect(ident.Fingerprint(submit.GetFingerprint()))
-	if !s.runs.reserve(solo) {
+	model := ident.ModelName(submit.GetModel())
+	if !s.runs.reserve(model, solo) {
 		s.attempts.Withdraw(s.cfg.Clock.Now(), id)
 		_ = out.refuse(&wire.Refusal{
 			Reason:       wire.RefusalReason_REFUSAL_REASON_OVERLOADED,
@@ -87,16 +93,17 @@
 		})
 		return
 	}
-	decision := s.offer(ctx, s.work(submit))
+	work := s.work(submit)
+	decision := s.offer(ctx, work)
 	if decision.Kind != admit.Admitted {
-		s.runs.release()
+		s.runs.release(model)
 		s.attempts.Withdraw(s.cfg.Clock.Now(), id)
 		refusal := s.refusalOf(decision)
 		refusal.Digest = s.digestAbove(submit.GetDigestStamp())
 		_ = out.refuse(refusal)
 		return
 	}
-	s.start(call, submit, solo, decision.Urgent)
+	s.start(call, submit, work.Deadline, solo, decision.Urgent)
 	out.digest = s.digestAbove(submit.GetDigestStamp())
 	s.join(ctx, submit, out, watcher)
 }
@@ -193,7 +200,7 @@
 type callerWatch struct {
 	stream   *link.Stream
 	cancel   context.CancelFunc
-	canceled flag
+	canceled atomic.Bool
 }
 
 func (c *callerWatch) wait() {
