Say nothing new less often: reports and digests of idle targets

Cause: a sidecar reported its load and got a digest 20 times a second also while nothing changed: 4,966 B/s at 175 idle targets (docs/capacity.txt), over the 3,000 that the plan allows a daemon. Unchanged reports of targets without work, which weigh nothing in a digest's age, and digests of idle pools are now sent each 400 ms; any change goes out at once as before.

Ruled out: longer intervals under load, where the age of a digest costs load bound margin.

A busy pool costs what it did.

--- a/internal/process/ctrl/balance.go
+++ b/internal/process/ctrl/balance.go
@@ -139,9 +139,11 @@
 			p.put(b.clock.Now(), ident.TargetName(call.GetTarget()), report)
 		}
 	}()
+	var quiet quiet
 	for {
+		now := b.clock.Now()
 		d, fresh := p.digest()
-		if d.Targets > 0 && stream.Send(watch.EncodeDigest(b.clock.Now(), d)) != nil {
+		if d.Targets > 0 && quiet.due(now, d) && stream.Send(watch.EncodeDigest(now, d)) != nil {
 			return
 		}
 		select {
@@ -151,3 +153,25 @@
 		}
 	}
 }
+
+// quietInterval is how often the digest of a pool without work is sent while
+// nothing changes.
+const quietInterval = 400 * time.Millisecond
+
+// quiet leaves out the digests that would say nothing new. Its zero value may
+// be used.
+type quiet struct {
+	last   digest.Digest
+	sentAt time.Time
+}
+
+// due reports whether a digest is to be sent, and then takes it as sent.
+func (q *quiet) due(now time.Time, d digest.Digest) bool {
+	idle := d.Requests == 0 && q.last.Requests == 0 && d.Targets == q.last.Targets
+	if idle && now.Sub(q.sentAt) < quietInterval {
+		return false
+	}
+	q.last = d
+	q.sentAt = now
+	return true
+}
--- a/internal/process/side/balance.go
+++ b/internal/process/side/balance.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 
 	"cactusline.dev/cactusline/internal/conn/digest"
 	"cactusline.dev/cactusline/internal/conn/link"
@@ -125,9 +126,10 @@
 func (s *Sidecar) sendLoads(ctx context.Context, cancel context.CancelFunc, pool digest.PoolName, stream *link.Stream) {
 	defer cancel()
 	var pace pace
+	var quiet quiet
 	for s.pool() == pool {
 		report := &wire.LoadReport{Load: s.Load(), Leaving: s.leaving.Load()}
-		if stream.Send(report) != nil {
+		if quiet.due(s.cfg.Clock.Now(), report) && stream.Send(report) != nil {
 			return
 		}
 		if s.cfg.Clock.Sleep(ctx, pace.next(s.cfg.Clock.Now(), report.GetLoad().GetQueued() > 0)) != nil {
@@ -136,6 +138,28 @@
 	}
 }
 
+// quietInterval is how often a target without work reports while nothing
+// changes. Its reports weigh nothing in the age of a digest.
+const quietInterval = 400 * time.Millisecond
+
+// quiet leaves out the reports that would say nothing new. Its zero value may
+// be used.
+type quiet struct {
+	last   *wire.LoadReport
+	sentAt time.Time
+}
+
+// due reports whether a report is to be sent, and then takes it as sent.
+func (q *quiet) due(now time.Time, report *wire.LoadReport) bool {
+	idle := report.GetLoad().GetRequests() == 0 && report.GetLoad().GetQueued() == 0
+	if idle && now.Sub(q.sentAt) < quietInterval && proto.Equal(q.last, report) {
+		return false
+	}
+	q.last = report
+	q.sentAt = now
+	return true
+}
+
 // pace spaces the load reports. Its zero value may be used.
 type pace struct {
 	filled time.Time
