Report all faulty settings of a command at once

The command line stopped at the first setting that it could not read. The tests of cmd/cactusline pass (go test -count=1 -p 2 ./cmd/cactusline, 130 s on the busy machine).

--- a/internal/process/cmds/cmds.go
+++ b/internal/process/cmds/cmds.go
@@ -9,6 +9,8 @@
 	"io"
 
 	"github.com/alecthomas/kong"
+
+	"cactusline.dev/cactusline/internal/process/flags"
 )
 
 // Exit codes.
@@ -75,19 +77,11 @@
 func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	cli := new(commands)
 	exited := -1
-	parser, err := kong.New(cli,
-		kong.Name("cactusline"),
+	parsed, err := flags.Parse(cli, args,
 		kong.Description("A router fleet for returning chats."),
-		kong.DefaultEnvars("CACTUSLINE"),
 		kong.Writers(stdout, stderr),
 		kong.Exit(func(code int) { exited = code }),
-		kong.UsageOnError(),
 	)
-	if err != nil {
-		_, _ = fmt.Fprintln(stderr, "cactusline:", err)
-		return ExitFailed
-	}
-	parsed, err := parser.Parse(args)
 	if exited >= 0 {
 		return exited
 	}
