--- a/internal/process/flags/flags.go
+++ b/internal/process/flags/flags.go
@@ -49,6 +49,9 @@
 	return strings.Join(lines, "\n")
 }
 
+// ExitCode returns ExitUsage.
+func (*SettingsError) ExitCode() int { return ExitUsage }
+
 // UsageError says that the command line names no known command or flag.
 type UsageError struct {
 	Err error
@@ -60,6 +63,9 @@
 // Unwrap returns the cause.
 func (e *UsageError) Unwrap() error { return e.Err }
 
+// ExitCode returns ExitUsage.
+func (*UsageError) ExitCode() int { return ExitUsage }
+
 // Parse reads args and the environment into settings, a pointer to a struct
 // with kong's tags. Its error is a *SettingsError or a *UsageError where the
 // settings are at fault.
--- a/internal/process/flags/flags_test.go
+++ b/internal/process/flags/flags_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
@@ -56,6 +57,7 @@
 		{Flag: "--token", Env: "CACTUSLINE_TOKEN", Value: "[redacted]", Allowed: "the path of a file that exists"},
 		{Flag: "--name", Env: "CACTUSLINE_NAME", Value: "", Allowed: "string"},
 	})
+	assert.Equal(t, flags.ExitCode(fmt.Errorf("start: %w", err)), flags.ExitUsage)
 }
 
 func TestOtherCommandsSettingsDoNotCount(t *testing.T) {
@@ -66,9 +68,10 @@
 	assert.Equal(t, s.Other.Wait, 2*time.Hour)
 }
 
-func TestUnknownCommandIsUsageError(t *testing.T) {
+func TestExitCodes(t *testing.T) {
 	var s settings
 	_, err := flags.Parse(&s, []string{"nonsense"})
-	var known *flags.UsageError
-	assert.Assert(t, errors.As(err, &known), "%v", err)
+	assert.Equal(t, flags.ExitCode(err), flags.ExitUsage)
+	assert.Equal(t, flags.ExitCode(nil), flags.ExitOK)
+	assert.Equal(t, flags.ExitCode(errors.New("x")), flags.ExitFailed)
 }
