--- a/internal/process/cmds/sidecar.go
+++ b/internal/process/cmds/sidecar.go
@@ -32,6 +32,8 @@
 	TransferRate    ident.Bytes   `help:"Bytes per second in which a leaving target hands chats' prefixes over; below zero for none." default:"50000000"`
 	TransferTimeout time.Duration `help:"How long that may take." default:"30s"`
 
+	DrainTimeout time.Duration `help:"How long a stopping sidecar waits for runs and their readers; 0 for no bound." min:"0s"`
+
 	Links LinkKeys `embed:""`
 }
 
@@ -77,6 +79,7 @@
 
 		ControlAddresses: texts(c.Control),
 		Incarnation:      incarnation,
+		DrainTimeout:     c.DrainTimeout,
 		TransferRate:     c.TransferRate,
 		TransferTimeout:  c.TransferTimeout,
 		Seed:             rand.Uint64(),
--- a/internal/process/router/chat.go
+++ b/internal/process/router/chat.go
@@ -105,11 +105,10 @@
 		pool:     pool,
 		query:    rank.Query{Now: now},
 		submit: &wire.Submit{
-			Request:   string(id),
-			Customer:  string(customer.Name),
-			Priority:  customer.Priority,
-			Weight:    customer.FairWeight(),
-			TimeoutMs: uint32(timeout.Milliseconds()),
+			Request:  string(id),
+			Customer: string(customer.Name),
+			Priority: customer.Priority,
+			Weight:   customer.FairWeight(),
 
 			DigestStamp: pool.stamp.Load(),
 		},
--- a/internal/process/side/side.go
+++ b/internal/process/side/side.go
@@ -67,6 +67,9 @@
 	TransferRate ident.Bytes
 	// TransferTimeout bounds the whole of that.
 	TransferTimeout time.Duration
+	// DrainTimeout bounds how long a stopping sidecar waits for its runs and
+	// their readers; 0 for no bound.
+	DrainTimeout time.Duration
 	// Seed draws jitter.
 	Seed uint64
 }
@@ -163,10 +166,15 @@
 	s.stopping.Store(true)
 	s.setLeaving(s.cfg.Clock.Now(), true)
 	_ = level.Info(s.cfg.Logger).Log("msg", "sidecar finishes its runs", "runs", s.runs.held())
+	began := s.cfg.Clock.Now()
 	for quiet := time.Duration(0); quiet < lingerTime; quiet += tickInterval {
 		if s.cfg.Clock.Sleep(s.life, tickInterval) != nil {
 			break
 		}
+		if limit := s.cfg.DrainTimeout; limit > 0 && s.cfg.Clock.Now().Sub(began) >= limit {
+			_ = level.Warn(s.cfg.Logger).Log("msg", "sidecar ends with work in flight", "runs", s.runs.held())
+			break
+		}
 		if s.busy() {
 			quiet = 0
 		}
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -57,6 +58,7 @@
 	submit := proto.CloneOf(x.request.Submit)
 	submit.Attempt = string(action.Attempt)
 	submit.Target = string(action.Target)
+	submit.TimeoutMs = x.timeLeft()
 	submit.Incarnation = uint64(action.Incarnation)
 	submit.ResumeOffset = action.Offset
 	submit.Join = action.Join
@@ -71,6 +73,17 @@
 	}
 }
 
+// timeLeft returns the milliseconds until the request's deadline, at least 1;
+// 0 stands for no deadline.
+func (x *exchange) timeLeft() uint32 {
+	deadline := x.request.Tries.Deadline
+	if deadline.IsZero() {
+		return 0
+	}
+	left := deadline.Sub(x.cfg.Clock.Now()).Milliseconds()
+	return uint32(min(max(1, left), math.MaxUint32))
+}
+
 // cancel closes a stream. With Stop the sidecar is told that nobody wants the
 // answer; without, it sees a broken link.
 func (x *exchange) cancel(action *tries.Action) {
