--- a/cmd/sizing/main.go
+++ b/cmd/sizing/main.go
@@ -1,41 +1,38 @@
-// Command sizing works out the tables of the capacity page anew from the
-// recorded output of the benchmarks: sizing OUTPUT PAGE.
+// Command sizing works out the tables of a page anew from the recorded output
+// of benchmarks: sizing capacity OUTPUT PAGE, or sizing decisions OUTPUT PAGE.
 package main
 
 import (
 	"fmt"
+	"io"
 	"os"
 
 	"cactusline.dev/cactusline/internal/process/sizing"
 )
 
 func main() {
-	if len(os.Args) != 3 {
-		_, _ = fmt.Fprintln(os.Stderr, "usage: sizing OUTPUT PAGE")
+	if len(os.Args) != 4 {
+		_, _ = fmt.Fprintln(os.Stderr, "usage: sizing capacity|decisions OUTPUT PAGE")
 		os.Exit(2)
 	}
-	if err := rewrite(os.Args[1], os.Args[2]); err != nil {
+	if err := rewrite(os.Args[1], os.Args[2], os.Args[3]); err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, "sizing:", err)
 		os.Exit(1)
 	}
 }
 
 // rewrite brings the page in line with the output.
-func rewrite(output, page string) error {
+func rewrite(kind, output, page string) error {
 	file, err := os.Open(output)
 	if err != nil {
 		return fmt.Errorf("open output: %w", err)
 	}
 	defer func() { _ = file.Close() }()
-	measured, err := sizing.Read(file)
-	if err != nil {
-		return fmt.Errorf("read %s: %w", output, err)
-	}
 	before, err := os.ReadFile(page)
 	if err != nil {
 		return fmt.Errorf("read page: %w", err)
 	}
-	after, err := sizing.Rewrite(string(before), measured)
+	after, err := workOut(kind, string(before), file)
 	if err != nil {
 		return fmt.Errorf("work out %s: %w", page, err)
 	}
@@ -44,3 +41,22 @@
 	}
 	return nil
 }
+
+// workOut returns the page with the tables of one kind.
+func workOut(kind, page string, output io.Reader) (string, error) {
+	switch kind {
+	case "capacity":
+		measured, err := sizing.Read(output)
+		if err != nil {
+			return "", err
+		}
+		return sizing.Rewrite(page, measured)
+	case "decisions":
+		decisions, err := sizing.ReadDecisions(output)
+		if err != nil {
+			return "", err
+		}
+		return sizing.RewriteDecisions(page, decisions)
+	}
+	return "", fmt.Errorf("no tables of kind %q", kind)
+}
--- a/internal/process/sizing/sizing_test.go
+++ b/internal/process/sizing/sizing_test.go
@@ -20,7 +20,20 @@
 	assert.NilError(t, err)
 	wanted, err := sizing.Rewrite(string(page), output)
 	assert.NilError(t, err)
-	assert.Equal(t, string(page), wanted, "run: go run ./cmd/sizing docs/capacity.txt docs/CAPACITY.md")
+	assert.Equal(t, string(page), wanted, "run: go run ./cmd/sizing capacity docs/capacity.txt docs/CAPACITY.md")
+}
+
+func TestDecisionsPageFollowsFromTheOutput(t *testing.T) {
+	file, err := os.Open("../../../docs/decisions.txt")
+	assert.NilError(t, err)
+	defer file.Close()
+	decisions, err := sizing.ReadDecisions(file)
+	assert.NilError(t, err)
+	page, err := os.ReadFile("../../../docs/MEASUREMENTS.md")
+	assert.NilError(t, err)
+	wanted, err := sizing.RewriteDecisions(string(page), decisions)
+	assert.NilError(t, err)
+	assert.Equal(t, string(page), wanted, "run: go run ./cmd/sizing decisions docs/decisions.txt docs/MEASUREMENTS.md")
 }
 
 func TestLineThroughPoints(t *testing.T) {
