Count the traffic of the links

Cause: the plan bounds control traffic per process, and nothing in a running fleet showed it. Bytes, writes and sessions of the links are now metrics.

--- a/internal/conn/link/peer.go
+++ b/internal/conn/link/peer.go
@@ -93,9 +93,10 @@
 func connect(address string, cfg Config) (*yamux.Session, error) {
 	conn, err := dial(context.Background(), address, cfg.TLS, cfg.DialTimeout)
 	if err != nil {
+		dialFailed.Inc()
 		return nil, err
 	}
-	session, err := yamux.Client(&joinedConn{Conn: conn}, sessionConfig(cfg.PingTimeout))
+	session, err := yamux.Client(&joinedConn{Conn: measure(conn, dialed)}, sessionConfig(cfg.PingTimeout))
 	if err != nil {
 		_ = conn.Close()
 		return nil, fmt.Errorf("start session: %w", err)
--- a/internal/conn/link/server.go
+++ b/internal/conn/link/server.go
@@ -91,7 +91,7 @@
 }
 
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
-	session, err := yamux.Server(&joinedConn{Conn: conn}, sessionConfig(DefaultPingTimeout))
+	session, err := yamux.Server(&joinedConn{Conn: measure(conn, accepted)}, sessionConfig(DefaultPingTimeout))
 	if err != nil {
 		_ = conn.Close()
 		return
