Say once how commands are proposed and pools are named

Cause: four places encoded commands by hand, each with its own format number, and three worked out a target's pool, one of them in another order, so that a target with both a service and models would have had two pools. remote.Propose and digest.TargetPool stand for all. Frames that nobody sent are gone, and the hedging that the attempt machine has can be set, off by default.

No other change of behavior. Measured: tests of side, router, cmds, ctrl and conn pass.

--- a/internal/process/cmds/devrec.go
+++ b/internal/process/cmds/devrec.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"net/http"
 
-	"google.golang.org/protobuf/proto"
-
 	"cactusline.dev/cactusline/internal/conn/remote"
 	"cactusline.dev/cactusline/internal/process/clock"
 	"cactusline.dev/cactusline/internal/version/cmdpb"
@@ -62,23 +60,14 @@
 	for _, r := range records {
 		body.Records = append(body.Records, r.JSON())
 	}
-	entry, err := proto.Marshal(&cmdpb.Command{
-		Format: 1,
+	result, err := client.Propose(ctx, &cmdpb.Command{
 		Actor:  "dev",
 		Change: startName("dev"),
 		Body:   &cmdpb.Command_Apply{Apply: body},
 	})
-	if err != nil {
-		return nil, fmt.Errorf("encode records: %w", err)
-	}
-	reply, err := client.Command(ctx, entry, "")
 	if err != nil {
 		return nil, fmt.Errorf("submit records: %w", err)
 	}
-	result := new(cmdpb.Result)
-	if err := proto.Unmarshal(reply, result); err != nil {
-		return nil, fmt.Errorf("decode result: %w", err)
-	}
 	return result, nil
 }
 
--- a/internal/process/cmds/router.go
+++ b/internal/process/cmds/router.go
@@ -26,6 +26,7 @@
 	Control   []flags.Address  `help:"Addresses of the control processes." required:""`
 	BodyLimit ident.Bytes      `help:"Longest request body in bytes." default:"8388608" min:"1"`
 
+	HedgeAfter   time.Duration `help:"Wait for a chat's first byte after which it is sent to a second target as well; 0 for never." min:"0s"`
 	DrainDelay   time.Duration `help:"How long a stopping router takes callers while the balancer learns of it." default:"3s" min:"0s"`
 	DrainTimeout time.Duration `help:"How long a stopping router waits for requests in flight; 0 for no bound." min:"0s"`
 
@@ -89,6 +90,7 @@
 		BodyLimit: c.BodyLimit,
 		Decided:   decisions.Decided,
 
+		HedgeAfter:   c.HedgeAfter,
 		DrainDelay:   c.DrainDelay,
 		DrainTimeout: c.DrainTimeout,
 	})
--- a/internal/process/cmds/sidecar.go
+++ b/internal/process/cmds/sidecar.go
@@ -10,8 +10,6 @@
 
 	"github.com/go-kit/log"
 
-	"google.golang.org/protobuf/proto"
-
 	"cactusline.dev/cactusline/internal/conn/remote"
 	"cactusline.dev/cactusline/internal/conn/watch"
 	"cactusline.dev/cactusline/internal/process/clock"
@@ -107,22 +105,13 @@
 
 // register asks control for the incarnation of a process that starts.
 func register(ctx context.Context, control *remote.Client, process string) (ident.Incarnation, error) {
-	entry, err := proto.Marshal(&cmdpb.Command{
-		Format: 1,
-		Actor:  process,
-		Body:   &cmdpb.Command_Register{Register: &cmdpb.RegisterProcess{Process: process, Nonce: rand.Uint64()}},
+	result, err := control.Propose(ctx, &cmdpb.Command{
+		Actor: process,
+		Body:  &cmdpb.Command_Register{Register: &cmdpb.RegisterProcess{Process: process, Nonce: rand.Uint64()}},
 	})
-	if err != nil {
-		return 0, fmt.Errorf("encode registration: %w", err)
-	}
-	reply, err := control.Command(ctx, entry, "")
 	if err != nil {
 		return 0, fmt.Errorf("register %s: %w", process, err)
 	}
-	result := new(cmdpb.Result)
-	if err := proto.Unmarshal(reply, result); err != nil {
-		return 0, fmt.Errorf("decode registration: %w", err)
-	}
 	if result.GetStatus() != cmdpb.Status_STATUS_OK {
 		return 0, fmt.Errorf("register %s: %s", process, result.GetDetail())
 	}
--- a/internal/process/router/chat.go
+++ b/internal/process/router/chat.go
@@ -65,6 +65,7 @@
 	c := r.newCall(id, customer, route, snap.routes[route.Name])
 	c.revision = set.Revision()
 	c.stream = asked.Stream
+	c.tries.HedgeAfter = r.cfg.HedgeAfter
 	c.query.Chat = key
 	c.query.Prefix = prefixTokens(asked.Messages)
 	c.submit.PrefixTokens = uint32(c.query.Prefix)
--- a/internal/process/router/health.go
+++ b/internal/process/router/health.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"cactusline.dev/cactusline/internal/conn/digest"
 	"cactusline.dev/cactusline/internal/conn/health"
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/version/ident"
@@ -46,7 +47,7 @@
 	now := v.cfg.Clock.Now()
 	for _, target := range set.Targets() {
 		if _, known := old.Target(target.Name); !known {
-			v.health.Join(now, target.Name, health.PoolName(poolOfTarget(target)))
+			v.health.Join(now, target.Name, health.PoolName(digest.TargetPool(target)))
 		}
 	}
 	for _, target := range old.Targets() {
@@ -56,13 +57,6 @@
 	}
 }
 
-func poolOfTarget(target *record.Target) string {
-	if len(target.Models) > 0 {
-		return "model/" + string(target.Models[0].Name)
-	}
-	return "service/" + string(target.Service)
-}
-
 // probe asks targets that were ejected or not heard of, within the checker's
 // budget, until ctx ends.
 func (v *view) probe(ctx context.Context) {
--- a/internal/process/router/ledger.go
+++ b/internal/process/router/ledger.go
@@ -2,16 +2,13 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
-	"google.golang.org/protobuf/proto"
 
 	"cactusline.dev/cactusline/internal/conn/remote"
 	"cactusline.dev/cactusline/internal/conn/wire"
-	"cactusline.dev/cactusline/internal/process/trace"
 	"cactusline.dev/cactusline/internal/request/relay"
 	"cactusline.dev/cactusline/internal/request/tries"
 	"cactusline.dev/cactusline/internal/version/cmdpb"
@@ -21,9 +18,6 @@
 // ledgerTimeout bounds one step of the ledger.
 const ledgerTimeout = 3 * time.Second
 
-// commandFormat is the format of the commands that this program writes.
-const commandFormat = 1
-
 // ledger asks control to claim, release and settle keys. It implements
 // relay.Ledger.
 type ledger struct {
@@ -110,21 +104,8 @@
 func (l *ledger) command(ctx context.Context, command *cmdpb.Command) (*cmdpb.Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
 	defer cancel()
-	command.Format = commandFormat
 	command.Actor = l.process
-	entry, err := proto.Marshal(command)
-	if err != nil {
-		return nil, fmt.Errorf("encode command: %w", err)
-	}
-	reply, err := l.control.Command(ctx, entry, trace.Parent(ctx))
-	if err != nil {
-		return nil, fmt.Errorf("command: %w", err)
-	}
-	result := new(cmdpb.Result)
-	if err := proto.Unmarshal(reply, result); err != nil {
-		return nil, fmt.Errorf("decode result: %w", err)
-	}
-	return result, nil
+	return l.control.Propose(ctx, command)
 }
 
 // heldOf turns what the ledger says of a key into an event.
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -76,6 +76,9 @@
 	Seed uint64
 	// BodyLimit bounds a request's body.
 	BodyLimit ident.Bytes
+	// HedgeAfter is the wait for a chat's first byte after which it is sent to a
+	// second target as well; 0 means never.
+	HedgeAfter time.Duration
 	// Decided takes the record of each request that has ended; nil drops them.
 	Decided func(*tries.Record)
 	// DrainDelay is how long a stopping router still takes callers while the
--- a/internal/process/router/view.go
+++ b/internal/process/router/view.go
@@ -78,7 +78,7 @@
 
 // poolOf returns the pool of a route. What the old one believed is kept.
 func (v *view) poolOf(old *snapshot, set *record.Set, route *record.Route) *pool {
-	p := &pool{targets: set.Candidates(route), digest: poolName(route)}
+	p := &pool{targets: set.Candidates(route), digest: digest.RoutePool(route)}
 	if before, ok := old.routes[route.Name]; ok {
 		p.ranking = before.ranking
 		p.news, p.stamp = before.news, before.stamp
@@ -95,15 +95,6 @@
 	return p
 }
 
-// poolName names the pool over which the load of a route's targets is
-// averaged.
-func poolName(route *record.Route) digest.PoolName {
-	if route.Model != "" {
-		return digest.PoolName("model/" + route.Model)
-	}
-	return digest.PoolName("service/" + route.Service)
-}
-
 // Digest implements relay.Directory.
 func (v *view) Digest(frame *wire.LoadDigest) {
 	if frame == nil {
--- a/internal/process/side/balance.go
+++ b/internal/process/side/balance.go
@@ -12,7 +12,6 @@
 	"cactusline.dev/cactusline/internal/conn/link"
 	"cactusline.dev/cactusline/internal/conn/watch"
 	"cactusline.dev/cactusline/internal/conn/wire"
-	"cactusline.dev/cactusline/internal/version/record"
 )
 
 const (
@@ -60,9 +59,8 @@
 	return watch.EncodeDigest(s.cfg.Clock.Now(), d)
 }
 
-// pool returns the pool that the target belongs to: that of its service, or
-// of the first model that it serves. It is empty before the target's record
-// is known.
+// pool returns the pool that the target belongs to, empty before the target's
+// record is known.
 func (s *Sidecar) pool() digest.PoolName {
 	f := s.follower.Load()
 	if f == nil {
@@ -72,14 +70,7 @@
 	if !ok {
 		return ""
 	}
-	return poolOf(target)
-}
-
-func poolOf(target *record.Target) digest.PoolName {
-	if target.Service != "" || len(target.Models) == 0 {
-		return digest.PoolName("service/" + target.Service)
-	}
-	return digest.PoolName("model/" + target.Models[0].Name)
+	return digest.TargetPool(target)
 }
 
 // balance reports the load to the control process that sums the pool's, and
--- a/internal/process/side/orders.go
+++ b/internal/process/side/orders.go
@@ -13,7 +13,6 @@
 	"cactusline.dev/cactusline/internal/process/orders"
 	"cactusline.dev/cactusline/internal/version/cmdpb"
 	"cactusline.dev/cactusline/internal/version/ident"
-	"cactusline.dev/cactusline/internal/version/store"
 )
 
 const (
@@ -214,15 +213,6 @@
 
 // propose commits a command and returns its result.
 func (s *Sidecar) propose(ctx context.Context, command *cmdpb.Command) (*cmdpb.Result, error) {
-	command.Format = store.Format
 	command.Actor = "sidecar/" + string(s.cfg.Name)
-	entry, err := store.Encode(command)
-	if err != nil {
-		return nil, fmt.Errorf("encode command: %w", err)
-	}
-	reply, err := s.cfg.Control.Command(ctx, entry, "")
-	if err != nil {
-		return nil, fmt.Errorf("ask control: %w", err)
-	}
-	return store.DecodeResult(reply)
+	return s.cfg.Control.Propose(ctx, command)
 }
--- a/internal/process/side/side.go
+++ b/internal/process/side/side.go
@@ -237,9 +237,6 @@
 		_ = stream.Send(s.bury(body.Tombstone))
 	case *wire.Call_Probe:
 		_ = stream.Send(&wire.ProbeReply{Load: s.Load(), Target: string(s.cfg.Name), Revision: uint64(s.revision())})
-	case *wire.Call_Drain:
-		s.setLeaving(s.cfg.Clock.Now(), body.Drain.GetLeaving())
-		_ = stream.Send(&wire.DrainReply{Load: s.Load()})
 	case *wire.Call_Served:
 		s.noteServed(body.Served)
 	case *wire.Call_Transfer:
