Run a lookup again whose answer broke before its caller saw any of it

Cause, found by reading: the router holds an answer that is not streamed back until it is whole, but an idempotent call whose target failed after the first bytes still ended in 502, though nothing had been shown. The machine may now start such an answer over at another target; what is streamed, and what may run only once, is as before.

Ruled out: holding streams back as well (first tokens must not wait).

The relay's tests share their set-up now.

--- a/internal/process/router/answer.go
+++ b/internal/process/router/answer.go
@@ -64,7 +64,8 @@
 	panic(http.ErrAbortHandler)
 }
 
-// buffered keeps an answer until it is whole, so that its outcome can head it.
+// buffered keeps an answer until it is whole, so that its outcome can head it
+// and an idempotent request can run again after a part of it has come.
 type buffered struct {
 	status  int
 	headers []*wire.Header
@@ -83,6 +84,9 @@
 	return nil
 }
 
+// Reset implements relay.Resetter.
+func (b *buffered) Reset() { *b = buffered{} }
+
 func (b *buffered) finish(w http.ResponseWriter, result relay.Result) {
 	copyHeaders(w.Header(), b.headers)
 	w.Header().Set(httpd.OutcomeHeader, string(outcomeOf(result.Outcome)))
--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -70,6 +70,7 @@
 	// The calls outlive the caller: what is not idempotent is seen through.
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
+	_, x.request.Tries.Buffered = caller.(Resetter)
 	x.request.Tries.Plan = &plan{Plan: request.Plan, exchange: x, ctx: work}
 	x.machine = tries.New(x.request.Tries)
 	x.step(work, event{Event: tries.Event{Kind: tries.EventStart}})
@@ -146,6 +147,8 @@
 		x.bury(ctx, action)
 	case tries.ActionRecorded:
 		x.recorded()
+	case tries.ActionReset:
+		x.reset()
 	case tries.ActionFinish:
 		x.result.Outcome = action.Outcome
 		x.result.Status = action.Status
@@ -197,6 +200,15 @@
 	_ = x.caller.Data(data)
 }
 
+// reset drops an answer of which only a part has come.
+func (x *exchange) reset() {
+	x.result.Started = false
+	x.answer = Answer{}
+	if caller, ok := x.caller.(Resetter); ok {
+		caller.Reset()
+	}
+}
+
 // keep collects the answer for the ledger, all of it or nothing.
 func (x *exchange) keep(data []byte) {
 	if !x.request.Tries.Once || x.answer.Truncated {
--- a/internal/request/relay/ledger_test.go
+++ b/internal/request/relay/ledger_test.go
@@ -3,16 +3,12 @@
 import (
 	"bytes"
 	"context"
-	"net"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 
 	"cactusline.dev/cactusline/internal/conn/link"
 	"cactusline.dev/cactusline/internal/conn/wire"
-	"cactusline.dev/cactusline/internal/process/clock"
-	"cactusline.dev/cactusline/internal/process/trace"
 	"cactusline.dev/cactusline/internal/request/relay"
 	"cactusline.dev/cactusline/internal/request/tries"
 	"cactusline.dev/cactusline/internal/version/ident"
@@ -60,29 +56,15 @@
 // the given pieces, of which the ledger takes 100 bytes.
 func runStep(t *testing.T, l *ledger, answer chunks) (relay.Result, *caller) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	server := link.NewServer(answer)
-	go func() { _ = server.Serve(context.Background(), listener) }()
-	links := link.NewClient(link.Config{Clock: clock.System{}})
-	t.Cleanup(func() {
-		_ = links.Close()
-		_ = listener.Close()
-		_ = server.Close()
-	})
-	d := &directory{addresses: map[ident.TargetName]string{"a": listener.Addr().String()}}
+	cfg := configure(t, answer, "a")
+	cfg.Ledger = l
+	cfg.MaxRecordedBytes = 100
+	request := ask("step", "a")
+	request.Tries.Once = true
+	request.Tries.LedgerKey = "key"
+	request.Submit.Once = true
 	c := &caller{}
-	result := relay.Run(t.Context(), relay.Config{
-		Clock: clock.System{}, Tracer: trace.Off(), Links: links, Directory: d, Ledger: l, MaxRecordedBytes: 100,
-	}, relay.Request{
-		Tries: tries.Config{
-			Request: "step", Once: true, LedgerKey: "key",
-			Deadline: clock.System{}.Now().Add(5 * time.Second),
-		},
-		Plan:     &plan{names: []ident.TargetName{"a"}},
-		Submit:   &wire.Submit{Request: "step", Once: true},
-		Revision: func() ident.Revision { return 1 },
-	}, c)
+	result := relay.Run(t.Context(), cfg, request, c)
 	return result, c
 }
 
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -116,6 +116,13 @@
 	Data(data []byte) error
 }
 
+// Resetter is a Caller that can drop what it was given, since it shows nothing
+// before the answer is whole.
+type Resetter interface {
+	Caller
+	Reset()
+}
+
 // Result is how the request ended.
 type Result struct {
 	Outcome    wire.Outcome
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -150,11 +150,17 @@
 	return nil
 }
 
-func startRogue(t *testing.T, random *rand.Rand) string {
+// held is a caller that shows nothing before the answer is whole.
+type held struct{ caller }
+
+func (h *held) Reset() { h.caller = caller{} }
+
+// serve starts a sidecar that ends with the test and returns its address.
+func serve(t *testing.T, sidecar link.Handler) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	server := link.NewServer(&rogue{random: random})
+	server := link.NewServer(sidecar)
 	go func() { _ = server.Serve(context.Background(), listener) }()
 	t.Cleanup(func() {
 		_ = listener.Close()
@@ -163,6 +169,30 @@
 	return listener.Addr().String()
 }
 
+// configure returns a configuration by which one sidecar stands for all the
+// named targets.
+func configure(t *testing.T, sidecar link.Handler, targets ...ident.TargetName) relay.Config {
+	t.Helper()
+	d := &directory{addresses: make(map[ident.TargetName]string)}
+	address := serve(t, sidecar)
+	for _, target := range targets {
+		d.addresses[target] = address
+	}
+	links := link.NewClient(link.Config{Clock: clock.System{}})
+	t.Cleanup(func() { _ = links.Close() })
+	return relay.Config{Clock: clock.System{}, Tracer: trace.Off(), Links: links, Directory: d}
+}
+
+// ask returns a request that is tried at the named targets.
+func ask(id string, targets ...ident.TargetName) relay.Request {
+	return relay.Request{
+		Tries:    tries.Config{Request: ident.RequestID(id), Deadline: clock.System{}.Now().Add(5 * time.Second)},
+		Plan:     &plan{names: targets},
+		Submit:   &wire.Submit{Request: id},
+		Revision: func() ident.Revision { return 1 },
+	}
+}
+
 // TestRandomisedRogueSidecars has requests run at sidecars that cross, shift,
 // repeat, cut and misreport their frames. What a caller gets is always a prefix
 // of its own answer, and all of it if the request is said to have ended well.
@@ -171,7 +201,7 @@
 		random := rand.New(rand.NewPCG(seed, 1))
 		d := &directory{addresses: make(map[ident.TargetName]string)}
 		for _, name := range d.plan().names {
-			d.addresses[name] = startRogue(t, rand.New(rand.NewPCG(random.Uint64(), 2)))
+			d.addresses[name] = serve(t, &rogue{random: rand.New(rand.NewPCG(random.Uint64(), 2))})
 		}
 		links := link.NewClient(link.Config{Clock: clock.System{}})
 		defer links.Close()
@@ -191,17 +221,15 @@
 }
 
 func runOne(t *testing.T, cfg relay.Config, d *directory, id string) bool {
-	c := &caller{}
-	result := relay.Run(t.Context(), cfg, relay.Request{
-		Tries: tries.Config{
-			Request:     ident.RequestID(id),
-			Deadline:    clock.System{}.Now().Add(5 * time.Second),
-			ResumeDelay: time.Millisecond,
-		},
-		Plan:     d.plan(),
-		Submit:   &wire.Submit{Request: id},
-		Revision: func() ident.Revision { return 1 },
-	}, c)
+	h := &held{}
+	c := &h.caller
+	var to relay.Caller = c
+	if len(id)%2 == 0 {
+		to = h
+	}
+	request := ask(id, d.plan().names...)
+	request.Tries.ResumeDelay = time.Millisecond
+	result := relay.Run(t.Context(), cfg, request, to)
 	want := answerOf(id)
 	assert.Check(t, bytes.HasPrefix(want, c.body), "%s got what is not its own: %q", id, c.body)
 	whole := result.Outcome == wire.Outcome_OUTCOME_RAN && !result.Truncated
--- a/internal/request/tries/action.go
+++ b/internal/request/tries/action.go
@@ -37,6 +37,9 @@
 	ActionBury
 	// ActionRecorded writes the answer of the ledger to the caller.
 	ActionRecorded
+	// ActionReset drops the answer that was written so far, which the router
+	// holds back from the caller until it is whole.
+	ActionReset
 	// ActionFinish ends the request: Outcome, Status, RetryAfter, Truncated.
 	ActionFinish
 )
--- a/internal/request/tries/config.go
+++ b/internal/request/tries/config.go
@@ -45,6 +45,9 @@
 	Customer ident.CustomerName
 	// Once marks a request that is not idempotent.
 	Once bool
+	// Buffered says that the router holds the answer back until it is whole, so
+	// that an idempotent request may run again after part of it has come.
+	Buffered bool
 	// LedgerKey is the caller's idempotency key, or empty.
 	LedgerKey string
 	// Deadline is when the caller must have its answer; zero means
--- a/internal/request/tries/stream.go
+++ b/internal/request/tries/stream.go
@@ -279,16 +279,19 @@
 const maxDoublings = 10
 
 // rerun runs an idempotent request again at another target, unless part of
-// the answer went out. All else ends in an answer that says unknown.
+// the answer went out to the caller. All else ends in an answer that says
+// unknown.
 func (m *Machine) rerun(now time.Time) {
 	m.doubt = true
 	if !m.cfg.Once && m.anyLive() {
 		return
 	}
-	if m.cfg.Once || m.record.Delivered > 0 || m.gone || m.begun() >= m.cfg.MaxRuns {
+	shown := m.record.Delivered > 0 && !m.cfg.Buffered
+	if m.cfg.Once || shown || m.gone || m.begun() >= m.cfg.MaxRuns {
 		m.finishUnknown(now, http.StatusBadGateway)
 		return
 	}
+	m.startOver()
 	m.winner = nobody
 	if m.named < m.cfg.MaxTries && !m.spend(now) {
 		m.finishUnknown(now, http.StatusServiceUnavailable)
@@ -297,6 +300,15 @@
 	m.next(now)
 }
 
+// startOver drops the part of an answer that the caller has not seen.
+func (m *Machine) startOver() {
+	if m.record.Delivered == 0 {
+		return
+	}
+	m.record.Delivered = 0
+	m.actions = append(m.actions, Action{Kind: ActionReset})
+}
+
 func (m *Machine) spend(now time.Time) bool {
 	return m.cfg.Retries == nil || m.cfg.Retries.Spend(now, m.cfg.Customer)
 }
