--- a/internal/process/router/chat.go
+++ b/internal/process/router/chat.go
@@ -127,7 +127,7 @@
 // answer runs a request and writes how it ended.
 func (r *Router) answer(w http.ResponseWriter, req *http.Request, c *call) {
 	if r.poisoned.Blocked(ident.Fingerprint(c.submit.GetFingerprint())) {
-		writeEarly(w, req, refusal(http.StatusForbidden, codeQuarantined, "this request crashed the targets that ran it"))
+		writeEarly(w, req, quarantined())
 		return
 	}
 	c.tries.Watched = r.poisoned.Verdict(ident.Fingerprint(c.submit.GetFingerprint())) != poison.VerdictNone
@@ -236,6 +236,14 @@
 	case result.Outcome != wire.Outcome_OUTCOME_NOT_RUN:
 		e.Code = codeOutcomeUnknown
 		e.Message = "it is not known whether the request ran"
+	case result.Status == http.StatusUnprocessableEntity:
+		e = quarantined()
+	case result.Status == http.StatusBadRequest:
+		e.Code = codeInvalid
+		e.Message = "no target takes such a request"
+	case result.Status == http.StatusGatewayTimeout:
+		e.Code = codeTimeout
+		e.Message = "the time for the request was over before it ran"
 	}
 	if e.Status == 0 {
 		e.Status = http.StatusServiceUnavailable
--- a/internal/process/router/error.go
+++ b/internal/process/router/error.go
@@ -23,6 +23,7 @@
 	codeQuarantined    = "Quarantined"
 	codeNotReady       = "NotReady"
 	codeLimited        = "LimitReached"
+	codeTimeout        = "Timeout"
 	codeAnswerCut      = "AnswerCut"
 	codeNotKept        = "AnswerNotKept"
 )
@@ -32,6 +33,11 @@
 	return &httpd.Error{Status: status, Code: code, Message: message, Outcome: httpd.OutcomeNotRun}
 }
 
+// quarantined returns the final answer to a request that crashes its targets.
+func quarantined() *httpd.Error {
+	return refusal(http.StatusForbidden, codeQuarantined, "this request crashed the targets that ran it")
+}
+
 // writeEarly answers the caller with a refusal that comes before the ledger is
 // asked. It says nothing of what an earlier send under the same key did, and so
 // a service's caller with a key is told that the outcome is unknown.
