Measure how far the clocks of control VMs are apart

Cause: the leader's clock stamps commands, by which ledger keys expire, and nothing told an operator that a control VM's clock is off.

Ruled out for now: a leader that refuses to lead with such a clock (it can't know by itself whose clock is wrong).

The link's tests share their set-up now.

--- a/internal/conn/link/bench_test.go
+++ b/internal/conn/link/bench_test.go
@@ -40,10 +40,7 @@
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(b, err)
 	listener := &countingListener{Listener: inner}
-	server := link.NewServer(echo{})
-	go func() { _ = server.Serve(b.Context(), listener) }()
-	defer server.Close()
-	defer listener.Close()
+	serveUntilDone(b, listener, echo{})
 	client := link.NewClient(link.Config{Clock: clock.System{}})
 	defer client.Close()
 	address := inner.Addr().String()
--- a/internal/conn/link/join_test.go
+++ b/internal/conn/link/join_test.go
@@ -47,19 +47,24 @@
 	return c.Conn.Write(p)
 }
 
-func TestHeadersTravelWithTheirBodies(t *testing.T) {
+// countHeaders serves calls until the test ends and counts their headers.
+func countHeaders(t *testing.T, handler link.Handler) *loneHeaders {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	counted := &loneHeaders{Listener: listener}
-	server := link.NewServer(echo{})
-	go func() { _ = server.Serve(context.Background(), counted) }()
-	defer func() { _ = listener.Close(); _ = server.Close() }()
+	serveUntilDone(t, counted, handler)
+	return counted
+}
+
+func TestHeadersTravelWithTheirBodies(t *testing.T) {
+	counted := countHeaders(t, echo{})
 	client := link.NewClient(link.Config{Clock: clock.System{}, Caller: "router-1"})
 	defer client.Close()
 	const calls = 20
 	for range calls {
 		call := &wire.Call{Body: &wire.Call_Probe{Probe: &wire.Probe{}}}
-		assert.NilError(t, client.Ask(t.Context(), listener.Addr().String(), call, new(wire.ProbeReply)))
+		assert.NilError(t, client.Ask(t.Context(), counted.Addr().String(), call, new(wire.ProbeReply)))
 	}
 	assert.Assert(t, counted.data.Load() >= calls, counted.data.Load())
 	assert.Equal(t, counted.lone.Load(), int64(0))
@@ -74,17 +79,12 @@
 
 func TestLongMessagesTravelInShortFrames(t *testing.T) {
 	const bytes, limit = 1 << 20, 16 << 10
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	counted := &loneHeaders{Listener: listener}
-	server := link.NewServer(bulk{bytes: bytes})
-	go func() { _ = server.Serve(context.Background(), counted) }()
-	defer func() { _ = listener.Close(); _ = server.Close() }()
+	counted := countHeaders(t, bulk{bytes: bytes})
 	client := link.NewClient(link.Config{Clock: clock.System{}})
 	defer client.Close()
 	reply := new(wire.QueryReply)
 	call := &wire.Call{Body: &wire.Call_Query{Query: &wire.Query{}}}
-	assert.NilError(t, client.Ask(t.Context(), listener.Addr().String(), call, reply))
+	assert.NilError(t, client.Ask(t.Context(), counted.Addr().String(), call, reply))
 	assert.Equal(t, len(reply.GetResult()), bytes)
 	assert.Assert(t, counted.longest.Load() <= limit, counted.longest.Load())
 }
--- a/internal/conn/link/link_test.go
+++ b/internal/conn/link/link_test.go
@@ -26,13 +26,19 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	server = link.NewServer(handler)
+	return listener.Addr().String(), serveUntilDone(t, listener, handler)
+}
+
+// serveUntilDone serves calls on a listener until the test ends.
+func serveUntilDone(t testing.TB, listener net.Listener, handler link.Handler) *link.Server {
+	t.Helper()
+	server := link.NewServer(handler)
 	go func() { _ = server.Serve(context.Background(), listener) }()
 	t.Cleanup(func() {
 		_ = listener.Close()
 		_ = server.Close()
 	})
-	return listener.Addr().String(), server
+	return server
 }
 
 func TestCallsAtOnceGetTheirOwnAnswers(t *testing.T) {
--- a/internal/process/ctrl/ctrl.go
+++ b/internal/process/ctrl/ctrl.go
@@ -97,6 +97,7 @@
 	balancer *balancer
 	trail    *trail.Ring
 	permits  *permit.Keeper
+	skews    skews
 	server   *link.Server
 
 	mu   sync.Mutex
--- /dev/null
+++ b/internal/process/ctrl/export_test.go
@@ -0,0 +1,4 @@
+package ctrl
+
+// Skew is skewOf.
+var Skew = skewOf
--- a/internal/process/ctrl/fleet.go
+++ b/internal/process/ctrl/fleet.go
@@ -57,6 +57,8 @@
 	Processes []Process
 	Loads     []TargetLoad
 	Restarted bool
+	// Clock is the answering VM's.
+	Clock time.Time
 }
 
 // Fleet asks every control process which processes watch it.
@@ -95,6 +97,7 @@
 func (c *Control) watched() *watched {
 	answer := c.hub.watched()
 	answer.Loads = c.balancer.loads()
+	answer.Clock = c.cfg.Clock.Now()
 	return answer
 }
 
@@ -138,6 +141,7 @@
 
 // askWatched returns nil if the control process gave no answer.
 func (c *Control) askWatched(ctx context.Context, member group.Member) *watched {
+	asked := c.cfg.Clock.Now()
 	reply, err := c.ask(ctx, member, &wire.Query{Kind: queryProcesses})
 	if err != nil {
 		return nil
@@ -146,6 +150,7 @@
 	if json.Unmarshal(reply.GetResult(), answer) != nil {
 		return nil
 	}
+	c.noteClock(member.VM, asked, answer.Clock)
 	return answer
 }
 
--- a/internal/process/ctrl/meters.go
+++ b/internal/process/ctrl/meters.go
@@ -10,6 +10,9 @@
 	metrics.GetOrCreateGauge("cactusline_watchers", func() float64 {
 		return float64(c.hub.count())
 	})
+	metrics.GetOrCreateGauge("cactusline_clock_skew_seconds", func() float64 {
+		return c.skews.largest().Seconds()
+	})
 	metrics.GetOrCreateGauge("cactusline_quorum_age_seconds", func() float64 {
 		since, _ := c.hub.confirmation()
 		return c.cfg.Clock.Now().Sub(since).Seconds()
