--- a/internal/process/side/submit.go
+++ b/internal/process/side/submit.go
@@ -22,7 +22,14 @@
 func (s *Sidecar) serveSubmit(call *wire.Call, submit *wire.Submit, stream *link.Stream) {
 	s.serving.Add(1)
 	defer s.serving.Add(-1)
-	out := &answer{stream: stream, attempt: submit.GetAttempt(), offset: submit.GetResumeOffset(), revision: s.revision, logger: s.cfg.Logger, refused: s.countRefused}
+	out := &answer{
+		stream:   stream,
+		attempt:  submit.GetAttempt(),
+		offset:   submit.GetResumeOffset(),
+		revision: s.revision,
+		logger:   s.cfg.Logger,
+		refused:  s.countRefused,
+	}
 	ctx, cancel := context.WithCancel(s.life)
 	defer cancel()
 	watcher := &callerWatch{stream: stream, cancel: cancel}
