Run on the users' platform: a gate on entry VMs, a core on VMs with disks

The product grows a routing document (one versioned whole, patched, replicated, pushed), members that find each other, a roster of targets read once for all with shared loads, and a role that carries any request straight to a target. platform/ only translates.

--- a/internal/conn/watch/follow.go
+++ b/internal/conn/watch/follow.go
@@ -1,16 +1,13 @@
 package watch
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
@@ -56,6 +53,14 @@
 	// Silence is how long a control process may send nothing before this
 	// process turns to another one.
 	Silence time.Duration
+	// Lead makes the process follow the leader where it is known, and turn to
+	// another process where no quorum has confirmed anything within Silence.
+	Lead bool
+	// Loads returns what this process has in flight, nil if that has not
+	// changed; it is asked each LoadInterval. Nil for processes that send work
+	// to no target.
+	Loads        func() *wire.TargetLoads
+	LoadInterval time.Duration
 	// OnUpdate puts an update in force. It is called with one update at a
 	// time; the revision is reported, and the lease confirmed, once it has
 	// returned.
@@ -67,6 +72,10 @@
 	Holder
 
 	cfg Config
+	// places are the control processes as far as they are known.
+	places places
+	// fleet is what updates told besides records.
+	fleet Fleet
 	// taking is held while an update is brought into force.
 	taking sync.Mutex
 	// verdicts is the highest index of verdicts that were taken.
@@ -90,16 +99,10 @@
 	if cfg.Silence == 0 {
 		cfg.Silence = DefaultSilence
 	}
-	cfg.Addresses = spread(cfg.Process, cfg.Addresses)
-	return &Follower{cfg: cfg, started: cfg.Clock.Now().Add(-1)}
-}
-
-// spread returns the addresses in an order that depends on the process.
-func spread(process string, addresses []string) []string {
-	weight := func(address string) uint64 { return xxhash.Sum64String(process + "\x00" + address) }
-	return slices.SortedFunc(slices.Values(addresses), func(a, b string) int {
-		return cmp.Compare(weight(a), weight(b))
-	})
+	f := &Follower{cfg: cfg, started: cfg.Clock.Now().Add(-1)}
+	f.places = places{process: cfg.Process, seeds: cfg.Addresses}
+	f.places.set(nil)
+	return f
 }
 
 // Leased reports whether a quorum has confirmed lately that the set is the
@@ -116,12 +119,16 @@
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	for turn := 0; ctx.Err() == nil; turn++ {
-		address := f.cfg.Addresses[turn%len(f.cfg.Addresses)]
+	for ctx.Err() == nil {
+		address := f.places.next()
 		err := f.follow(ctx, address)
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errElsewhere) {
+			continue
+		}
+		f.places.forgetLeader()
 		_ = level.Warn(f.cfg.Logger).Log("msg", "control lost", "address", address, "err", err)
 		_ = f.cfg.Clock.Sleep(ctx, reconnectInterval)
 	}
@@ -163,16 +170,24 @@
 		if err := stream.Receive(update); err != nil {
 			return fmt.Errorf("watch %s: %w", address, errors.Join(err, context.Cause(ctx)))
 		}
-		select {
-		case heard <- struct{}{}:
-		default:
+		if !f.cfg.Lead || update.GetEcho() != 0 {
+			select {
+			case heard <- struct{}{}:
+			default:
+			}
 		}
 		if err := f.Take(update); err != nil {
 			return err
 		}
+		if f.cfg.Lead && f.places.elsewhere(address) {
+			return errElsewhere
+		}
 	}
 }
 
+// errElsewhere ends a watch because another control process leads.
+var errElsewhere = errors.New("another control process leads")
+
 // Take brings an update into force. Only then does it tell of it.
 func (f *Follower) Take(update *wire.Update) error {
 	f.taking.Lock()
@@ -182,6 +197,9 @@
 	}
 	f.dropOldVerdicts(update)
 	set := f.Set()
+	if err := f.takeFleet(update); err != nil {
+		return err
+	}
 	if f.cfg.OnUpdate != nil {
 		f.cfg.OnUpdate(update, set)
 	}
@@ -225,22 +243,45 @@
 // reportChanges tells control which revision is in force, as it rises and at
 // each interval.
 func (f *Follower) reportChanges(ctx context.Context, stream *link.Stream) {
+	due := f.cfg.Clock.Now().Add(f.cfg.ReportInterval)
 	for {
 		changed := f.Changed()
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-		case <-f.cfg.Clock.After(f.cfg.ReportInterval):
+		loads, sooner := f.nextLoads(due)
+		report := f.cfg.Clock.After(sooner)
+		if loads == nil {
+			select {
+			case <-ctx.Done():
+				return
+			case <-changed:
+			case <-report:
+				if f.cfg.Clock.Now().Before(due) {
+					continue
+				}
+			}
 		}
-		if stream.Send(f.report()) != nil {
+		message := f.report()
+		message.Loads = loads
+		if stream.Send(message) != nil {
 			return
 		}
+		due = f.cfg.Clock.Now().Add(f.cfg.ReportInterval)
+	}
+}
+
+// nextLoads returns the loads to report now, nil if there are none, and else
+// how long to wait until they or the next report are due.
+func (f *Follower) nextLoads(due time.Time) (*wire.TargetLoads, time.Duration) {
+	wait := max(0, due.Sub(f.cfg.Clock.Now()))
+	if f.cfg.Loads == nil {
+		return nil, wait
 	}
+	return f.cfg.Loads(), min(wait, f.cfg.LoadInterval)
 }
 
 func (f *Follower) report() *wire.Watch {
+	source, step, document := f.standing()
 	return &wire.Watch{
+		RosterSource: source, RosterStep: step, Document: uint64(document),
 		Process: f.cfg.Process,
 		Role:    f.cfg.Role,
 		InForce: uint64(f.InForce()),
--- /dev/null
+++ b/internal/conn/watch/places.go
@@ -0,0 +1,65 @@
+package watch
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// places are the control processes that a follower may watch, in an order of
+// its own, so that the followers spread over them.
+type places struct {
+	process string
+	// seeds are from the settings; they stay in the list.
+	seeds []string
+
+	mu     sync.Mutex
+	list   []string
+	turn   int
+	leader string
+}
+
+// set replaces the addresses that were learned.
+func (p *places) set(learned []string) {
+	weight := func(address string) uint64 { return xxhash.Sum64String(p.process + "\x00" + address) }
+	order := func(a, b string) int { return cmp.Compare(weight(a), weight(b)) }
+	list := slices.SortedFunc(slices.Values(learned), order)
+	for _, seed := range slices.SortedFunc(slices.Values(p.seeds), order) {
+		if !slices.Contains(list, seed) {
+			list = append(list, seed)
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.list = list
+	p.turn = 0
+}
+
+// next returns the leader if it is known, else the next process in turn.
+func (p *places) next() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.leader != "" {
+		return p.leader
+	}
+	address := p.list[p.turn%len(p.list)]
+	p.turn++
+	return address
+}
+
+func (p *places) lead(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leader = address
+}
+
+func (p *places) forgetLeader() { p.lead("") }
+
+// elsewhere reports whether a known leader is at another address.
+func (p *places) elsewhere(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.leader != "" && p.leader != address
+}
--- a/internal/process/cmds/cmds.go
+++ b/internal/process/cmds/cmds.go
@@ -49,6 +49,8 @@
 	Router  RouterCommand  `cmd:"" help:"Take callers' requests and route them to targets."`
 	Sidecar SidecarCommand `cmd:"" help:"Guard one target: admit, run and account for its work."`
 	Control ControlCommand `cmd:"" help:"Replicate records, claims and orders."`
+	Gate    GateCommand    `cmd:"" help:"On the platform: take callers' requests by the routing document."`
+	Core    CoreCommand    `cmd:"" help:"On the platform: replicate the routing document and read the list of targets."`
 	Dev     DevCommand     `cmd:"" help:"Run a whole small fleet with stand-in targets in one process."`
 
 	Apply   ApplyCommand   `cmd:"" help:"Create and amend records, all of a file or none."`
--- /dev/null
+++ b/internal/process/cmds/core.go
@@ -0,0 +1,213 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"cactusline.dev/cactusline/internal/conn/link"
+	"cactusline.dev/cactusline/internal/conn/roster"
+	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/process/audit"
+	"cactusline.dev/cactusline/internal/process/clock"
+	"cactusline.dev/cactusline/internal/process/ctrl"
+	"cactusline.dev/cactusline/internal/process/group"
+	"cactusline.dev/cactusline/internal/process/lister"
+	"cactusline.dev/cactusline/internal/process/member"
+	"cactusline.dev/cactusline/internal/process/trace"
+	"cactusline.dev/cactusline/internal/version/store"
+	"cactusline.dev/cactusline/platform"
+)
+
+const (
+	// coreHeartbeat and coreElection suit VMs a few milliseconds apart with a
+	// part of a core each: a stalled processor slice is no lost leader.
+	coreHeartbeat = 100 * time.Millisecond
+	coreElection  = 500 * time.Millisecond
+	// coreSnapshotEvery keeps the log in memory short: an entry may hold a
+	// whole routing document.
+	coreSnapshotEvery = 500
+	// gcPercent trades processor time for memory: heaps here are a few MB, and
+	// memory is dearer than the collector's work on them.
+	gcPercent = 50
+)
+
+// CoreCommand runs a control process on the platform.
+type CoreCommand struct {
+	Settings string `help:"Settings file of the platform; by default where the platform says."`
+}
+
+// Run implements the command.
+func (c *CoreCommand) Run(s *scope) error {
+	settings, err := readSettings(c.Settings)
+	if err != nil {
+		return err
+	}
+	logger, err := platformLogger(s, "core", settings)
+	if err != nil {
+		return err
+	}
+	limitMemory()
+	if settings.Data == "" {
+		return runRelay(s.ctx, logger, settings)
+	}
+	return runCore(s.ctx, logger, settings)
+}
+
+func limitMemory() { debug.SetGCPercent(gcPercent) }
+
+// core is a control process with a data folder.
+type core struct {
+	settings  *platform.Settings
+	logger    log.Logger
+	links     *link.Client
+	disk      *controlDisk
+	peers     *ctrl.Peers
+	directory *member.Directory
+	book      *roster.Book
+	control   *ctrl.Control
+}
+
+func runCore(ctx context.Context, logger log.Logger, settings *platform.Settings) error {
+	internal, err := listen("link", settings.Link)
+	if err != nil {
+		return err
+	}
+	links, remotes := newLinks(string(settings.VM), settings.Seeds, linkTLS{})
+	defer func() { _ = links.Close() }()
+	r := &core{settings: settings, logger: logger, links: links}
+	r.peers = ctrl.NewPeers(ctrl.PeersConfig{Self: settings.VM, Link: links, Clock: clock.System{}})
+	if err := r.open(); err != nil {
+		return err
+	}
+	status := r.disk.replicas.Status()
+	r.directory = member.NewDirectory(member.Config{
+		Self:  member.Entry{VM: settings.VM, ID: status.ID, Address: settings.Link, Fresh: settings.Fresh},
+		Seeds: settings.Seeds, Group: r.disk.replicas, Link: links, Clock: clock.System{}, Logger: logger,
+	})
+	r.book = roster.NewBook(startName(string(settings.VM)))
+	tracer, err := trace.New(ctx, trace.Config{Process: string(settings.VM), Role: "control"})
+	if err != nil {
+		return fmt.Errorf("trace: %w", err)
+	}
+	defer closeTracer(tracer)
+	r.control = ctrl.New(ctrl.Config{
+		VM: settings.VM, Listener: internal, Clock: clock.System{}, Logger: logger, Tracer: tracer,
+		Log: r.disk.replicas, Store: r.disk.state, Remote: remotes, Link: links,
+		Group: r.disk.replicas, Audit: r.disk.folder, Receive: r.disk.replicas.Receive,
+		Query: func(_ context.Context, query *wire.Query) *wire.QueryReply {
+			return answerAnnounced(r.directory, query)
+		},
+		Roster: r.book, MinVoters: 2*settings.Losses + 1,
+	})
+	return r.run(ctx)
+}
+
+func answerAnnounced(directory *member.Directory, query *wire.Query) *wire.QueryReply {
+	if reply := directory.Answer(query); reply != nil {
+		return reply
+	}
+	return &wire.QueryReply{Error: "no answer to " + query.GetKind()}
+}
+
+// open opens the data folder.
+func (r *core) open() error {
+	folder, err := audit.OpenFolder(r.settings.Data + "/" + auditFolder)
+	if err != nil {
+		return fmt.Errorf("open audit folder: %w", err)
+	}
+	state := store.New(store.Config{Sink: folder, Exported: folder.Last().Index})
+	replicas, err := group.Open(group.Config{
+		VM: r.settings.VM, Folder: r.settings.Data, Machine: state, Transport: r.peers,
+		Clock: clock.System{}, Logger: r.logger,
+		HeartbeatInterval: coreHeartbeat, ElectionTimeout: coreElection, SnapshotEvery: coreSnapshotEvery,
+	})
+	if err != nil {
+		return errors.Join(fmt.Errorf("open %s: %w", r.settings.Data, err), folder.Close())
+	}
+	r.disk = &controlDisk{state: state, replicas: replicas, folder: folder}
+	return nil
+}
+
+// run serves until ctx ends.
+func (r *core) run(ctx context.Context) error {
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	stop := context.AfterFunc(ctx, func() {
+		_ = level.Info(r.logger).Log("msg", "stopping")
+		r.disk.close(r.logger)
+		end()
+	})
+	defer stop()
+	keeper := member.NewKeeper(member.KeeperConfig{
+		Members: r.disk.replicas, Heard: r.directory.Heard, Known: r.directory.Known, Learn: r.peers.Learn,
+		MinVoters: 2*r.settings.Losses + 1, Clock: clock.System{}, Logger: r.logger,
+	})
+	list := lister.New(lister.Config{
+		Catalog: platform.NewCatalog(r.settings.Catalog), Book: r.book, Due: r.reads,
+		Clock: clock.System{}, Logger: r.logger,
+	})
+	go r.peers.Run(life)
+	go r.directory.Run(life)
+	go keeper.Run(life)
+	go list.Run(life)
+	go exportAudit(life, r.logger, r.disk.state)
+	if err := serveOperator(life, r.logger, r.settings.Operators, r.control); err != nil {
+		return err
+	}
+	return r.control.Run(life)
+}
+
+// reads reports whether this process is the one to read the platform's list:
+// the leader is, and each process that has watchers while none is known.
+func (r *core) reads() bool {
+	status := r.disk.replicas.Status()
+	return status.Leader == status.ID || (status.Leader == "" && r.control.Watched())
+}
+
+// runRelay runs a control process without a data folder: it passes operators'
+// calls on, and helps the others to find each other.
+func runRelay(ctx context.Context, logger log.Logger, settings *platform.Settings) error {
+	internal, err := listen("link", settings.Link)
+	if err != nil {
+		return err
+	}
+	links, _ := newLinks(string(settings.VM), settings.Seeds, linkTLS{})
+	defer func() { _ = links.Close() }()
+	directory := member.NewDirectory(member.Config{
+		Self:  member.Entry{VM: settings.VM, Address: settings.Link, Fresh: settings.Fresh},
+		Seeds: settings.Seeds, Link: links, Clock: clock.System{}, Logger: logger,
+	})
+	go directory.Run(ctx)
+	relay := &ctrl.Relay{Link: links, Cores: directory.Cores, Logger: logger}
+	if err := serveOperator(ctx, logger, settings.Operators, relay); err != nil {
+		return err
+	}
+	return serveAnnounced(ctx, internal, directory)
+}
+
+// serveOperator serves operators' calls until ctx ends.
+func serveOperator(ctx context.Context, logger log.Logger, address string, documents platform.Documents) error {
+	listener, err := listen("operators", address)
+	if err != nil {
+		return err
+	}
+	operator := &platform.Operator{Documents: documents, Logger: logger}
+	server := &http.Server{Handler: operator.Handler(), ReadHeaderTimeout: operatorHeaderTimeout}
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			_ = level.Error(logger).Log("msg", "operators are not served", "err", err)
+		}
+	}()
+	return nil
+}
+
+// operatorHeaderTimeout bounds the head of an operator's call.
+const operatorHeaderTimeout = 5 * time.Second
--- /dev/null
+++ b/internal/process/cmds/gate.go
@@ -0,0 +1,104 @@
+package cmds
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"cactusline.dev/cactusline/internal/conn/watch"
+	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/process/clock"
+	"cactusline.dev/cactusline/internal/process/gate"
+	"cactusline.dev/cactusline/internal/version/record"
+	"cactusline.dev/cactusline/platform"
+)
+
+const (
+	// gateSilence is how long a gate stays with a control process that has no
+	// word of a quorum. With the way to the next one it stays below the time
+	// after which a process that reaches the quorum must know its newest word.
+	gateSilence = 1800 * time.Millisecond
+	// gateLoadInterval is between two reports of changed loads.
+	gateLoadInterval = 150 * time.Millisecond
+	// usualGates is the number of gates over which the repeats that need not be
+	// earned are spread; fleets with more use fewer each.
+	usualGates = 32
+	// retryPart is the part of the repeats that the platform allows which is
+	// used, since arrivals that targets turn down count as well.
+	retryPart = 0.5
+)
+
+// GateCommand runs a gate on the platform.
+type GateCommand struct {
+	Settings string `help:"Settings file of the platform; by default where the platform says."`
+}
+
+// Run implements the command.
+func (c *GateCommand) Run(s *scope) error {
+	settings, err := readSettings(c.Settings)
+	if err != nil {
+		return err
+	}
+	logger, err := platformLogger(s, "gate", settings)
+	if err != nil {
+		return err
+	}
+	limitMemory()
+	callers, err := listen("callers", settings.Callers)
+	if err != nil {
+		return err
+	}
+	ready, err := listen("ready", settings.Ready)
+	if err != nil {
+		return err
+	}
+	links, _ := newLinks(string(settings.VM), settings.Seeds, linkTLS{})
+	defer func() { _ = links.Close() }()
+	g := gate.New(gate.Config{
+		Name: string(settings.VM), Domain: settings.Domain,
+		Compile: platform.Compile, Dialect: platform.Dialect{}, Clock: clock.System{}, Logger: logger,
+		Grace:      settings.Grace,
+		RetryShare: settings.RetryShare * retryPart,
+		RetryRate:  retryRate(settings),
+	})
+	follower := watch.NewFollower(watch.Config{
+		Addresses: settings.Seeds, Link: links, Clock: clock.System{}, Logger: logger,
+		Process: startName(string(settings.VM)), Role: "router",
+		Silence: gateSilence, Lead: true, Loads: g.Loads, LoadInterval: gateLoadInterval,
+		OnUpdate: func(update *wire.Update, _ *record.Set) { g.Update(update) },
+	})
+	g.Follow(follower)
+	// Requests in flight go on while the process stops, and so do the news.
+	life, end := context.WithCancel(context.WithoutCancel(s.ctx))
+	defer end()
+	go follower.Run(life)
+	return g.Run(s.ctx, callers, ready)
+}
+
+// retryRate is the repeats a second that one gate need not earn.
+func retryRate(settings *platform.Settings) float64 {
+	if settings.RetryWindow <= 0 {
+		return 0
+	}
+	return settings.RetrySlack / settings.RetryWindow.Seconds() / usualGates * retryPart
+}
+
+// readSettings reads the settings file.
+func readSettings(path string) (*platform.Settings, error) {
+	if path == "" {
+		path = platform.SettingsPath()
+	}
+	settings, err := platform.ReadSettings(path)
+	if err != nil {
+		return nil, usage(err)
+	}
+	return settings, nil
+}
+
+// platformLogger returns a logger to standard output, which is what the
+// platform keeps.
+func platformLogger(s *scope, role string, settings *platform.Settings) (log.Logger, error) {
+	s.stderr = s.stdout
+	return newLogger(s, role, string(settings.VM))
+}
--- a/internal/process/ctrl/ctrl.go
+++ b/internal/process/ctrl/ctrl.go
@@ -17,6 +17,7 @@
 
 	"cactusline.dev/cactusline/internal/conn/link"
 	"cactusline.dev/cactusline/internal/conn/remote"
+	"cactusline.dev/cactusline/internal/conn/roster"
 	"cactusline.dev/cactusline/internal/conn/watch"
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/process/group"
@@ -57,6 +58,8 @@
 	// Verdicts returns the requests that crash targets, and a number that
 	// rises when they change.
 	Verdicts() ([]*wire.CrashVerdict, uint64)
+	// Document returns the routing document.
+	Document() store.Document
 	// CrashedAt returns the requests that were in flight when a target
 	// crashed.
 	CrashedAt(target ident.TargetName) []ident.Fingerprint
@@ -88,6 +91,11 @@
 	Query func(ctx context.Context, query *wire.Query) *wire.QueryReply
 	// Weights limits the fetches of weights that the fleet may start.
 	Weights permit.Limit
+	// Roster lists the targets of the platform; nil where records list them.
+	Roster *roster.Book
+	// MinVoters is the number of voters without which no routing document is
+	// taken, so that one that was taken outlives the losses to be borne.
+	MinVoters int
 }
 
 // Control serves the other processes.
@@ -120,6 +128,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.cfg.Listener.Close() })
 	defer stop()
 	go c.hub.confirm(ctx)
+	go c.hub.pulse(ctx)
 	go c.watchMembers(ctx)
 	go c.fillAudit(ctx)
 	c.measure()
@@ -172,6 +181,10 @@
 		return c.permit(ctx, query.GetArgument())
 	case QueryDecided:
 		return c.keep(query.GetArgument())
+	case queryPutDocument:
+		return c.answerPut(ctx, query.GetArgument())
+	case queryDocument:
+		return c.answerDocument(ctx)
 	}
 	if c.cfg.Query == nil {
 		return &wire.QueryReply{Error: "no answer to " + query.GetKind()}
@@ -185,6 +198,9 @@
 	if err != nil {
 		return &wire.CommandReply{Error: err.Error()}
 	}
+	if refusal := c.refuseEarly(entry); refusal != nil {
+		return refusal
+	}
 	result, err := c.cfg.Log.Propose(ctx, entry)
 	if err == nil {
 		return &wire.CommandReply{Result: result}
--- a/internal/process/ctrl/hub.go
+++ b/internal/process/ctrl/hub.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cactusline.dev/cactusline/internal/conn/link"
+	"cactusline.dev/cactusline/internal/conn/roster"
 	"cactusline.dev/cactusline/internal/conn/watch"
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/version/ident"
@@ -37,6 +38,11 @@
 	confirmed chan struct{}
 	// since is when the last confirmed barrier began.
 	since time.Time
+	// beat is closed at each pulse, when changed loads are sent.
+	beat chan struct{}
+
+	papers papers
+	loads  roster.Loads
 }
 
 // watcher is one process that watches.
@@ -48,6 +54,14 @@
 	verdicts uint64
 	// stamps are reports that no barrier has followed yet, oldest first.
 	stamps []stamp
+
+	// The fields below are used by the feeding goroutine alone, but for load.
+	document     ident.Version
+	rosterSource string
+	rosterStep   uint64
+	controls     string
+	leader       string
+	load         roster.Report
 }
 
 type stamp struct {
@@ -61,11 +75,15 @@
 		started:   cfg.Clock.Now(),
 		watchers:  make(map[*watcher]struct{}),
 		confirmed: make(chan struct{}),
+		beat:      make(chan struct{}),
 	}
 }
 
 func (h *hub) join(first *wire.Watch, revision ident.Revision) *watcher {
-	w := &watcher{sent: revision}
+	w := &watcher{
+		sent: revision, document: ident.Version(first.GetDocument()),
+		rosterSource: first.GetRosterSource(), rosterStep: first.GetRosterStep(),
+	}
 	h.take(w, first)
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -74,6 +92,7 @@
 }
 
 func (h *hub) leave(w *watcher) {
+	h.loads.Forget(&w.load)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.watchers, w)
@@ -84,6 +103,9 @@
 // take notes what a watcher reports.
 func (h *hub) take(w *watcher, report *wire.Watch) {
 	now := h.cfg.Clock.Now()
+	if loads := report.GetLoads(); loads != nil && h.cfg.Roster != nil && loads.GetRosterSource() == h.cfg.Roster.Source() {
+		h.loads.Take(&w.load, loads)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.report = report
@@ -133,17 +155,18 @@
 	return err
 }
 
-func (h *hub) confirmation() (time.Time, <-chan struct{}) {
+func (h *hub) confirmation() (since time.Time, confirmed, beat <-chan struct{}) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.since, h.confirmed
+	return h.since, h.confirmed, h.beat
 }
 
 // feed sends a watcher what is new until ctx ends.
 func (h *hub) feed(ctx context.Context, w *watcher, stream *link.Stream) {
 	for {
 		changed := h.cfg.Store.Changed()
-		since, confirmed := h.confirmation()
+		listed := h.rosterChanged()
+		since, confirmed, beat := h.confirmation()
 		if update := h.news(w, since); update != nil {
 			if stream.Send(update) != nil {
 				return
@@ -154,6 +177,8 @@
 			return
 		case <-changed:
 		case <-confirmed:
+		case <-listed:
+		case <-beat:
 		}
 	}
 }
@@ -180,6 +205,7 @@
 		update.Echo = echo
 		some = true
 	}
+	some = h.addFleet(w, update) || some
 	update.Routers = h.routers.Load()
 	if !some {
 		return nil
--- a/internal/process/ctrl/meters.go
+++ b/internal/process/ctrl/meters.go
@@ -14,7 +14,7 @@
 		return c.skews.largest().Seconds()
 	})
 	metrics.GetOrCreateGauge("cactusline_quorum_age_seconds", func() float64 {
-		since, _ := c.hub.confirmation()
+		since, _, _ := c.hub.confirmation()
 		return c.cfg.Clock.Now().Sub(since).Seconds()
 	})
 }
--- a/internal/process/group/api.go
+++ b/internal/process/group/api.go
@@ -103,11 +103,13 @@
 }
 
 // MemberStatus is the leader's view of one member; Match is the last entry
-// known to be synced there, zero on followers.
+// known to be synced there, zero on followers. Heard is when a leader last
+// heard from the member, zero for itself and on followers.
 type MemberStatus struct {
 	Member
 	Learner bool
 	Match   uint64
+	Heard   time.Time
 }
 
 // Status is a member's view of its group. Newcomers are VMs that asked to
--- a/internal/process/group/form.go
+++ b/internal/process/group/form.go
@@ -60,6 +60,24 @@
 	return nil
 }
 
+// Found forms a group of this member alone, which others then join. It reports
+// whether it did: a member that has ever taken part in a group does not.
+func (g *Group) Found(address string) bool {
+	formed := false
+	err := g.do(func(now time.Time) {
+		if !g.node.Empty() {
+			return
+		}
+		self := Member{ID: g.id, VM: g.cfg.VM, Address: address}
+		g.node.Form(now, &raftpb.Snapshot{
+			Index: baseIndex, Term: baseTerm,
+			Members: &raftpb.Members{Members: []*raftpb.Member{self.encode()}},
+		})
+		formed = true
+	})
+	return err == nil && formed
+}
+
 func (g *Group) bootstrapMember(vm ident.VMName) *Member {
 	for i := range g.cfg.Bootstrap {
 		if g.cfg.Bootstrap[i].VM == vm {
--- a/internal/process/group/group.go
+++ b/internal/process/group/group.go
@@ -294,6 +294,7 @@
 			Member:  memberOf(view.Member),
 			Learner: view.Member.GetLearner(),
 			Match:   view.Match,
+			Heard:   view.Heard,
 		})
 		delete(g.newcomers, MemberID(view.Member.GetId()))
 	}
--- a/internal/process/raft/ready.go
+++ b/internal/process/raft/ready.go
@@ -127,10 +127,12 @@
 	n.log.baseMembers = &raftpb.Members{Members: members}
 }
 
-// MemberView is the leader's view of a member; Match is zero elsewhere.
+// MemberView is the leader's view of a member; Match and Heard are zero
+// elsewhere. Heard is when the member last answered, or when this term began.
 type MemberView struct {
 	Member *raftpb.Member
 	Match  uint64
+	Heard  time.Time
 }
 
 // Status is a copy of what a node knows.
@@ -156,6 +158,9 @@
 		view := MemberView{Member: member}
 		if n.role == Leader {
 			view.Match = n.matchOf(member.GetId())
+			if peer := n.peers[member.GetId()]; peer != nil {
+				view.Heard = peer.heard
+			}
 		}
 		status.Members = append(status.Members, view)
 	}
--- /dev/null
+++ b/internal/request/place/choose.go
@@ -0,0 +1,278 @@
+package place
+
+import (
+	"cmp"
+	"math"
+	"time"
+
+	"cactusline.dev/cactusline/internal/version/ident"
+)
+
+const (
+	// loadFactor and loadSlack bound the load of a target that is chosen for
+	// its warmth: a factor of the mean, and a few requests that level out by
+	// themselves at low loads.
+	loadFactor = 1.25
+	loadSlack  = 4
+	// youngFor is how long after its listing a target is taken to lack the
+	// prompts that are to be its own.
+	youngFor = 20 * time.Second
+	// remoteCost is what a target in another failure domain counts as more
+	// loaded for requests without a prompt: the way there and back takes about
+	// a third of a short request's work.
+	remoteCost = 0.35
+)
+
+// Part is one part of a prompt. Requests may share it.
+type Part struct {
+	ID     uint64
+	Tokens ident.Tokens
+}
+
+// Ask is what a request needs.
+type Ask struct {
+	Service ident.ServiceName
+	// Parts of the prompt in their order; the last one is the request's own.
+	// Empty for requests without a prompt.
+	Parts []Part
+	// Model keeps the prompts of models apart.
+	Model string
+	// Tried are the targets that had the request before.
+	Tried []*Target
+}
+
+// Pick is a choice.
+type Pick struct {
+	Target *Target
+	// Fetch is the address of a target that holds more of the prompt, empty if
+	// there is none.
+	Fetch string
+	// Reason says what decided.
+	Reason Reason
+	// Load and Mean are the requests at the target and at all on average.
+	Load int
+	Mean float64
+}
+
+// Reason is what decided a choice.
+type Reason string
+
+// The reasons of choices.
+const (
+	ByWarmth Reason = "Warm"
+	BySpill  Reason = "Spill"
+	ByLoad   Reason = "Load"
+	// ByNeed is the choice of a target that is ejected or leaving, because
+	// there is no other.
+	ByNeed Reason = "Need"
+)
+
+// key returns what requests with the same shared parts have in common.
+func (a *Ask) key() uint64 {
+	parts := a.Parts
+	if len(parts) > 1 {
+		parts = parts[:len(parts)-1]
+	}
+	key := hashText(a.Model)
+	for _, part := range parts {
+		key = mix(key ^ part.ID)
+	}
+	return key
+}
+
+// Draw returns a number in [0, 1) that is the same for requests that share
+// their prompt.
+func (a *Ask) Draw() float64 { return float64(mix(a.key())>>11) / (1 << 53) }
+
+// Choose returns a target and counts the request as in flight there until
+// Finish. It returns false if no target is left.
+func (f *Field) Choose(now time.Time, ask *Ask) (Pick, bool) {
+	s := f.service(ask.Service)
+	if s == nil {
+		return Pick{}, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	candidates := s.candidates(now, ask)
+	if len(candidates) == 0 {
+		return s.byNeed(now, ask)
+	}
+	pick := Pick{Mean: mean(candidates)}
+	if len(ask.Parts) > 0 {
+		s.byWarmth(now, ask, candidates, &pick)
+	} else {
+		pick.Target, pick.Reason = lightest(candidates, f.cfg.Domain), ByLoad
+	}
+	pick.Load = pick.Target.load()
+	s.take(now, pick.Target)
+	return pick, true
+}
+
+func (s *service) take(now time.Time, t *Target) {
+	t.own++
+	if t.health.unreached > 0 && !now.Before(t.health.until) {
+		t.health.trial = true
+	}
+}
+
+// candidates returns the targets that may get the request.
+func (s *service) candidates(now time.Time, ask *Ask) []*Target {
+	list := make([]*Target, 0, len(s.targets))
+	for _, t := range s.targets {
+		if !t.Leaving && t.health.usable(now) && !contains(ask.Tried, t) {
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
+// byNeed returns the target whose ejection ends first. Better a target that
+// may be down than a refusal while nothing else is there.
+func (s *service) byNeed(now time.Time, ask *Ask) (Pick, bool) {
+	var best *Target
+	for _, t := range s.targets {
+		if t.Leaving || contains(ask.Tried, t) {
+			continue
+		}
+		if best == nil || t.health.until.Before(best.health.until) {
+			best = t
+		}
+	}
+	if best == nil {
+		return Pick{}, false
+	}
+	pick := Pick{Target: best, Reason: ByNeed, Load: best.load()}
+	s.take(now, best)
+	return pick, true
+}
+
+// byWarmth takes the first target in the order of the prompt's key whose load
+// is within the bound.
+func (s *service) byWarmth(now time.Time, ask *Ask, candidates []*Target, pick *Pick) {
+	key := ask.key()
+	bound := pick.Mean*loadFactor + loadSlack
+	var home *Target
+	var best *Target
+	for _, t := range candidates {
+		if home == nil || above(key, t, home) {
+			home = t
+		}
+		if float64(t.load()) < bound && (best == nil || above(key, t, best)) {
+			best = t
+		}
+	}
+	pick.Target, pick.Reason = best, ByWarmth
+	if best == nil {
+		pick.Target = lightest(candidates, "")
+	}
+	if pick.Target != home {
+		pick.Reason = BySpill
+	}
+	pick.Fetch = s.source(now, key, pick.Target, home)
+	s.warm.note(now, key, pick.Target)
+}
+
+// source returns the address from which a target may fetch the shared parts of
+// a prompt that it seems to lack.
+func (s *service) source(now time.Time, key uint64, to, home *Target) string {
+	if s.warm.holds(now, key, to) {
+		return ""
+	}
+	if from := s.warm.last(now, key); from != nil && from != to && !from.gone && from.health.usable(now) {
+		return from.Address
+	}
+	if to != home {
+		return home.Address
+	}
+	if now.Sub(to.since) >= youngFor {
+		return ""
+	}
+	// The home before the target was there.
+	var before *Target
+	for _, t := range s.targets {
+		if t != to && now.Sub(t.since) >= youngFor && (before == nil || above(key, t, before)) {
+			before = t
+		}
+	}
+	if before == nil {
+		return ""
+	}
+	return before.Address
+}
+
+// above reports whether a target goes before another in the order of a key.
+func above(key uint64, a, b *Target) bool {
+	return cmp.Or(cmp.Compare(rank(key, a), rank(key, b)), cmp.Compare(a.Name, b.Name)) > 0
+}
+
+func rank(key uint64, t *Target) uint64 { return mix(key ^ hashText(string(t.Name))) }
+
+// lightest returns the target with the least load by its slots.
+func lightest(candidates []*Target, domain ident.DomainName) *Target {
+	var best *Target
+	least := math.Inf(1)
+	for _, t := range candidates {
+		cost := float64(t.load()) / float64(max(1, t.Slots))
+		if domain != "" && t.Domain != domain {
+			cost += remoteCost / float64(max(1, t.Slots))
+		}
+		if cost < least {
+			best, least = t, cost
+		}
+	}
+	return best
+}
+
+func mean(candidates []*Target) float64 {
+	total := 0
+	for _, t := range candidates {
+		total += t.load()
+	}
+	return float64(total) / float64(len(candidates))
+}
+
+func contains(list []*Target, t *Target) bool {
+	for _, other := range list {
+		if other == t {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Target) load() int { return t.own + t.others }
+
+// Finish ends a request at a target with what it showed of it, and reports
+// whether the target is ejected by that.
+func (f *Field) Finish(now time.Time, t *Target, verdict Verdict) bool {
+	s := t.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t.own--
+	others, count := 0.0, 0
+	for _, other := range s.targets {
+		if other != t {
+			others += other.health.share
+			count++
+		}
+	}
+	return t.health.judge(now, verdict, others/float64(max(1, count)))
+}
+
+// Room reports how many of a service's slots are free, by what is known.
+func (f *Field) Room(now time.Time, name ident.ServiceName) (free, targets int) {
+	s := f.service(name)
+	if s == nil {
+		return 0, 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.targets {
+		if t.Leaving || !t.health.usable(now) {
+			continue
+		}
+		targets++
+		free += max(0, t.Slots-t.load())
+	}
+	return free, targets
+}
--- /dev/null
+++ b/internal/version/patch/patch_test.go
@@ -0,0 +1,45 @@
+package patch_test
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"cactusline.dev/cactusline/internal/version/patch"
+)
+
+func TestRandomisedPatchesGiveTheDocument(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := rapid.StringMatching(`([{}a-c,]{0,8}){0,40}`)
+		base, next := []byte(text.Draw(t, "base")), []byte(text.Draw(t, "next"))
+		made, err := patch.Make(base, next)
+		assert.NilError(t, err)
+		got, err := patch.Apply(base, made)
+		assert.NilError(t, err)
+		assert.Assert(t, bytes.Equal(got, next))
+	})
+}
+
+func TestPatchOfOneRouteIsSmall(t *testing.T) {
+	var routes []string
+	for i := range 400 {
+		routes = append(routes, fmt.Sprintf(`{"Name":"r-%d","Host":"a.example","Prefix":"/%x/"}`, i, i*7919))
+	}
+	base := []byte(`{"Routes":[` + strings.Join(routes, ",") + `]}`)
+	routes[200] = `{"Name":"r-200","Host":"b.example","Prefix":"/x/"}`
+	next := []byte(`{"Routes":[` + strings.Join(routes, ",") + `]}`)
+	made, err := patch.Make(base, next)
+	assert.NilError(t, err)
+	assert.Assert(t, len(made) < 200, "%d bytes", len(made))
+}
+
+func FuzzApply(f *testing.F) {
+	made, err := patch.Make([]byte(`{"a":{"b":1}}`), []byte(`{"a":{"b":2}}`))
+	assert.NilError(f, err)
+	f.Add([]byte(`{"a":{"b":1}}`), made)
+	f.Fuzz(func(_ *testing.T, base, data []byte) { _, _ = patch.Apply(base, data) })
+}
--- a/internal/version/store/codec.go
+++ b/internal/version/store/codec.go
@@ -11,7 +11,7 @@
 // Format is the newest format of commands that this program applies and
 // writes. The rules of a format never change; new rules take a new number,
 // which may be proposed only once every replica knows it.
-const Format = 1
+const Format = 2
 
 // maxCommand bounds one command, in bytes.
 const maxCommand = 16 << 20
--- a/internal/version/store/snapshot.go
+++ b/internal/version/store/snapshot.go
@@ -27,6 +27,9 @@
 	}
 	s.saveRecords(out)
 	var err error
+	if out.Document, err = s.document.encode(); err != nil {
+		return nil, fmt.Errorf("snapshot: %w", err)
+	}
 	if out.Ledger, err = s.ledger.Snapshot(); err != nil {
 		return nil, fmt.Errorf("snapshot: %w", err)
 	}
@@ -102,6 +105,10 @@
 	}
 	s.crashes = poison.NewTracker(s.cfg.Poison)
 	s.crashes.Merge(decodeCrashes(in.GetCrashes()))
+	var err error
+	if s.document, err = decodeDocument(in.GetDocument()); err != nil {
+		return err
+	}
 	if err := s.ledger.Restore(in.GetLedger()); err != nil {
 		return err
 	}
@@ -153,6 +160,7 @@
 	s.applied, s.now = fresh.applied, fresh.now
 	s.floors, s.history, s.answers = fresh.floors, fresh.history, fresh.answers
 	s.processes, s.fences, s.crashes = fresh.processes, fresh.fences, fresh.crashes
+	s.document = fresh.document
 	s.set.Store(fresh.set.Load())
 	s.verdictsChanged()
 	return nil
--- a/internal/version/store/store.go
+++ b/internal/version/store/store.go
@@ -61,6 +61,7 @@
 	fences    fences
 	crashes   *poison.Tracker
 	verdicts  verdicts
+	document  Document
 	changed   chan struct{}
 	exportErr error
 }
@@ -153,6 +154,8 @@
 		return s.nextFence(c, body.Fence)
 	case *cmdpb.Command_Note:
 		return s.note(c, body.Note)
+	case *cmdpb.Command_Document:
+		return s.putDocument(c, body.Document)
 	case *cmdpb.Command_Tick:
 		return &cmdpb.Result{Status: cmdpb.Status_STATUS_OK}
 	}
@@ -221,8 +224,8 @@
 // Revision returns the current revision.
 func (s *Store) Revision() ident.Revision { return s.set.Load().Revision() }
 
-// Changed returns a channel that is closed at the next change of the records
-// or the verdicts.
+// Changed returns a channel that is closed at the next change of the records,
+// the verdicts or the routing document.
 func (s *Store) Changed() <-chan struct{} {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
