--- a/internal/conn/watch/follow.go
+++ b/internal/conn/watch/follow.go
@@ -105,6 +105,9 @@
 	return f
 }
 
+// Reseed replaces the addresses of control processes from the settings.
+func (f *Follower) Reseed(addresses []string) { f.places.reseed(addresses) }
+
 // Leased reports whether a quorum has confirmed lately that the set is the
 // newest.
 func (f *Follower) Leased() bool {
--- a/internal/conn/watch/places.go
+++ b/internal/conn/watch/places.go
@@ -15,14 +15,26 @@
 	// seeds are from the settings; they stay in the list.
 	seeds []string
 
-	mu     sync.Mutex
-	list   []string
-	turn   int
-	leader string
+	mu      sync.Mutex
+	learned []string
+	list    []string
+	turn    int
+	leader  string
+}
+
+// reseed replaces the addresses from the settings.
+func (p *places) reseed(seeds []string) {
+	p.mu.Lock()
+	p.seeds = seeds
+	learned := p.learned
+	p.mu.Unlock()
+	p.set(learned)
 }
 
 // set replaces the addresses that were learned.
 func (p *places) set(learned []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	weight := func(address string) uint64 { return xxhash.Sum64String(p.process + "\x00" + address) }
 	order := func(a, b string) int { return cmp.Compare(weight(a), weight(b)) }
 	list := slices.SortedFunc(slices.Values(learned), order)
@@ -31,8 +43,7 @@
 			list = append(list, seed)
 		}
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.learned = learned
 	p.list = list
 	p.turn = 0
 }
--- a/internal/process/cmds/core.go
+++ b/internal/process/cmds/core.go
@@ -55,9 +55,9 @@
 	}
 	limitMemory()
 	if settings.Data == "" {
-		return runRelay(s.ctx, logger, settings)
+		return c.runRelay(s.ctx, logger, settings)
 	}
-	return runCore(s.ctx, logger, settings)
+	return c.runCore(s.ctx, logger, settings)
 }
 
 func limitMemory() { debug.SetGCPercent(gcPercent) }
@@ -74,7 +74,7 @@
 	control   *ctrl.Control
 }
 
-func runCore(ctx context.Context, logger log.Logger, settings *platform.Settings) error {
+func (c *CoreCommand) runCore(ctx context.Context, logger log.Logger, settings *platform.Settings) error {
 	internal, err := listen("link", settings.Link)
 	if err != nil {
 		return err
@@ -106,6 +106,7 @@
 		},
 		Roster: r.book, MinVoters: 2*settings.Losses + 1,
 	})
+	go followSettings(ctx, logger, c.Settings, func(fresh *platform.Settings) { r.directory.Reseed(fresh.Seeds) })
 	return r.run(ctx)
 }
 
@@ -173,7 +174,7 @@
 
 // runRelay runs a control process without a data folder: it passes operators'
 // calls on, and helps the others to find each other.
-func runRelay(ctx context.Context, logger log.Logger, settings *platform.Settings) error {
+func (c *CoreCommand) runRelay(ctx context.Context, logger log.Logger, settings *platform.Settings) error {
 	internal, err := listen("link", settings.Link)
 	if err != nil {
 		return err
@@ -185,6 +186,7 @@
 		Seeds: settings.Seeds, Link: links, Clock: clock.System{}, Logger: logger,
 	})
 	go directory.Run(ctx)
+	go followSettings(ctx, logger, c.Settings, func(fresh *platform.Settings) { directory.Reseed(fresh.Seeds) })
 	relay := &ctrl.Relay{Link: links, Cores: directory.Cores, Logger: logger}
 	if err := serveOperator(ctx, logger, settings.Operators, relay); err != nil {
 		return err
--- a/internal/process/cmds/gate.go
+++ b/internal/process/cmds/gate.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/go-kit/log"
-
 	"cactusline.dev/cactusline/internal/conn/watch"
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/process/clock"
@@ -73,6 +71,7 @@
 	life, end := context.WithCancel(context.WithoutCancel(s.ctx))
 	defer end()
 	go follower.Run(life)
+	go followSettings(life, logger, c.Settings, func(fresh *platform.Settings) { follower.Reseed(fresh.Seeds) })
 	return g.Run(s.ctx, callers, ready)
 }
 
@@ -83,22 +82,3 @@
 	}
 	return settings.RetrySlack / settings.RetryWindow.Seconds() / usualGates * retryPart
 }
-
-// readSettings reads the settings file.
-func readSettings(path string) (*platform.Settings, error) {
-	if path == "" {
-		path = platform.SettingsPath()
-	}
-	settings, err := platform.ReadSettings(path)
-	if err != nil {
-		return nil, usage(err)
-	}
-	return settings, nil
-}
-
-// platformLogger returns a logger to standard output, which is what the
-// platform keeps.
-func platformLogger(s *scope, role string, settings *platform.Settings) (log.Logger, error) {
-	s.stderr = s.stdout
-	return newLogger(s, role, string(settings.VM))
-}
--- a/internal/process/member/directory.go
+++ b/internal/process/member/directory.go
@@ -87,6 +87,7 @@
 	started time.Time
 
 	mu    sync.Mutex
+	seeds []string
 	known map[ident.VMName]*heard
 }
 
@@ -99,7 +100,14 @@
 
 // NewDirectory returns a directory; Run starts it.
 func NewDirectory(cfg Config) *Directory {
-	return &Directory{cfg: cfg, started: cfg.Clock.Now(), known: make(map[ident.VMName]*heard)}
+	return &Directory{cfg: cfg, started: cfg.Clock.Now(), seeds: cfg.Seeds, known: make(map[ident.VMName]*heard)}
+}
+
+// Reseed replaces the addresses from the settings.
+func (d *Directory) Reseed(seeds []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.seeds = seeds
 }
 
 // Run announces this process until ctx ends.
@@ -177,7 +185,10 @@
 			list = append(list, address)
 		}
 	}
-	for _, seed := range d.cfg.Seeds {
+	d.mu.Lock()
+	seeds := d.seeds
+	d.mu.Unlock()
+	for _, seed := range seeds {
 		add(seed)
 	}
 	if d.cfg.Group != nil {
