--- a/internal/conn/watch/follow.go
+++ b/internal/conn/watch/follow.go
@@ -21,7 +21,7 @@
 	DefaultReportInterval = time.Second
 	DefaultLease          = 3 * time.Second
 	DefaultSilence        = 1200 * time.Millisecond
-	reconnectInterval     = 200 * time.Millisecond
+	reconnectInterval     = 100 * time.Millisecond
 )
 
 // Clock is what the package needs of a clock.
--- a/internal/process/cmds/relay.go
+++ b/internal/process/cmds/relay.go
@@ -10,15 +10,20 @@
 	"cactusline.dev/cactusline/internal/process/member"
 )
 
-// announceHandler answers announcements only.
+// announceHandler answers announcements, and tells those that would watch which
+// control processes hold the log.
 type announceHandler struct {
 	directory *member.Directory
 }
 
 // ServeCall implements link.Handler.
 func (h announceHandler) ServeCall(_ context.Context, call *wire.Call, stream *link.Stream) {
+	// Callers that get no answer ask again.
 	if query := call.GetQuery(); query != nil {
-		_ = stream.Send(answerAnnounced(h.directory, query)) // the caller asks again
+		_ = stream.Send(answerAnnounced(h.directory, query))
+	}
+	if call.GetWatch() != nil {
+		_ = stream.Send(&wire.Update{Controls: h.directory.Cores()})
 	}
 }
 
--- a/internal/process/ctrl/hub.go
+++ b/internal/process/ctrl/hub.go
@@ -17,6 +17,9 @@
 	// confirmInterval is how often a quorum confirms the newest revision.
 	confirmInterval = 500 * time.Millisecond
 	confirmTimeout  = time.Second
+	// gatherTime lets one question to the quorum serve all processes that begin
+	// to watch at once.
+	gatherTime = 20 * time.Millisecond
 	// maxStamps bounds the reports of one watcher that wait for a quorum.
 	maxStamps = 8
 )
@@ -41,6 +44,9 @@
 	// beat is closed at each pulse, when changed loads are sent.
 	beat chan struct{}
 
+	// joined is signaled when a process begins to watch.
+	joined chan struct{}
+
 	papers papers
 	loads  roster.Loads
 }
@@ -76,6 +82,7 @@
 		watchers:  make(map[*watcher]struct{}),
 		confirmed: make(chan struct{}),
 		beat:      make(chan struct{}),
+		joined:    make(chan struct{}, 1),
 	}
 }
 
@@ -88,6 +95,10 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.watchers[w] = struct{}{}
+	select {
+	case h.joined <- struct{}{}:
+	default:
+	}
 	return w
 }
 
@@ -133,7 +144,8 @@
 	return newest
 }
 
-// confirm asks a quorum at each interval whether the records are the newest.
+// confirm asks a quorum at each interval, and soon after a process has begun to
+// watch, whether the records are the newest.
 func (h *hub) confirm(ctx context.Context) {
 	for ctx.Err() == nil {
 		began := h.cfg.Clock.Now()
@@ -144,7 +156,12 @@
 			h.confirmed = make(chan struct{})
 			h.mu.Unlock()
 		}
-		_ = h.cfg.Clock.Sleep(ctx, confirmInterval)
+		select {
+		case <-ctx.Done():
+		case <-h.cfg.Clock.After(confirmInterval):
+		case <-h.joined:
+			_ = h.cfg.Clock.Sleep(ctx, gatherTime)
+		}
 	}
 }
 
--- a/internal/process/member/directory.go
+++ b/internal/process/member/directory.go
@@ -266,7 +266,7 @@
 	if known == nil {
 		known = &heard{}
 		d.known[entry.VM] = known
-		_ = level.Info(d.cfg.Logger).Log("msg", "control process heard of", "vm", entry.VM, "address", entry.Address, "member", entry.ID, "itself", itself)
+		_ = level.Debug(d.cfg.Logger).Log("msg", "control process heard of", "vm", entry.VM, "address", entry.Address, "member", entry.ID, "itself", itself)
 	}
 	switch {
 	case itself:
--- a/internal/process/raft/raft.go
+++ b/internal/process/raft/raft.go
@@ -36,6 +36,7 @@
 	maxInFlight      = 4096
 	promoteLag       = 64
 	snapshotPatience = 4 // election timeouts until a snapshot is sent again
+	firstWaitPart    = 5 // part of an election timeout that a start waits at least
 )
 
 // Config sets up a Node. All fields but Assert are required.
@@ -113,6 +114,9 @@
 	n.log.commit = max(n.log.commit, min(hard.GetCommit(), n.log.last()))
 	n.loadMembers()
 	n.resetElection()
+	// A leader that lives turns the pre-vote down, so that a member which starts
+	// need not wait for long; all that start at once are soon led again.
+	n.electAt = now.Add(cfg.ElectionTimeout/firstWaitPart + time.Duration(cfg.Rand.Int64N(int64(cfg.ElectionTimeout/2)+1)))
 	if len(n.members) == 1 && n.isVoter(n.cfg.ID) {
 		n.electAt = now
 	}
