Turn from a cut-off control process to another one

Ruled out: a late commit (others had it within 20 ms). Now the process whose loss is longest ago is next. TestFollowerLeavesASilentProcessForAnother failed before.

--- a/internal/conn/watch/follow.go
+++ b/internal/conn/watch/follow.go
@@ -131,7 +131,7 @@
 		if errors.Is(err, errElsewhere) {
 			continue
 		}
-		f.places.forgetLeader()
+		f.places.lose(address)
 		_ = level.Warn(f.cfg.Logger).Log("msg", "control lost", "address", address, "err", err)
 		_ = f.cfg.Clock.Sleep(ctx, reconnectInterval)
 	}
--- a/internal/conn/watch/places.go
+++ b/internal/conn/watch/places.go
@@ -18,8 +18,10 @@
 	mu      sync.Mutex
 	learned []string
 	list    []string
-	turn    int
 	leader  string
+	// lost counts up; losses holds its value at the last loss of each address.
+	lost   int
+	losses map[string]int
 }
 
 // reseed replaces the addresses from the settings.
@@ -45,29 +47,40 @@
 	}
 	p.learned = learned
 	p.list = list
-	p.turn = 0
 }
 
-// next returns the leader if it is known, else the next process in turn.
+// next returns the leader if it is known, else the first process in the order
+// that was never lost, or the one whose loss is longest ago.
 func (p *places) next() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.leader != "" {
 		return p.leader
 	}
-	address := p.list[p.turn%len(p.list)]
-	p.turn++
-	return address
+	return slices.MinFunc(p.list, func(a, b string) int { return cmp.Compare(p.losses[a], p.losses[b]) })
 }
 
+// lose notes that a process was lost, and that no leader is known.
+func (p *places) lose(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.losses == nil || len(p.losses) > maxLosses {
+		p.losses = make(map[string]int)
+	}
+	p.lost++
+	p.losses[address] = p.lost
+	p.leader = ""
+}
+
+// maxLosses bounds the addresses whose losses are remembered.
+const maxLosses = 256
+
 func (p *places) lead(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.leader = address
 }
 
-func (p *places) forgetLeader() { p.lead("") }
-
 // elsewhere reports whether a known leader is at another address.
 func (p *places) elsewhere(address string) bool {
 	p.mu.Lock()
