Fetch the parts that other subjects share from a target that was sent them

Knowing what each target was sent by depth of the chain lets a home fetch them, and a target that leaves or is ejected is named as the source too.

--- a/internal/request/place/choose.go
+++ b/internal/request/place/choose.go
@@ -67,17 +67,29 @@
 	ByNeed Reason = "Need"
 )
 
-// key returns what requests with the same shared parts have in common.
-func (a *Ask) key() uint64 {
+// chain returns, for each shared part, what requests have in common that share
+// the prompt up to it. A prompt of one part is taken to be shared.
+func (a *Ask) chain() []uint64 {
 	parts := a.Parts
 	if len(parts) > 1 {
 		parts = parts[:len(parts)-1]
 	}
+	chain := make([]uint64, 0, len(parts))
 	key := hashText(a.Model)
 	for _, part := range parts {
 		key = mix(key ^ part.ID)
+		chain = append(chain, key)
 	}
-	return key
+	return chain
+}
+
+// key returns what requests with the same shared parts have in common.
+func (a *Ask) key() uint64 {
+	if len(a.Parts) == 0 {
+		return mix(hashText(a.Model))
+	}
+	chain := a.chain()
+	return chain[len(chain)-1]
 }
 
 // Draw returns a number in [0, 1) that is the same for requests that share
@@ -168,36 +180,53 @@
 	if pick.Target != home {
 		pick.Reason = BySpill
 	}
-	pick.Fetch = s.source(now, key, pick.Target, home)
-	s.warm.note(now, key, pick.Target)
+	chain := ask.chain()
+	pick.Fetch = s.source(now, chain, pick.Target)
+	for _, key := range chain {
+		s.warm.note(now, key, pick.Target)
+	}
 }
 
 // source returns the address from which a target may fetch the shared parts of
 // a prompt that it seems to lack.
-func (s *service) source(now time.Time, key uint64, to, home *Target) string {
+func (s *service) source(now time.Time, chain []uint64, to *Target) string {
+	key := chain[len(chain)-1]
 	if s.warm.holds(now, key, to) {
 		return ""
 	}
-	if from := s.warm.last(now, key); from != nil && from != to && !from.gone && from.health.usable(now) {
+	if from := s.warm.other(now, key, to); from != nil {
 		return from.Address
 	}
-	if to != home {
-		return home.Address
+	if from := s.presumed(now, key, to); from != nil {
+		return from.Address
 	}
-	if now.Sub(to.since) >= youngFor {
-		return ""
+	// Prompts of another subject may share the parts before.
+	for depth := len(chain) - 2; depth >= 0; depth-- {
+		if s.warm.holds(now, chain[depth], to) {
+			return ""
+		}
+		if from := s.warm.other(now, chain[depth], to); from != nil {
+			return from.Address
+		}
 	}
-	// The home before the target was there.
-	var before *Target
+	return ""
+}
+
+// presumed returns the target that was to hold a prompt before the one that is
+// to hold it now, nil if there is none: one that leaves, is ejected or too
+// loaded, or the one that came first before a young one was listed.
+func (s *service) presumed(now time.Time, key uint64, to *Target) *Target {
+	young := now.Sub(to.since) < youngFor
+	var first *Target
 	for _, t := range s.targets {
-		if t != to && now.Sub(t.since) >= youngFor && (before == nil || above(key, t, before)) {
-			before = t
+		if t == to || now.Sub(t.since) < youngFor || now.Before(t.health.until) {
+			continue
+		}
+		if (young || above(key, t, to)) && (first == nil || above(key, t, first)) {
+			first = t
 		}
 	}
-	if before == nil {
-		return ""
-	}
-	return before.Address
+	return first
 }
 
 // above reports whether a target goes before another in the order of a key.
--- a/internal/request/place/warm.go
+++ b/internal/request/place/warm.go
@@ -59,13 +59,17 @@
 	return false
 }
 
-// last returns the target that was sent the prompt last, nil if none was.
-func (w *warmth) last(now time.Time, key uint64) *Target {
+// other returns the target besides one that was sent the prompt last and can
+// still give it, nil if there is none.
+func (w *warmth) other(now time.Time, key uint64, than *Target) *Target {
 	list := w.get(key)
-	if len(list) == 0 || now.Sub(list[len(list)-1].at) >= warmFor {
-		return nil
+	for i := len(list) - 1; i >= 0; i-- {
+		t := list[i].target
+		if t != than && !t.gone && now.Sub(list[i].at) < warmFor && !now.Before(t.health.until) {
+			return t
+		}
 	}
-	return list[len(list)-1].target
+	return nil
 }
 
 func hashText(text string) uint64 { return xxhash.Sum64String(text) }
