Use idle connections for as long as targets keep them

Replicas promise 10 s; 8 of these are used, and what was lost on an idle connection bounds careful requests below that time.

--- a/internal/conn/pool/conn.go
+++ b/internal/conn/pool/conn.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -43,6 +44,8 @@
 	// idleSince and keep say until when the target keeps the connection.
 	idleSince time.Time
 	keep      time.Duration
+	// idled is how long the connection was idle before this exchange.
+	idled time.Duration
 	// spoiled connections are not used again.
 	spoiled atomic.Bool
 }
@@ -118,6 +121,17 @@
 // Receive reads the final answer to the request. Answers for which own returns
 // false belong to other requests and are skipped.
 func (c *Conn) Receive(method string, own func(http.Header) bool) (*http.Response, error) {
+	answer, err := c.receive(method, own)
+	if c.Reused && err == nil {
+		c.pool.kept(c.idled)
+	}
+	if c.Reused && (errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)) {
+		c.pool.lost(c.idled)
+	}
+	return answer, err
+}
+
+func (c *Conn) receive(method string, own func(http.Header) bool) (*http.Response, error) {
 	request := &http.Request{Method: method}
 	for range maxForeign + 1 {
 		answer, err := c.final(request)
--- a/internal/conn/pool/pool.go
+++ b/internal/conn/pool/pool.go
@@ -53,6 +53,8 @@
 	mu     sync.Mutex
 	idle   map[string][]*Conn
 	counts map[string]int
+	// safe is the idle time up to which targets were seen to keep connections.
+	safe time.Duration
 }
 
 // DialError says that no connection to a target could be had, so that nothing
@@ -69,11 +71,12 @@
 func (e *DialError) Unwrap() error { return e.Err }
 
 var (
-	dialed  = metrics.NewCounter(`cactusline_target_connections_total{result="made"}`)
-	failed  = metrics.NewCounter(`cactusline_target_connections_total{result="failed"}`)
-	stale   = metrics.NewCounter(`cactusline_target_connections_total{result="stale"}`)
-	reuses  = metrics.NewCounter(`cactusline_target_connections_total{result="reused"}`)
-	dialing = metrics.NewSummary(`cactusline_target_connect_seconds`)
+	dialed   = metrics.NewCounter(`cactusline_target_connections_total{result="made"}`)
+	failed   = metrics.NewCounter(`cactusline_target_connections_total{result="failed"}`)
+	stale    = metrics.NewCounter(`cactusline_target_connections_total{result="stale"}`)
+	reuses   = metrics.NewCounter(`cactusline_target_connections_total{result="reused"}`)
+	lostIdle = metrics.NewCounter(`cactusline_target_connections_total{result="lost-idle"}`)
+	dialing  = metrics.NewSummary(`cactusline_target_connect_seconds`)
 )
 
 // New returns an empty pool.
@@ -87,7 +90,7 @@
 	if cfg.DeadPeer == 0 {
 		cfg.DeadPeer = DefaultDeadPeer
 	}
-	p := &Pool{cfg: cfg, idle: make(map[string][]*Conn), counts: make(map[string]int)}
+	p := &Pool{cfg: cfg, safe: cfg.Keep, idle: make(map[string][]*Conn), counts: make(map[string]int)}
 	p.dialer = net.Dialer{
 		Timeout:         cfg.DialTimeout,
 		KeepAliveConfig: probes(cfg.DeadPeer),
@@ -116,12 +119,13 @@
 	}
 }
 
-// Get returns a connection to address: an idle one that was used within fresh
-// (any that the target still keeps, if fresh is 0), or else a new one. Errors
-// are *DialError.
-func (p *Pool) Get(ctx context.Context, address string, fresh time.Duration) (*Conn, error) {
+// Get returns a connection to address: an idle one that the target should still
+// keep, or else a new one. For a request that can't be sent again, careful
+// leaves out those that have been idle for as long as others that were lost.
+// Errors are *DialError.
+func (p *Pool) Get(ctx context.Context, address string, careful bool) (*Conn, error) {
 	for {
-		c := p.take(address, fresh)
+		c := p.take(address, careful)
 		if c == nil {
 			return p.dial(ctx, address)
 		}
@@ -136,7 +140,7 @@
 }
 
 // take returns the idle connection that was used last, nil if there is none.
-func (p *Pool) take(address string, fresh time.Duration) *Conn {
+func (p *Pool) take(address string, careful bool) *Conn {
 	now := p.cfg.Clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -155,22 +159,44 @@
 		}
 		return nil
 	}
-	if fresh > 0 && idle > fresh {
+	if careful && idle > p.safe {
 		return nil
 	}
+	c.idled = idle
 	p.idle[address] = list[:len(list)-1]
 	return c
 }
 
-// usable is how long an idle connection is used again. Half of what the target
-// promises leaves time for a request to get there.
+// usable is how long an idle connection is used again. What is left of the
+// target's promise is time for a request to get there.
 func (p *Pool) usable(c *Conn) time.Duration {
 	if c.keep > 0 {
-		return min(c.keep/2, p.cfg.Keep)
+		return c.keep * keptPart / 10
 	}
 	return p.cfg.Keep
 }
 
+// keptPart is the tenths of the time that a target promises to keep a
+// connection in which it is used again.
+const keptPart = 8
+
+// kept notes that a connection was still there after it had been idle, and lost
+// that it was not, so that careful requests keep off such idle times.
+func (p *Pool) kept(idled time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if idled > p.safe {
+		p.safe += (idled - p.safe) / 2
+	}
+}
+
+func (p *Pool) lost(idled time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.safe = min(p.safe, idled/2)
+	lostIdle.Inc()
+}
+
 func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
 	began := p.cfg.Clock.Now()
 	conn, err := p.dialer.DialContext(ctx, "tcp", address)
--- a/internal/process/gate/try.go
+++ b/internal/process/gate/try.go
@@ -13,10 +13,6 @@
 )
 
 const (
-	// onceFresh is how lately a connection must have been used to carry a
-	// request that may run once: a target that closes idle connections early
-	// would lose it.
-	onceFresh = time.Second
 	// slowFactor is how many times its objective a request that may be
 	// repeated waits for the first of its answer before another target is
 	// asked.
@@ -80,11 +76,8 @@
 
 // run sends the request and takes the answer to the caller.
 func (e *exchange) run(ctx context.Context) (carry.Result, place.Verdict) {
-	fresh := time.Duration(0)
-	if !e.job.route.Repeatable() {
-		fresh = onceFresh
-	}
-	if e.conn, e.err = e.job.gate.pool.Get(ctx, e.pick.Target.Address, fresh); e.err != nil {
+	careful := !e.job.route.Repeatable()
+	if e.conn, e.err = e.job.gate.pool.Get(ctx, e.pick.Target.Address, careful); e.err != nil {
 		if ctx.Err() != nil {
 			return e.ended(ctx)
 		}
