Let a control process that is no member pass watchers and operators on

Cause: read in the code, not seen broken: with eight VMs with a disk one stays outside the seven voters, and a VM with a fresh disk is outside for a while; each kept watchers for 1.8 s with nothing and answered operators 503.

--- a/internal/process/cmds/core.go
+++ b/internal/process/cmds/core.go
@@ -106,7 +106,7 @@
 		Query: func(_ context.Context, query *wire.Query) *wire.QueryReply {
 			return answerAnnounced(r.directory, query)
 		},
-		Roster: r.book, MinVoters: 2*settings.Losses + 1,
+		Roster: r.book, Elsewhere: r.directory.Cores, MinVoters: 2*settings.Losses + 1,
 	})
 	go followSettings(ctx, logger, c.Settings, func(fresh *platform.Settings) { r.directory.Reseed(fresh.Seeds) })
 	return r.run(ctx)
@@ -161,7 +161,11 @@
 	go keeper.Run(life)
 	go list.Run(life)
 	go exportAudit(life, r.logger, r.disk.state)
-	if err := serveOperator(life, r.logger, r.settings.Operators, r.control); err != nil {
+	documents := &ctrl.Documents{
+		Control: r.control,
+		Relay:   &ctrl.Relay{Link: r.links, Cores: r.directory.Cores, Logger: r.logger},
+	}
+	if err := serveOperator(life, r.logger, r.settings.Operators, documents); err != nil {
 		return err
 	}
 	return r.control.Run(life)
--- a/internal/process/ctrl/ctrl.go
+++ b/internal/process/ctrl/ctrl.go
@@ -93,6 +93,9 @@
 	Weights permit.Limit
 	// Roster lists the targets of the platform; nil where records list them.
 	Roster *roster.Book
+	// Elsewhere returns the addresses of processes to watch in place of this one
+	// while it is no member yet; nil for none.
+	Elsewhere func() []string
 	// MinVoters is the number of voters without which no routing document is
 	// taken, so that one that was taken outlives the losses to be borne.
 	MinVoters int
@@ -290,6 +293,10 @@
 		_ = stream.Send(watch.Encode(c.cfg.Store.Since(ident.Revision(call.GetRevision()))))
 		return
 	}
+	if c.cfg.Elsewhere != nil && c.joined() != nil {
+		_ = stream.Send(&wire.Update{Controls: c.cfg.Elsewhere()})
+		return
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	w := c.hub.join(first, ident.Revision(call.GetRevision()))
--- a/internal/process/ctrl/document.go
+++ b/internal/process/ctrl/document.go
@@ -177,6 +177,29 @@
 	return &wire.QueryReply{Result: data}
 }
 
+// Documents serves the routing document here, or elsewhere as long as this
+// process is no member of control.
+type Documents struct {
+	Control *Control
+	Relay   *Relay
+}
+
+// PutDocument is that of Control.
+func (d *Documents) PutDocument(ctx context.Context, next store.Document) error {
+	if d.Control.joined() != nil {
+		return d.Relay.PutDocument(ctx, next)
+	}
+	return d.Control.PutDocument(ctx, next)
+}
+
+// Document is that of Control.
+func (d *Documents) Document(ctx context.Context) (store.Document, error) {
+	if d.Control.joined() != nil {
+		return d.Relay.Document(ctx)
+	}
+	return d.Control.Document(ctx)
+}
+
 // Relay serves the routing document in a process that holds no log, by asking
 // those that do.
 type Relay struct {
