--- a/internal/process/raft/raft.go
+++ b/internal/process/raft/raft.go
@@ -35,7 +35,8 @@
 	maxAppendBytes   = 256 << 10
 	maxInFlight      = 4096
 	promoteLag       = 64
-	snapshotPatience = 4 // election timeouts until a snapshot is sent again
+	snapshotPatience = 4 // election timeouts that a snapshotUnit may take
+	snapshotUnit     = 1 << 20
 	firstWaitPart    = 5 // part of an election timeout that a start waits at least
 )
 
--- a/internal/process/raft/replicate.go
+++ b/internal/process/raft/replicate.go
@@ -231,7 +231,7 @@
 func (n *Node) resend(peer *progress) {
 	patience := 2 * n.cfg.HeartbeatInterval
 	if peer.snapshot != 0 {
-		patience = snapshotPatience * n.cfg.ElectionTimeout
+		patience += n.snapshotTime()
 	}
 	if peer.match < n.log.last() && n.now.Sub(peer.sent) >= patience {
 		peer.next = peer.match + 1
@@ -239,6 +239,12 @@
 	}
 }
 
+// snapshotTime is how long the snapshot may take on its way.
+func (n *Node) snapshotTime() time.Duration {
+	size := time.Duration(len(n.log.snapshot.GetData()))
+	return n.cfg.HeartbeatInterval + size*snapshotPatience*n.cfg.ElectionTimeout/snapshotUnit
+}
+
 func (n *Node) onInstall(m *raftpb.Message) {
 	n.followLeader(m)
 	snapshot := m.GetSnapshot()
