--- /dev/null
+++ b/internal/conn/pool/pool_test.go
@@ -0,0 +1,252 @@
+package pool_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cactusline.dev/cactusline/internal/conn/pool"
+	"cactusline.dev/cactusline/internal/process/clock"
+)
+
+// serve gives each connection to script and returns the address.
+func serve(t *testing.T, script func(conn net.Conn, requests *bufio.Reader)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				script(conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func answer(conn io.Writer, id, body string) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func read(requests *bufio.Reader) (*http.Request, bool) {
+	request, err := http.ReadRequest(requests)
+	if err != nil {
+		return nil, false
+	}
+	_, _ = io.Copy(io.Discard, request.Body)
+	return request, true
+}
+
+func exchange(t *testing.T, p *pool.Pool, address, id string, body []byte) (*pool.Conn, *http.Response, error) {
+	t.Helper()
+	conn, err := p.Get(context.Background(), address, false)
+	assert.NilError(t, err)
+	_, err = conn.Send(&pool.Request{Method: http.MethodPost, URI: "/a?b=c", Host: "h", Header: http.Header{"X-Id": {id}}, Body: body})
+	assert.NilError(t, err)
+	got, err := conn.Receive(http.MethodPost, func(h http.Header) bool { return h.Get("X-Id") == id })
+	return conn, got, err
+}
+
+func bodyOf(t *testing.T, answer *http.Response) string {
+	t.Helper()
+	body, err := io.ReadAll(answer.Body)
+	assert.NilError(t, err)
+	return string(body)
+}
+
+func newPool() *pool.Pool { return pool.New(pool.Config{Clock: clock.System{}}) }
+
+func TestAnswersOfOtherRequestsAreSkipped(t *testing.T) {
+	address := serve(t, func(conn net.Conn, requests *bufio.Reader) {
+		for {
+			request, ok := read(requests)
+			if !ok {
+				return
+			}
+			answer(conn, "an earlier one", "not yours")
+			answer(conn, request.Header.Get("X-Id"), "yours")
+		}
+	})
+	p := newPool()
+	conn, got, err := exchange(t, p, address, "1", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, bodyOf(t, got), "yours")
+	conn.Done(got)
+	again, err := p.Get(context.Background(), address, false)
+	assert.NilError(t, err)
+	assert.Assert(t, !again.Reused, "a connection that brought a foreign answer is not used again")
+}
+
+func TestOnlyForeignAnswersAreAnError(t *testing.T) {
+	address := serve(t, func(conn net.Conn, requests *bufio.Reader) {
+		_, _ = read(requests)
+		for range 10 {
+			answer(conn, "another", "x")
+		}
+	})
+	_, _, err := exchange(t, newPool(), address, "1", nil)
+	var foreign *pool.ForeignError
+	assert.Assert(t, errors.As(err, &foreign), "%v", err)
+}
+
+func TestConnectionWithUnaskedBytesIsNotUsedAgain(t *testing.T) {
+	address := serve(t, func(conn net.Conn, requests *bufio.Reader) {
+		request, ok := read(requests)
+		if !ok {
+			return
+		}
+		answer(conn, request.Header.Get("X-Id"), "first")
+		time.Sleep(20 * time.Millisecond)
+		answer(conn, request.Header.Get("X-Id"), "second")
+		_, _ = read(requests)
+	})
+	p := newPool()
+	conn, got, err := exchange(t, p, address, "1", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, bodyOf(t, got), "first")
+	conn.Done(got)
+	time.Sleep(60 * time.Millisecond)
+	again, err := p.Get(context.Background(), address, false)
+	assert.NilError(t, err)
+	assert.Assert(t, !again.Reused)
+}
+
+func TestConnectionThatTheTargetClosedIsNotUsedAgain(t *testing.T) {
+	address := serve(t, func(conn net.Conn, requests *bufio.Reader) {
+		request, ok := read(requests)
+		if !ok {
+			return
+		}
+		answer(conn, request.Header.Get("X-Id"), "first")
+	})
+	p := newPool()
+	conn, got, err := exchange(t, p, address, "1", nil)
+	assert.NilError(t, err)
+	_ = bodyOf(t, got)
+	conn.Done(got)
+	time.Sleep(30 * time.Millisecond)
+	again, err := p.Get(context.Background(), address, false)
+	assert.NilError(t, err)
+	assert.Assert(t, !again.Reused)
+}
+
+// A target that answers before it has read a long body would take the next
+// request on the connection for the rest of that body.
+func TestEarlyAnswerToALongBodySpoilsTheConnection(t *testing.T) {
+	address := serve(t, func(conn net.Conn, requests *bufio.Reader) {
+		request, err := http.ReadRequest(requests)
+		if err != nil {
+			return
+		}
+		answer(conn, request.Header.Get("X-Id"), "too long")
+		time.Sleep(time.Second)
+	})
+	p := newPool()
+	conn, got, err := exchange(t, p, address, "1", make([]byte, 8<<20))
+	assert.NilError(t, err)
+	assert.Equal(t, bodyOf(t, got), "too long")
+	conn.Done(got)
+	again, err := p.Get(context.Background(), address, false)
+	assert.NilError(t, err)
+	assert.Assert(t, !again.Reused)
+}
+
+func TestLongBodyArrivesWhole(t *testing.T) {
+	address := serve(t, func(conn net.Conn, requests *bufio.Reader) {
+		request, err := http.ReadRequest(requests)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(request.Body)
+		answer(conn, request.Header.Get("X-Id"), fmt.Sprint(len(body), request.RequestURI))
+	})
+	_, got, err := exchange(t, newPool(), address, "1", []byte(strings.Repeat("x", 300_000)))
+	assert.NilError(t, err)
+	assert.Equal(t, bodyOf(t, got), "300000/a?b=c")
+}
+
+func TestUnframedAnswerEndsItsConnection(t *testing.T) {
+	address := serve(t, func(conn net.Conn, requests *bufio.Reader) {
+		request, ok := read(requests)
+		if !ok {
+			return
+		}
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\n\r\nwhole", request.Header.Get("X-Id"))
+	})
+	p := newPool()
+	conn, got, err := exchange(t, p, address, "1", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, bodyOf(t, got), "whole")
+	conn.Done(got)
+	assert.Equal(t, p.Conns(address), 0)
+}
+
+// Requests that can't be sent again keep off idle times at which connections
+// were lost.
+func TestCarefulRequestsLearnFromLostConnections(t *testing.T) {
+	fake := clock.NewFake(time.Unix(100, 0))
+	var reset atomic.Bool
+	address := serve(t, func(conn net.Conn, requests *bufio.Reader) {
+		for {
+			request, ok := read(requests)
+			if !ok {
+				return
+			}
+			if reset.Load() {
+				_ = conn.(*net.TCPConn).SetLinger(0)
+				return
+			}
+			answer(conn, request.Header.Get("X-Id"), "x")
+		}
+	})
+	p := pool.New(pool.Config{Clock: fake})
+	use := func() error {
+		conn, got, err := exchange(t, p, address, "1", nil)
+		if err != nil {
+			conn.Drop()
+			return err
+		}
+		_ = bodyOf(t, got)
+		conn.Done(got)
+		return nil
+	}
+	assert.NilError(t, use())
+	fake.Advance(2 * time.Second)
+	reset.Store(true)
+	assert.Assert(t, use() != nil)
+	reset.Store(false)
+	assert.NilError(t, use())
+	fake.Advance(1500 * time.Millisecond)
+	conn, err := p.Get(context.Background(), address, true)
+	assert.NilError(t, err)
+	assert.Assert(t, !conn.Reused, "idle for longer than half of what was lost")
+	conn, err = p.Get(context.Background(), address, false)
+	assert.NilError(t, err)
+	assert.Assert(t, conn.Reused)
+}
+
+func TestDialErrorSaysThatNothingWasSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := listener.Addr().String()
+	_ = listener.Close()
+	_, err = newPool().Get(context.Background(), address, false)
+	var dial *pool.DialError
+	assert.Assert(t, errors.As(err, &dial), "%v", err)
+}
