Clean up after the linter

Cause: the linter and the house checks found unclosed bodies in tests, two reads of the wall clock and an unused field.

--- a/internal/conn/pool/pool_test.go
+++ b/internal/conn/pool/pool_test.go
@@ -53,21 +53,23 @@
 	return request, true
 }
 
-func exchange(t *testing.T, p *pool.Pool, address, id string, body []byte) (*pool.Conn, *http.Response, error) {
+// exchange makes one exchange and returns the answer's body.
+func exchange(t *testing.T, p *pool.Pool, address, id string, body []byte) (string, error) {
 	t.Helper()
 	conn, err := p.Get(context.Background(), address, false)
 	assert.NilError(t, err)
 	_, err = conn.Send(&pool.Request{Method: http.MethodPost, URI: "/a?b=c", Host: "h", Header: http.Header{"X-Id": {id}}, Body: body})
 	assert.NilError(t, err)
 	got, err := conn.Receive(http.MethodPost, func(h http.Header) bool { return h.Get("X-Id") == id })
-	return conn, got, err
-}
-
-func bodyOf(t *testing.T, answer *http.Response) string {
-	t.Helper()
-	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		conn.Drop()
+		return "", err
+	}
+	defer func() { _ = got.Body.Close() }()
+	text, err := io.ReadAll(got.Body)
 	assert.NilError(t, err)
-	return string(body)
+	conn.Done(got)
+	return string(text), nil
 }
 
 func newPool() *pool.Pool { return pool.New(pool.Config{Clock: clock.System{}}) }
@@ -84,10 +86,9 @@
 		}
 	})
 	p := newPool()
-	conn, got, err := exchange(t, p, address, "1", nil)
+	got, err := exchange(t, p, address, "1", nil)
 	assert.NilError(t, err)
-	assert.Equal(t, bodyOf(t, got), "yours")
-	conn.Done(got)
+	assert.Equal(t, got, "yours")
 	again, err := p.Get(context.Background(), address, false)
 	assert.NilError(t, err)
 	assert.Assert(t, !again.Reused, "a connection that brought a foreign answer is not used again")
@@ -100,7 +101,7 @@
 			answer(conn, "another", "x")
 		}
 	})
-	_, _, err := exchange(t, newPool(), address, "1", nil)
+	_, err := exchange(t, newPool(), address, "1", nil)
 	var foreign *pool.ForeignError
 	assert.Assert(t, errors.As(err, &foreign), "%v", err)
 }
@@ -117,10 +118,9 @@
 		_, _ = read(requests)
 	})
 	p := newPool()
-	conn, got, err := exchange(t, p, address, "1", nil)
+	got, err := exchange(t, p, address, "1", nil)
 	assert.NilError(t, err)
-	assert.Equal(t, bodyOf(t, got), "first")
-	conn.Done(got)
+	assert.Equal(t, got, "first")
 	time.Sleep(60 * time.Millisecond)
 	again, err := p.Get(context.Background(), address, false)
 	assert.NilError(t, err)
@@ -136,10 +136,8 @@
 		answer(conn, request.Header.Get("X-Id"), "first")
 	})
 	p := newPool()
-	conn, got, err := exchange(t, p, address, "1", nil)
+	_, err := exchange(t, p, address, "1", nil)
 	assert.NilError(t, err)
-	_ = bodyOf(t, got)
-	conn.Done(got)
 	time.Sleep(30 * time.Millisecond)
 	again, err := p.Get(context.Background(), address, false)
 	assert.NilError(t, err)
@@ -158,10 +156,9 @@
 		time.Sleep(time.Second)
 	})
 	p := newPool()
-	conn, got, err := exchange(t, p, address, "1", make([]byte, 8<<20))
+	got, err := exchange(t, p, address, "1", make([]byte, 8<<20))
 	assert.NilError(t, err)
-	assert.Equal(t, bodyOf(t, got), "too long")
-	conn.Done(got)
+	assert.Equal(t, got, "too long")
 	again, err := p.Get(context.Background(), address, false)
 	assert.NilError(t, err)
 	assert.Assert(t, !again.Reused)
@@ -176,9 +173,9 @@
 		body, _ := io.ReadAll(request.Body)
 		answer(conn, request.Header.Get("X-Id"), fmt.Sprint(len(body), request.RequestURI))
 	})
-	_, got, err := exchange(t, newPool(), address, "1", []byte(strings.Repeat("x", 300_000)))
+	got, err := exchange(t, newPool(), address, "1", []byte(strings.Repeat("x", 300_000)))
 	assert.NilError(t, err)
-	assert.Equal(t, bodyOf(t, got), "300000/a?b=c")
+	assert.Equal(t, got, "300000/a?b=c")
 }
 
 func TestUnframedAnswerEndsItsConnection(t *testing.T) {
@@ -190,10 +187,9 @@
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\n\r\nwhole", request.Header.Get("X-Id"))
 	})
 	p := newPool()
-	conn, got, err := exchange(t, p, address, "1", nil)
+	got, err := exchange(t, p, address, "1", nil)
 	assert.NilError(t, err)
-	assert.Equal(t, bodyOf(t, got), "whole")
-	conn.Done(got)
+	assert.Equal(t, got, "whole")
 	assert.Equal(t, p.Conns(address), 0)
 }
 
@@ -217,14 +213,8 @@
 	})
 	p := pool.New(pool.Config{Clock: fake})
 	use := func() error {
-		conn, got, err := exchange(t, p, address, "1", nil)
-		if err != nil {
-			conn.Drop()
-			return err
-		}
-		_ = bodyOf(t, got)
-		conn.Done(got)
-		return nil
+		_, err := exchange(t, p, address, "1", nil)
+		return err
 	}
 	assert.NilError(t, use())
 	fake.Advance(2 * time.Second)
--- a/internal/process/cmds/settings.go
+++ b/internal/process/cmds/settings.go
@@ -64,8 +64,6 @@
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
-	ticker := time.NewTicker(settingsInterval)
-	defer ticker.Stop()
 	var held *platform.Settings
 	for {
 		fresh, err := readSettings(path)
@@ -83,7 +81,7 @@
 		case <-ctx.Done():
 			return
 		case <-hangups:
-		case <-ticker.C:
+		case <-clock.System{}.After(settingsInterval):
 		}
 	}
 }
--- a/internal/process/gate/front.go
+++ b/internal/process/gate/front.go
@@ -24,6 +24,8 @@
 // frontServer accepts callers. Connections keep the limits under which they
 // were accepted; new limits hold for later ones.
 type frontServer struct {
+	clock Clock
+
 	mu      sync.Mutex
 	handler http.Handler
 	listens net.Listener
@@ -73,7 +75,7 @@
 			return
 		}
 		if err != nil {
-			time.Sleep(acceptPause)
+			_ = f.clock.Sleep(context.Background(), acceptPause)
 			continue
 		}
 		if tcp, ok := conn.(*net.TCPConn); ok {
--- a/internal/process/gate/gate.go
+++ b/internal/process/gate/gate.go
@@ -114,6 +114,7 @@
 		cfg:    cfg,
 		field:  place.NewField(place.Config{Domain: cfg.Domain}),
 		pool:   pool.New(cfg.Pool),
+		front:  frontServer{clock: cfg.Clock},
 		budget: budget.New(budget.Config{Share: cfg.RetryShare, PoolRate: cfg.RetryRate, PoolShare: 1}),
 	}
 }
--- a/internal/process/member/world_test.go
+++ b/internal/process/member/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -39,9 +40,8 @@
 	node    *raft.Node
 	applied map[uint64]uint64
 	// until is when a loss ends; gone ones never come back.
-	until  time.Time
-	frozen bool
-	gone   bool
+	until time.Time
+	gone  bool
 	// told is when the machine's word last came to the leader.
 	told map[string]time.Time
 }
@@ -266,7 +266,7 @@
 		for len(kept) > 0 && kept[len(kept)-1].GetIndex() >= entry.GetIndex() {
 			kept = kept[:len(kept)-1]
 		}
-		m.state.Entries = append(kept[:len(kept):len(kept)], entry)
+		m.state.Entries = append(slices.Clip(kept), entry)
 	}
 }
 
