Report all loads to a control process that is new

Cause, found by TestFollowersGetDocumentRosterAndLoads (failed first): a gate that turned to another control process told it of its requests in flight only once they changed, so that the others' sums lacked them until then. The first report on each watch is now whole.

--- a/internal/conn/watch/follow.go
+++ b/internal/conn/watch/follow.go
@@ -57,9 +57,9 @@
 	// another process where no quorum has confirmed anything within Silence.
 	Lead bool
 	// Loads returns what this process has in flight, nil if that has not
-	// changed; it is asked each LoadInterval. Nil for processes that send work
-	// to no target.
-	Loads        func() *wire.TargetLoads
+	// changed and the control process is not a new one; it is asked each
+	// LoadInterval. Nil for processes that send work to no target.
+	Loads        func(fresh bool) *wire.TargetLoads
 	LoadInterval time.Duration
 	// OnUpdate puts an update in force. It is called with one update at a
 	// time; the revision is reported, and the lease confirmed, once it has
@@ -247,9 +247,9 @@
 // each interval.
 func (f *Follower) reportChanges(ctx context.Context, stream *link.Stream) {
 	due := f.cfg.Clock.Now().Add(f.cfg.ReportInterval)
-	for {
+	for fresh := true; ; {
 		changed := f.Changed()
-		loads, sooner := f.nextLoads(due)
+		loads, sooner := f.nextLoads(due, fresh)
 		report := f.cfg.Clock.After(sooner)
 		if loads == nil {
 			select {
@@ -268,17 +268,18 @@
 			return
 		}
 		due = f.cfg.Clock.Now().Add(f.cfg.ReportInterval)
+		fresh = false
 	}
 }
 
 // nextLoads returns the loads to report now, nil if there are none, and else
 // how long to wait until they or the next report are due.
-func (f *Follower) nextLoads(due time.Time) (*wire.TargetLoads, time.Duration) {
+func (f *Follower) nextLoads(due time.Time, fresh bool) (*wire.TargetLoads, time.Duration) {
 	wait := max(0, due.Sub(f.cfg.Clock.Now()))
 	if f.cfg.Loads == nil {
 		return nil, wait
 	}
-	return f.cfg.Loads(), min(wait, f.cfg.LoadInterval)
+	return f.cfg.Loads(fresh), min(wait, f.cfg.LoadInterval)
 }
 
 func (f *Follower) report() *wire.Watch {
--- a/internal/process/gate/gate.go
+++ b/internal/process/gate/gate.go
@@ -156,12 +156,12 @@
 }
 
 // Loads returns what this process has in flight, nil if that is as it was
-// when last asked.
-func (g *Gate) Loads() *wire.TargetLoads {
+// when last asked, unless a fresh report is wanted.
+func (g *Gate) Loads(fresh bool) *wire.TargetLoads {
 	loads := g.field.Loads()
 	g.reported.Lock()
 	defer g.reported.Unlock()
-	if sameLoads(loads, g.reported.loads) {
+	if !fresh && sameLoads(loads, g.reported.loads) {
 		return nil
 	}
 	g.reported.loads = loads
