Bound the lines of the log, and never block on them

Cause: a line for each request was written on the request's own path, and a burst of refusals wrote without bound.

--- a/internal/process/cmds/core.go
+++ b/internal/process/cmds/core.go
@@ -50,10 +50,11 @@
 	if err != nil {
 		return err
 	}
-	logger, err := platformLogger(s, "core", settings)
+	logger, flush, err := platformLogger(s, "core", settings)
 	if err != nil {
 		return err
 	}
+	defer flush()
 	limitMemory()
 	if settings.Data == "" {
 		return c.runRelay(s.ctx, logger, settings)
--- a/internal/process/cmds/gate.go
+++ b/internal/process/cmds/gate.go
@@ -38,10 +38,11 @@
 	if err != nil {
 		return err
 	}
-	logger, err := platformLogger(s, "gate", settings)
+	logger, flush, err := platformLogger(s, "gate", settings)
 	if err != nil {
 		return err
 	}
+	defer flush()
 	limitMemory()
 	callers, err := listen("callers", settings.Callers)
 	if err != nil {
--- a/internal/process/cmds/settings.go
+++ b/internal/process/cmds/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"os"
 	"os/signal"
 	"reflect"
@@ -13,6 +14,7 @@
 
 	"cactusline.dev/cactusline/internal/conn/link"
 	"cactusline.dev/cactusline/internal/process/clock"
+	"cactusline.dev/cactusline/internal/process/logs"
 	"cactusline.dev/cactusline/platform"
 )
 
@@ -33,10 +35,17 @@
 }
 
 // platformLogger returns a logger to standard output, which is what the
-// platform keeps.
-func platformLogger(s *scope, role string, settings *platform.Settings) (log.Logger, error) {
-	s.stderr = s.stdout
-	return newLogger(s, role, string(settings.VM))
+// platform keeps, and what writes its last lines. It never blocks a request.
+func platformLogger(s *scope, role string, settings *platform.Settings) (logger log.Logger, flush func(), err error) {
+	queue := logs.NewQueue(s.stdout)
+	s.stderr = queue
+	plain, err := newLogger(s, role, string(settings.VM))
+	if err != nil {
+		return nil, nil, errors.Join(err, queue.Close())
+	}
+	bounded := logs.NewBounded(plain, clock.System{}, logs.DefaultLinesPerSecond)
+	_ = level.Info(bounded).Log("msg", "starting", "domain", settings.Domain, "fresh", settings.Fresh, "disk", settings.Data != "")
+	return bounded, func() { _ = queue.Close() }, nil
 }
 
 // Bounds of the links between processes on the platform.
--- /dev/null
+++ b/internal/process/logs/bounded_test.go
@@ -0,0 +1,62 @@
+package logs_test
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"gotest.tools/v3/assert"
+
+	"cactusline.dev/cactusline/internal/process/clock"
+	"cactusline.dev/cactusline/internal/process/logs"
+)
+
+func TestRoutineLinesAreDroppedFirst(t *testing.T) {
+	var out bytes.Buffer
+	fake := clock.NewFake(time.Unix(100, 0))
+	logger := logs.NewBounded(log.NewLogfmtLogger(&out), fake, 10)
+	for i := range 30 {
+		assert.NilError(t, level.Info(logger).Log("info", i))
+	}
+	for i := range 15 {
+		assert.NilError(t, level.Warn(logger).Log("warn", i))
+	}
+	assert.Equal(t, strings.Count(out.String(), " info="), 20)
+	assert.Equal(t, strings.Count(out.String(), " warn="), 15)
+	assert.Assert(t, strings.Contains(out.String(), "Event=LinesDropped Lines=10"), out.String())
+	for range 10 {
+		_ = level.Error(logger).Log("error", "x")
+	}
+	assert.Equal(t, strings.Count(out.String(), " error="), 5)
+	fake.Advance(time.Second)
+	assert.NilError(t, level.Error(logger).Log("error", "y"))
+	assert.Assert(t, strings.Contains(out.String(), "Lines=5"), out.String())
+}
+
+// blocked is a writer that takes nothing until it is released.
+type blocked struct {
+	release chan struct{}
+	out     bytes.Buffer
+}
+
+func (b *blocked) Write(p []byte) (int, error) {
+	<-b.release
+	return b.out.Write(p)
+}
+
+func TestQueueNeverBlocks(t *testing.T) {
+	w := &blocked{release: make(chan struct{})}
+	q := logs.NewQueue(w)
+	for i := range 5000 {
+		_, err := fmt.Fprintln(q, i)
+		assert.NilError(t, err)
+	}
+	close(w.release)
+	assert.NilError(t, q.Close())
+	lines := strings.Count(w.out.String(), "\n")
+	assert.Assert(t, lines >= 1024 && lines < 1100, "%d lines", lines)
+}
