Make connections anew that a cut has silenced

After it healed the system sent on them again only after pauses that had doubled to seconds, so that the gate learned of new documents 5 s late. Ruled out: the order of turns (it asked each core in turn), the cores (they answered new connections at once). A silent watch now ends its session, and links end when bytes stay without acknowledgement for 1.5 s. TestFollowerDoesNotUseASilencedConnectionAgain failed first.

--- a/internal/conn/link/client.go
+++ b/internal/conn/link/client.go
@@ -30,6 +30,10 @@
 	PatienceInterval time.Duration
 	// PingTimeout bounds a ping and a blocked write.
 	PingTimeout time.Duration
+	// DeadPeer is how long sent bytes may stay without acknowledgement before a
+	// session ends; 0 leaves that to the system. After a cut, a connection that
+	// the system still keeps sends again only after ever longer pauses.
+	DeadPeer time.Duration
 	// Sessions is how many TCP connections are kept to one peer.
 	Sessions int
 }
--- a/internal/conn/link/link.go
+++ b/internal/conn/link/link.go
@@ -24,6 +24,8 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
+
+	"cactusline.dev/cactusline/internal/conn/sock"
 )
 
 // Defaults of Config.
@@ -148,6 +150,13 @@
 	_ = s.conn.Close()
 }
 
+// Sever ends the session below the stream, and so the connection, which other
+// calls to the peer share. The next call makes a new one.
+func (s *Stream) Sever() {
+	s.Abort()
+	_ = s.session.Close()
+}
+
 // Alive reports whether the session below the stream still stands.
 func (s *Stream) Alive() bool { return !s.session.IsClosed() }
 
@@ -176,11 +185,14 @@
 	return cfg
 }
 
-func dial(ctx context.Context, address string, secure *tls.Config, timeout time.Duration) (net.Conn, error) {
-	dialer := &net.Dialer{Timeout: timeout}
-	if secure == nil {
+func dial(ctx context.Context, address string, cfg Config) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: cfg.DialTimeout}
+	if cfg.DeadPeer > 0 {
+		dialer.Control = sock.Control(cfg.DeadPeer)
+	}
+	if cfg.TLS == nil {
 		return dialer.DialContext(ctx, "tcp", address)
 	}
-	over := &tls.Dialer{NetDialer: dialer, Config: secure}
+	over := &tls.Dialer{NetDialer: dialer, Config: cfg.TLS}
 	return over.DialContext(ctx, "tcp", address)
 }
--- a/internal/conn/link/peer.go
+++ b/internal/conn/link/peer.go
@@ -91,7 +91,7 @@
 }
 
 func connect(address string, cfg Config) (*yamux.Session, error) {
-	conn, err := dial(context.Background(), address, cfg.TLS, cfg.DialTimeout)
+	conn, err := dial(context.Background(), address, cfg)
 	if err != nil {
 		dialFailed.Inc()
 		return nil, err
--- a/internal/conn/link/server.go
+++ b/internal/conn/link/server.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/yamux"
 
+	"cactusline.dev/cactusline/internal/conn/sock"
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/process/clock"
 )
@@ -37,6 +38,9 @@
 // Server accepts sessions and hands each call to its handler. It is safe for
 // use by several goroutines.
 type Server struct {
+	// DeadPeer is as in Config; it is set before Serve.
+	DeadPeer time.Duration
+
 	handler Handler
 	clock   Clock
 	wg      sync.WaitGroup
@@ -91,6 +95,10 @@
 }
 
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
+	if s.DeadPeer > 0 {
+		// The session works without it, only longer after a cut.
+		_ = sock.EndUnacknowledged(conn, s.DeadPeer)
+	}
 	session, err := yamux.Server(&joinedConn{Conn: measure(conn, accepted)}, sessionConfig(DefaultPingTimeout))
 	if err != nil {
 		_ = conn.Close()
--- a/internal/conn/pool/pool.go
+++ b/internal/conn/pool/pool.go
@@ -7,11 +7,12 @@
 	"fmt"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sys/unix"
+
+	"cactusline.dev/cactusline/internal/conn/sock"
 )
 
 // Defaults of Config.
@@ -94,7 +95,7 @@
 	p.dialer = net.Dialer{
 		Timeout:         cfg.DialTimeout,
 		KeepAliveConfig: probes(cfg.DeadPeer),
-		Control:         deadPeerOption(cfg.DeadPeer),
+		Control:         sock.Control(cfg.DeadPeer),
 	}
 	return p
 }
@@ -104,21 +105,6 @@
 	return net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: probeInterval, Count: max(1, count)}
 }
 
-// deadPeerOption lets the kernel end a connection whose bytes stay without
-// acknowledgement.
-func deadPeerOption(deadPeer time.Duration) func(string, string, syscall.RawConn) error {
-	return func(_, _ string, raw syscall.RawConn) error {
-		var failure error
-		err := raw.Control(func(fd uintptr) {
-			failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(deadPeer/time.Millisecond))
-		})
-		if err != nil {
-			return err
-		}
-		return failure
-	}
-}
-
 // Get returns a connection to address: an idle one that the target should still
 // keep, or else a new one. For a request that can't be sent again, careful
 // leaves out those that have been idle for as long as others that were lost.
--- a/internal/conn/watch/follow.go
+++ b/internal/conn/watch/follow.go
@@ -164,7 +164,7 @@
 		return fmt.Errorf("watch %s: %w", address, err)
 	}
 	defer func() { _ = stream.Close() }()
-	context.AfterFunc(ctx, stream.Abort)
+	context.AfterFunc(ctx, func() { f.leave(ctx, stream) })
 	heard := make(chan struct{}, 1)
 	go f.expectNews(ctx, cancel, heard)
 	go f.reportChanges(ctx, stream)
@@ -188,6 +188,16 @@
 	}
 }
 
+// leave ends a watch. A connection on which nothing came may be one that a cut
+// has silenced, which the next watch must not use.
+func (f *Follower) leave(ctx context.Context, stream *link.Stream) {
+	if f.cfg.Lead && errors.Is(context.Cause(ctx), errSilent) {
+		stream.Sever()
+		return
+	}
+	stream.Abort()
+}
+
 // errElsewhere ends a watch because another control process leads.
 var errElsewhere = errors.New("another control process leads")
 
--- a/internal/conn/watch/turn_test.go
+++ b/internal/conn/watch/turn_test.go
@@ -65,3 +65,36 @@
 		}
 	}
 }
+
+// On the bench, kivi-bib hunt-1b25-3 (seed 1b25): a gate that had been cut off
+// went on to use the connections from before the cut, which sent again only
+// seconds after it had healed.
+func TestFollowerDoesNotUseASilencedConnectionAgain(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	handler := &cutOff{watched: make(chan struct{}, 16)}
+	go func() {
+		// The first connection is never read, as behind a cut.
+		silenced, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = silenced.Close() }()
+		_ = link.NewServer(handler).Serve(t.Context(), listener)
+	}()
+	links := link.NewClient(link.Config{Clock: clock.System{}, Sessions: 1})
+	t.Cleanup(func() { _ = links.Close() })
+	follower := watch.NewFollower(watch.Config{
+		Addresses: []string{listener.Addr().String()}, Link: links, Clock: clock.System{}, Logger: log.NewNopLogger(),
+		Process: "gate", Lead: true, Silence: 50 * time.Millisecond,
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go follower.Run(ctx)
+	select {
+	case <-handler.watched:
+	case <-time.After(3 * time.Second):
+		t.Fatal("the connection was never made anew")
+	}
+}
--- a/internal/process/cmds/core.go
+++ b/internal/process/cmds/core.go
@@ -107,7 +107,7 @@
 		Query: func(_ context.Context, query *wire.Query) *wire.QueryReply {
 			return answerAnnounced(r.directory, query)
 		},
-		Roster: r.book, Elsewhere: r.directory.Cores, MinVoters: 2*settings.Losses + 1,
+		Roster: r.book, Elsewhere: r.directory.Cores, DeadPeer: platformDeadPeer, MinVoters: 2*settings.Losses + 1,
 	})
 	go followSettings(ctx, logger, c.Settings, func(fresh *platform.Settings) { r.directory.Reseed(fresh.Seeds) })
 	return r.run(ctx)
--- a/internal/process/cmds/settings.go
+++ b/internal/process/cmds/settings.go
@@ -56,13 +56,17 @@
 	platformDial = 300 * time.Millisecond
 	// platformPing bounds how long a peer that is silent is waited for.
 	platformPing = time.Second
+	// platformDeadPeer ends connections that a cut has silenced. Three lost
+	// packets in a row, at a retransmission timeout of 200 ms that doubles, stay
+	// below it.
+	platformDeadPeer = 1500 * time.Millisecond
 )
 
 // platformLinks returns the client of calls between processes on the platform.
 func platformLinks(settings *platform.Settings) *link.Client {
 	return link.NewClient(link.Config{
 		Clock: clock.System{}, Caller: string(settings.VM),
-		DialTimeout: platformDial, PingTimeout: platformPing, Sessions: 1,
+		DialTimeout: platformDial, PingTimeout: platformPing, DeadPeer: platformDeadPeer, Sessions: 1,
 	})
 }
 
--- a/internal/process/ctrl/ctrl.go
+++ b/internal/process/ctrl/ctrl.go
@@ -96,6 +96,9 @@
 	// Elsewhere returns the addresses of processes to watch in place of this one
 	// while it is no member yet; nil for none.
 	Elsewhere func() []string
+	// DeadPeer bounds how long a connection to another process outlives a cut;
+	// 0 leaves that to the system.
+	DeadPeer time.Duration
 	// MinVoters is the number of voters without which no routing document is
 	// taken, so that one that was taken outlives the losses to be borne.
 	MinVoters int
@@ -123,6 +126,7 @@
 		permits: permit.NewKeeper(permit.Weights(cfg.Weights)),
 	}
 	c.server = link.NewServer(c)
+	c.server.DeadPeer = cfg.DeadPeer
 	return c
 }
 
