Explain a request from log files, and spread the free repeats over the gates

Cause: on-call has only logs; 'explain ID FILE...' merges those of several processes, adds what they tell of the request's targets, and names the cause. Gates now use the count that control tells.

--- a/internal/process/cmds/gate.go
+++ b/internal/process/cmds/gate.go
@@ -19,12 +19,11 @@
 	gateSilence = 1800 * time.Millisecond
 	// gateLoadInterval is between two reports of changed loads.
 	gateLoadInterval = 150 * time.Millisecond
-	// usualGates is the number of gates over which the repeats that need not be
-	// earned are spread; fleets with more use fewer each.
-	usualGates = 32
-	// retryPart is the part of the repeats that the platform allows which is
-	// used, since arrivals that targets turn down count as well.
-	retryPart = 0.5
+	// earnedPart and freePart are the parts of the repeats that the platform
+	// allows which are used: the first is exact at each gate, the second is
+	// spread by a count of the gates that may be old.
+	earnedPart = 0.8
+	freePart   = 0.5
 )
 
 // GateCommand runs a gate on the platform.
@@ -58,7 +57,7 @@
 		Name: string(settings.VM), Domain: settings.Domain,
 		Compile: platform.Compile, Dialect: platform.Dialect{}, Clock: clock.System{}, Logger: logger,
 		Grace:      settings.Grace,
-		RetryShare: settings.RetryShare * retryPart,
+		RetryShare: settings.RetryShare * earnedPart,
 		RetryRate:  retryRate(settings),
 	})
 	follower := watch.NewFollower(watch.Config{
@@ -76,10 +75,10 @@
 	return g.Run(s.ctx, callers, ready)
 }
 
-// retryRate is the repeats a second that one gate need not earn.
+// retryRate is the repeats a second that all gates need not earn.
 func retryRate(settings *platform.Settings) float64 {
 	if settings.RetryWindow <= 0 {
 		return 0
 	}
-	return settings.RetrySlack / settings.RetryWindow.Seconds() / usualGates * retryPart
+	return settings.RetrySlack / settings.RetryWindow.Seconds() * freePart
 }
--- a/internal/process/cmds/look.go
+++ b/internal/process/cmds/look.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -14,6 +15,7 @@
 	"cactusline.dev/cactusline/internal/process/admin"
 	"cactusline.dev/cactusline/internal/process/audit"
 	"cactusline.dev/cactusline/internal/process/ctrl"
+	"cactusline.dev/cactusline/internal/request/recap"
 )
 
 // StatusCommand shows the state of the fleet.
@@ -33,15 +35,20 @@
 	return printStatus(s, status)
 }
 
-// ExplainCommand shows how a request was decided.
+// ExplainCommand shows how a request was decided: by the records that control
+// keeps, or by the log files of processes.
 type ExplainCommand struct {
 	Client `embed:""`
 
-	Request string `arg:"" help:"Id of the request, as the router's answer gave it."`
+	Request string   `arg:"" help:"Id of the request, as the router's answer gave it."`
+	Logs    []string `arg:"" optional:"" help:"Log files of the processes, read in place of control's records." type:"existingfile"`
 }
 
 // Run implements the command.
 func (c *ExplainCommand) Run(s *scope) error {
+	if len(c.Logs) > 0 {
+		return c.fromLogs(s)
+	}
 	explanation := new(admin.Explanation)
 	path := "/v1/requests/" + url.PathEscape(c.Request)
 	if err := c.call(s, request{method: http.MethodGet, path: path}, explanation); err != nil {
@@ -53,6 +60,30 @@
 	return printExplanation(s, explanation)
 }
 
+// fromLogs merges the lines of log files into one account of the request.
+func (c *ExplainCommand) fromLogs(s *scope) error {
+	var all []recap.Line
+	for _, path := range c.Logs {
+		file, err := os.Open(path)
+		if err != nil {
+			return usage(fmt.Errorf("log: %w", err))
+		}
+		lines, _, err := recap.Read(file)
+		if err = errors.Join(err, file.Close()); err != nil {
+			return fmt.Errorf("log %s: %w", path, err)
+		}
+		all = append(all, lines...)
+	}
+	report, err := recap.Explain(c.Request, all)
+	if err != nil {
+		return &codedError{code: ExitNotFound, err: err}
+	}
+	if c.Output == outputJSON {
+		return printJSON(s, report)
+	}
+	return report.Write(s.stdout)
+}
+
 // AuditCommand groups what concerns the audit log.
 type AuditCommand struct {
 	Export AuditExportCommand `cmd:"" help:"Write the audit log as JSON lines."`
--- a/internal/process/gate/gate.go
+++ b/internal/process/gate/gate.go
@@ -37,8 +37,12 @@
 	// DefaultRetryShare is the number of repeats that one request earns; half
 	// of what the platform allows leaves room for what other processes send.
 	DefaultRetryShare = 0.1
-	// DefaultRetryRate is the repeats a second that need not be earned.
-	DefaultRetryRate = 0.1
+	// DefaultRetryRate is the repeats a second of all gates that need not be
+	// earned.
+	DefaultRetryRate = 3.0
+	// usualGates is the number of gates over which these are spread while it is
+	// not known how many there are.
+	usualGates = 32
 )
 
 const (
@@ -70,6 +74,8 @@
 
 	DrainDelay time.Duration
 	Grace      time.Duration
+	// RetryShare is the number of repeats that a request earns, and RetryRate
+	// the repeats a second of all gates that need not be earned.
 	RetryShare float64
 	RetryRate  float64
 	Pool       pool.Config
@@ -115,7 +121,7 @@
 		field:  place.NewField(place.Config{Domain: cfg.Domain}),
 		pool:   pool.New(cfg.Pool),
 		front:  frontServer{clock: cfg.Clock},
-		budget: budget.New(budget.Config{Share: cfg.RetryShare, PoolRate: cfg.RetryRate, PoolShare: 1}),
+		budget: budget.New(budget.Config{Share: cfg.RetryShare, PoolRate: cfg.RetryRate / usualGates}),
 	}
 }
 
@@ -133,6 +139,9 @@
 		g.field.Update(now, source, targets)
 		g.pool.Retain(g.field.Addresses())
 	}
+	if gates := update.GetRouters(); gates > 0 {
+		g.budget.SetPoolRate(g.cfg.RetryRate / float64(gates))
+	}
 	if loads := update.GetLoads(); loads != nil {
 		g.field.TakeLoads(loads)
 	}
--- a/internal/request/budget/budget.go
+++ b/internal/request/budget/budget.go
@@ -47,6 +47,8 @@
 	shards []shard
 	poolMu sync.Mutex
 	pool   bucket
+	// poolRate is the number of retries a second that the pool earns.
+	poolRate float64
 }
 
 type shard struct {
@@ -78,7 +80,7 @@
 	cfg.PoolRate = cmp.Or(cfg.PoolRate, DefaultPoolRate)
 	cfg.PoolShare = cmp.Or(cfg.PoolShare, DefaultPoolShare)
 	cfg.MaxCustomers = cmp.Or(cfg.MaxCustomers, DefaultMaxCustomers)
-	b := &Budget{cfg: cfg, shards: make([]shard, cfg.Shards)}
+	b := &Budget{cfg: cfg, shards: make([]shard, cfg.Shards), poolRate: cfg.PoolRate}
 	for i := range b.shards {
 		b.shards[i].accounts = make(map[ident.CustomerName]*account)
 		b.shards[i].limit = max(1, cfg.MaxCustomers/cfg.Shards)
@@ -86,6 +88,20 @@
 	return b
 }
 
+// SetPoolRate changes the number of retries a second that the common pool
+// earns.
+func (b *Budget) SetPoolRate(rate float64) {
+	b.poolMu.Lock()
+	defer b.poolMu.Unlock()
+	b.poolRate = rate
+}
+
+func (b *Budget) rate() float64 {
+	b.poolMu.Lock()
+	defer b.poolMu.Unlock()
+	return b.poolRate
+}
+
 // Request counts a request of a customer, which earns a share of a retry.
 func (b *Budget) Request(now time.Time, customer ident.CustomerName) {
 	s := b.shard(customer)
@@ -107,7 +123,7 @@
 		a.earned--
 		return true
 	}
-	a.pool.fill(now, b.cfg.PoolRate*b.cfg.PoolShare, b.cfg.Window)
+	a.pool.fill(now, b.rate()*b.cfg.PoolShare, b.cfg.Window)
 	if a.pool.tokens < 1 || !b.takePooled(now) {
 		return false
 	}
@@ -118,7 +134,7 @@
 func (b *Budget) takePooled(now time.Time) bool {
 	b.poolMu.Lock()
 	defer b.poolMu.Unlock()
-	b.pool.fill(now, b.cfg.PoolRate, b.cfg.Window)
+	b.pool.fill(now, b.poolRate, b.cfg.Window)
 	if b.pool.tokens < 1 {
 		return false
 	}
--- /dev/null
+++ b/internal/request/recap/recap_test.go
@@ -0,0 +1,63 @@
+package recap_test
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cactusline.dev/cactusline/internal/request/recap"
+)
+
+const gateLog = `  19.8 edge-1/gate {"Event":"TargetEjected","Request":"other","Target":"t1","Result":"Lost","Time":"2026-01-01T00:00:09Z","process":"edge-1","role":"gate"}
+not a line
+{"Attempts":[{"Target":"t1","Result":"NotSent","Status":0,"Error":"connection refused","Took":"1ms"},{"Target":"t2","Result":"Lost","Error":"reset","Took":"9ms"}],"Document":7,"Event":"RequestEnded","Outcome":"Unknown","Request":"r1","Route":"once","Status":502,"Time":"2026-01-01T00:00:10Z","Took":"10ms","process":"edge-1","role":"gate"}
+{"Event":"RequestEnded","Outcome":"Finish","Request":"r2","Time":"2026-01-01T00:00:10Z","process":"edge-1","role":"gate"}
+`
+
+const coreLog = `{"msg":"target gone","target":"t2","Time":"2026-01-01T00:00:11Z","process":"edge-2","role":"core"}
+{"msg":"target gone","target":"t9","Time":"2026-01-01T00:00:11Z","process":"edge-2","role":"core"}
+`
+
+func read(t *testing.T, logs ...string) []recap.Line {
+	t.Helper()
+	var all []recap.Line
+	for _, text := range logs {
+		lines, _, err := recap.Read(strings.NewReader(text))
+		assert.NilError(t, err)
+		all = append(all, lines...)
+	}
+	return all
+}
+
+func TestExplainMergesLogsAndNamesTheCause(t *testing.T) {
+	report, err := recap.Explain("r1", read(t, coreLog, gateLog))
+	assert.NilError(t, err)
+	var events []string
+	for _, line := range report.Lines {
+		events = append(events, line.Event)
+	}
+	assert.DeepEqual(t, events, []string{"TargetEjected", "RequestEnded", "target gone"})
+	assert.Equal(t, report.Cause, "outcome unknown: it was sent to t2, which gave no whole answer (reset); it may have run")
+	var out bytes.Buffer
+	assert.NilError(t, report.Write(&out))
+	assert.Assert(t, strings.Contains(out.String(), "attempt 2: t2 Lost"), out.String())
+}
+
+func TestExplainOfAnUnknownRequest(t *testing.T) {
+	_, err := recap.Explain("none", read(t, gateLog))
+	var missing *recap.NotFoundError
+	assert.Assert(t, errors.As(err, &missing))
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(gateLog)
+	f.Fuzz(func(_ *testing.T, text string) {
+		lines, _, _ := recap.Read(strings.NewReader(text))
+		if report, err := recap.Explain("r1", lines); err == nil {
+			_ = report.Write(&bytes.Buffer{})
+		}
+	})
+}
