Start a control process anew once its disk is sound

The process now ends that life, waits until the disk takes a synced write, and opens its folder again; a folder that can't be opened is treated alike, and a log whose synced bytes are damaged is set aside so that the process joins without a vote.

--- a/internal/process/cmds/core.go
+++ b/internal/process/cmds/core.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -22,6 +23,7 @@
 	"cactusline.dev/cactusline/internal/process/lister"
 	"cactusline.dev/cactusline/internal/process/member"
 	"cactusline.dev/cactusline/internal/process/trace"
+	"cactusline.dev/cactusline/internal/process/walog"
 	"cactusline.dev/cactusline/internal/version/store"
 	"cactusline.dev/cactusline/platform"
 )
@@ -59,7 +61,17 @@
 	if settings.Data == "" {
 		return c.runRelay(s.ctx, logger, settings)
 	}
-	return c.runCore(s.ctx, logger, settings)
+	return supervise(s.ctx, lives{
+		run: func(ctx context.Context) error {
+			err := c.runCore(ctx, logger, settings)
+			// Only the first life may found a group.
+			settings.Fresh = false
+			return err
+		},
+		sound:  func() error { return tryDisk(settings.Data) },
+		clock:  clock.System{},
+		logger: logger,
+	})
 }
 
 func limitMemory() { debug.SetGCPercent(gcPercent) }
@@ -109,8 +121,7 @@
 		},
 		Roster: r.book, Elsewhere: r.directory.Cores, DeadPeer: platformDeadPeer, MinVoters: 2*settings.Losses + 1,
 	})
-	go followSettings(ctx, logger, c.Settings, func(fresh *platform.Settings) { r.directory.Reseed(fresh.Seeds) })
-	return r.run(ctx)
+	return r.run(ctx, c.Settings)
 }
 
 func answerAnnounced(directory *member.Directory, query *wire.Query) *wire.QueryReply {
@@ -133,14 +144,26 @@
 		HeartbeatInterval: coreHeartbeat, ElectionTimeout: coreElection, SnapshotEvery: coreSnapshotEvery,
 	})
 	if err != nil {
-		return errors.Join(fmt.Errorf("open %s: %w", r.settings.Data, err), folder.Close())
+		return errors.Join(r.openFailed(err), folder.Close())
 	}
 	r.disk = &controlDisk{state: state, replicas: replicas, folder: folder}
 	return nil
 }
 
-// run serves until ctx ends.
-func (r *core) run(ctx context.Context) error {
+// openFailed words why the folder can't be opened. A log whose synced bytes are
+// damaged is set aside, so that the process joins anew with an empty folder and
+// without a vote.
+func (r *core) openFailed(err error) error {
+	var corrupt *walog.CorruptError
+	if errors.As(err, &corrupt) {
+		_ = level.Error(r.logger).Log("msg", "log is damaged and set aside", "folder", r.settings.Data, "err", err)
+		err = errors.Join(err, setAside(r.settings.Data))
+	}
+	return &memberFailedError{cause: fmt.Errorf("open %s: %w", r.settings.Data, err)}
+}
+
+// run serves until ctx ends or the member of the log fails.
+func (r *core) run(ctx context.Context, settingsPath string) error {
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	stop := context.AfterFunc(ctx, func() {
@@ -162,6 +185,7 @@
 	go keeper.Run(life)
 	go list.Run(life)
 	go exportAudit(life, r.logger, r.disk.state)
+	go followSettings(life, r.logger, settingsPath, func(fresh *platform.Settings) { r.directory.Reseed(fresh.Seeds) })
 	documents := &ctrl.Documents{
 		Control: r.control,
 		Relay:   &ctrl.Relay{Link: r.links, Cores: r.directory.Cores, Logger: r.logger},
@@ -169,9 +193,40 @@
 	if err := serveOperator(life, r.logger, r.settings.Operators, documents); err != nil {
 		return err
 	}
-	return r.control.Run(life)
+	failed := r.watchMember(life, end)
+	if err := r.control.Run(life); err != nil {
+		return err
+	}
+	if cause := failed(); cause != nil {
+		r.disk.close(r.logger)
+		return &memberFailedError{cause: cause}
+	}
+	return nil
 }
 
+// watchMember ends the life of the process when its member of the log has
+// failed, as on a disk that takes no writes, and returns what tells why.
+func (r *core) watchMember(life context.Context, end context.CancelFunc) (failed func() error) {
+	var failure atomic.Pointer[error]
+	go func() {
+		for (clock.System{}).Sleep(life, memberInterval) == nil {
+			if err := r.disk.replicas.Status().Failure; err != nil {
+				failure.Store(&err)
+				end()
+			}
+		}
+	}()
+	return func() error {
+		if err := failure.Load(); err != nil {
+			return *err
+		}
+		return nil
+	}
+}
+
+// memberInterval is between two looks at the member of the log.
+const memberInterval = 100 * time.Millisecond
+
 // reads reports whether this process is the one to read the platform's list:
 // the leader is, and each process that has watchers while none is known.
 func (r *core) reads() bool {
