Check files before use, serve metrics beside readiness, and keep off borrowed ports

The tests drew ports that outgoing connections may take before they are listened on; they no longer do, and the finding stays open.

--- a/internal/process/cmds/cmds.go
+++ b/internal/process/cmds/cmds.go
@@ -51,6 +51,7 @@
 	Control ControlCommand `cmd:"" help:"Replicate records, claims and orders."`
 	Gate    GateCommand    `cmd:"" help:"On the platform: take callers' requests by the routing document."`
 	Core    CoreCommand    `cmd:"" help:"On the platform: replicate the routing document and read the list of targets."`
+	Check   CheckCommand   `cmd:"" help:"Check a settings file and routing documents of the platform."`
 	Dev     DevCommand     `cmd:"" help:"Run a whole small fleet with stand-in targets in one process."`
 
 	Apply   ApplyCommand   `cmd:"" help:"Create and amend records, all of a file or none."`
--- a/internal/process/cmds/core.go
+++ b/internal/process/cmds/core.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
@@ -263,7 +264,10 @@
 		return err
 	}
 	operator := &platform.Operator{Documents: documents, Logger: logger}
-	server := &http.Server{Handler: operator.Handler(), ReadHeaderTimeout: operatorHeaderTimeout}
+	mux := http.NewServeMux()
+	mux.Handle("/", operator.Handler())
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: operatorHeaderTimeout}
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/process/cmds/verbs_test.go
+++ b/internal/process/cmds/verbs_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -34,13 +35,22 @@
 	extra   []string
 }
 
-// address returns a loopback address on which nothing listens.
+// address returns a loopback address on which nothing listens. Its port is below
+// those that the system gives to outgoing connections, which may take a port
+// before it is listened on.
 func address(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { assert.NilError(t, listener.Close()) }()
-	return listener.Addr().String()
+	const lowest, highest, tries = 20_000, 32_000, 100
+	for range tries {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", lowest+rand.IntN(highest-lowest)))
+		if err != nil {
+			continue
+		}
+		assert.NilError(t, listener.Close())
+		return listener.Addr().String()
+	}
+	t.Fatal("no free port")
+	return ""
 }
 
 // startFleet starts a control process for each name.
--- a/internal/process/gate/gate.go
+++ b/internal/process/gate/gate.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
@@ -216,6 +217,7 @@
 // Run serves callers, and the balancer's question, until ctx ends and the
 // requests in flight are answered or the grace is over.
 func (g *Gate) Run(ctx context.Context, callers, ready net.Listener) error {
+	g.measure()
 	readiness := &http.Server{Handler: g.readiness(), ReadHeaderTimeout: defaultHeaderTimeout}
 	go func() { _ = readiness.Serve(ready) }()
 	go g.front.serve(callers, g)
@@ -242,9 +244,29 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		metrics.WritePrometheus(w, true)
+	})
 	return mux
 }
 
+// measure publishes what the gate holds.
+func (g *Gate) measure() {
+	metrics.GetOrCreateGauge("cactusline_document_version", func() float64 {
+		if table := g.table.Load(); table != nil {
+			return float64(table.Version())
+		}
+		return 0
+	})
+	metrics.GetOrCreateGauge("cactusline_targets_listed", func() float64 { return float64(g.field.Len()) })
+	metrics.GetOrCreateGauge("cactusline_ready", func() float64 {
+		if g.Ready() {
+			return 1
+		}
+		return 0
+	})
+}
+
 const (
 	// A refused caller may come back after soonest plus a part of spread, so
 	// that callers don't come back together.
