Give up on silent targets only

Such a request now stays unless its target has sent nothing to this gate for half of that time and the budget allows a repeat. TestOnlySilentTargetsAreGivenUp failed first (busy).

--- a/internal/process/gate/gate_test.go
+++ b/internal/process/gate/gate_test.go
@@ -366,3 +366,45 @@
 	assert.NilError(t, err)
 	assert.Equal(t, status, http.StatusOK)
 }
+
+// A target that works on other requests is waited for; one that is silent is
+// left for another.
+func TestOnlySilentTargetsAreGivenUp(t *testing.T) {
+	for name, silent := range map[string]bool{"silent": true, "busy": false} {
+		t.Run(name, func(t *testing.T) {
+			slow := newReplica(t, "t1", nil)
+			other := newReplica(t, "t2", ok)
+			r := newRig(t, gate.Config{RetryRate: 100}, slow)
+			slow.script = func(run *run) {
+				if run.id() == "beside" {
+					run.head(http.StatusOK, -1)
+					for id := 1; id <= 40; id++ {
+						run.event(id)
+						time.Sleep(20 * time.Millisecond)
+					}
+					run.end()
+					return
+				}
+				r.list(slow, other)
+				select {
+				case <-run.closed:
+				case <-time.After(700 * time.Millisecond):
+					ok(run)
+				}
+			}
+			document := routes()
+			for i := range document.Routes {
+				document.Routes[i].Objective = 100 * time.Millisecond
+			}
+			r.put(document)
+			if !silent {
+				go func() { _, _, _ = r.get("/stream/", "q", "Id", "beside") }()
+				time.Sleep(50 * time.Millisecond)
+			}
+			status, _, err := r.get("/safe/", "q")
+			assert.NilError(t, err)
+			assert.Equal(t, status, http.StatusOK)
+			assert.Equal(t, other.count() == 1, silent)
+		})
+	}
+}
--- a/internal/process/gate/serve.go
+++ b/internal/process/gate/serve.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"cactusline.dev/cactusline/internal/request/carry"
@@ -67,6 +68,8 @@
 	started bool
 	// heard ends the patience of the attempt under way.
 	heard func()
+	// paid says that the budget was charged for the next repeat.
+	paid  atomic.Bool
 	trail []attempt
 }
 
@@ -186,7 +189,7 @@
 
 // mayRepeat charges the budget of repeats.
 func (j *job) mayRepeat() bool {
-	return j.gate.budget.Spend(j.gate.cfg.Clock.Now(), j.name())
+	return j.paid.Swap(false) || j.gate.budget.Spend(j.gate.cfg.Clock.Now(), j.name())
 }
 
 // name returns the customer, empty if nobody is known.
--- a/internal/process/gate/try.go
+++ b/internal/process/gate/try.go
@@ -25,7 +25,11 @@
 	ctx, slow := context.WithCancelCause(ctx)
 	defer slow(nil)
 	if limit := j.patience(); limit > 0 {
-		timer := time.AfterFunc(limit, func() { slow(errSlow) })
+		timer := time.AfterFunc(limit, func() {
+			if j.giveUpOn(pick.Target, limit) {
+				slow(errSlow)
+			}
+		})
 		defer timer.Stop()
 		j.heard = func() { timer.Stop() }
 	}
@@ -64,6 +68,18 @@
 	}
 }
 
+// giveUpOn reports whether a request that has waited for long is sent to
+// another target: if this one has fallen silent, and the budget allows it. A
+// target that answers others only has much to do, as the next one may.
+func (j *job) giveUpOn(target *place.Target, waited time.Duration) bool {
+	now := j.gate.cfg.Clock.Now()
+	if !j.gate.field.Quiet(now, target, waited/2) || !j.gate.budget.Spend(now, j.name()) {
+		return false
+	}
+	j.paid.Store(true)
+	return true
+}
+
 // exchange is one attempt's use of a connection.
 type exchange struct {
 	job    *job
--- a/internal/request/place/choose.go
+++ b/internal/request/place/choose.go
@@ -159,6 +159,13 @@
 	return t.own > 0 && now.Sub(t.heard) > silentAfter
 }
 
+// Quiet reports whether a target has sent nothing to this process for d.
+func (f *Field) Quiet(now time.Time, t *Target, d time.Duration) bool {
+	t.service.mu.Lock()
+	defer t.service.mu.Unlock()
+	return now.Sub(t.heard) >= d
+}
+
 // Heard notes that a target has sent something.
 func (f *Field) Heard(now time.Time, t *Target) {
 	t.service.mu.Lock()
