Remove what nothing uses, and wait by the steady clock for a quorum's word

Cause: read as a newcomer: the table kept health paths, connection limits, slots and pauses that no code read, the parts of a prompt their tokens, and a type was exported for nothing.

--- a/internal/conn/watch/fleet.go
+++ b/internal/conn/watch/fleet.go
@@ -10,9 +10,9 @@
 	"cactusline.dev/cactusline/internal/version/patch"
 )
 
-// Fleet is what a follower holds besides records: the routing document, the
+// fleet is what a follower holds besides records: the routing document, the
 // targets of the platform, and what others have in flight there.
-type Fleet struct {
+type fleet struct {
 	mu       sync.Mutex
 	version  ident.Version
 	body     []byte
@@ -62,7 +62,7 @@
 	return f.fleet.take(update)
 }
 
-func (f *Fleet) take(update *wire.Update) error {
+func (f *fleet) take(update *wire.Update) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err := f.takeDocument(update.GetDocument()); err != nil {
@@ -77,7 +77,7 @@
 }
 
 // takeDocument takes a document of a higher version; any other changes nothing.
-func (f *Fleet) takeDocument(in *wire.Document) error {
+func (f *fleet) takeDocument(in *wire.Document) error {
 	version := ident.Version(in.GetVersion())
 	if version <= f.version {
 		return nil
--- a/internal/conn/watch/follow.go
+++ b/internal/conn/watch/follow.go
@@ -75,7 +75,7 @@
 	// places are the control processes as far as they are known.
 	places places
 	// fleet is what updates told besides records.
-	fleet Fleet
+	fleet fleet
 	// taking is held while an update is brought into force.
 	taking sync.Mutex
 	// verdicts is the highest index of verdicts that were taken.
--- a/internal/process/ctrl/document.go
+++ b/internal/process/ctrl/document.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"google.golang.org/protobuf/proto"
 
@@ -207,12 +208,7 @@
 	Link *link.Client
 	// Cores returns the addresses of the processes that hold the log.
 	Cores  func() []string
-	Logger Logger
-}
-
-// Logger is what a Relay needs of a logger.
-type Logger interface {
-	Log(keyvals ...any) error
+	Logger log.Logger
 }
 
 // PutDocument is that of Control, made elsewhere.
--- a/internal/process/gate/dialect.go
+++ b/internal/process/gate/dialect.go
@@ -17,7 +17,7 @@
 	Key string
 	// Model and Parts describe the prompt, if there is one.
 	Model string
-	Parts []place.Part
+	Parts []place.PartID
 	// After is the last event of a stream that the caller has, empty for all.
 	After string
 }
--- a/internal/process/gate/gate.go
+++ b/internal/process/gate/gate.go
@@ -90,8 +90,8 @@
 	budget *budget.Budget
 
 	table atomic.Pointer[route.Table]
-	// firstAt is when the first document came, in Unix nanoseconds.
-	firstAt   atomic.Int64
+	// firstAt is when the first document came.
+	firstAt   atomic.Pointer[time.Time]
 	confirmed atomic.Bool
 	stopping  atomic.Bool
 
@@ -160,7 +160,7 @@
 		return
 	}
 	g.table.Store(table)
-	g.firstAt.CompareAndSwap(0, now.UnixNano())
+	g.firstAt.CompareAndSwap(nil, &now)
 	g.front.limit(table.Limits())
 	_ = level.Info(g.cfg.Logger).Log("msg", "document in force", "version", version)
 }
@@ -201,8 +201,8 @@
 	if table == nil || g.confirmed.Load() {
 		return table
 	}
-	waited := g.cfg.Clock.Now().UnixNano() - g.firstAt.Load()
-	if !g.cfg.Follower.Confirmed() && time.Duration(waited) < unconfirmedLimit {
+	first := g.firstAt.Load()
+	if !g.cfg.Follower.Confirmed() && (first == nil || g.cfg.Clock.Now().Sub(*first) < unconfirmedLimit) {
 		return nil
 	}
 	g.confirmed.Store(true)
@@ -259,6 +259,9 @@
 		return 0
 	})
 	metrics.GetOrCreateGauge("cactusline_targets_listed", func() float64 { return float64(g.field.Len()) })
+	metrics.GetOrCreateGauge("cactusline_targets_usable", func() float64 {
+		return float64(g.field.Usable(g.cfg.Clock.Now()))
+	})
 	metrics.GetOrCreateGauge("cactusline_ready", func() float64 {
 		if g.Ready() {
 			return 1
--- a/internal/process/gate/rig_test.go
+++ b/internal/process/gate/rig_test.go
@@ -38,7 +38,7 @@
 		ask.Wait = wait
 	}
 	if part, err := strconv.ParseUint(h.Get("Part"), 10, 64); err == nil {
-		ask.Parts = []place.Part{{ID: part}, {ID: part + 1}}
+		ask.Parts = []place.PartID{place.PartID(part), place.PartID(part + 1)}
 	}
 	return ask
 }
--- a/internal/request/place/choose.go
+++ b/internal/request/place/choose.go
@@ -27,18 +27,15 @@
 	remoteCost = 0.35
 )
 
-// Part is one part of a prompt. Requests may share it.
-type Part struct {
-	ID     uint64
-	Tokens ident.Tokens
-}
+// PartID names one part of a prompt. Requests may share it.
+type PartID uint64
 
 // Ask is what a request needs.
 type Ask struct {
 	Service ident.ServiceName
 	// Parts of the prompt in their order; the last one is the request's own.
 	// Empty for requests without a prompt.
-	Parts []Part
+	Parts []PartID
 	// Model keeps the prompts of models apart.
 	Model string
 	// Tried are the targets that had the request before.
@@ -81,7 +78,7 @@
 	chain := make([]uint64, 0, len(parts))
 	key := hashText(a.Model)
 	for _, part := range parts {
-		key = mix(key ^ part.ID)
+		key = mix(key ^ uint64(part))
 		chain = append(chain, key)
 	}
 	return chain
@@ -329,20 +326,17 @@
 	})
 }
 
-// Room reports how many of a service's slots are free, by what is known.
-func (f *Field) Room(now time.Time, name ident.ServiceName) (free, targets int) {
-	s := f.service(name)
-	if s == nil {
-		return 0, 0
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, t := range s.targets {
-		if t.Leaving || !t.health.usable(now) {
-			continue
+// Usable returns the number of targets that get new requests now.
+func (f *Field) Usable(now time.Time) int {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	count := 0
+	for _, t := range f.byName {
+		t.service.mu.Lock()
+		if !t.Leaving && t.health.usable(now) {
+			count++
 		}
-		targets++
-		free += max(0, t.Slots-t.load())
+		t.service.mu.Unlock()
 	}
-	return free, targets
+	return count
 }
--- a/internal/request/place/place_test.go
+++ b/internal/request/place/place_test.go
@@ -35,7 +35,7 @@
 }
 
 func prompt(subject uint64) *place.Ask {
-	return &place.Ask{Service: "model", Model: "m", Parts: []place.Part{{ID: subject % 4}, {ID: 100 + subject}, {ID: 1e6 + subject}}}
+	return &place.Ask{Service: "model", Model: "m", Parts: []place.PartID{place.PartID(subject % 4), place.PartID(100 + subject), place.PartID(1e6 + subject)}}
 }
 
 func choose(t *testing.T, field *place.Field, now time.Time, ask *place.Ask) place.Pick {
@@ -147,7 +147,7 @@
 			verdict = place.Failing
 		}
 		field.Finish(now, pick.Target, verdict)
-		_, usable := field.Room(now, "model")
+		usable := field.Usable(now)
 		assert.Assert(t, usable >= 6, "request %d: %d targets in use", i, usable)
 	}
 }
--- a/internal/version/route/route.go
+++ b/internal/version/route/route.go
@@ -47,8 +47,6 @@
 	// Objective is the time within which an answer, or a stream's first event,
 	// is on time.
 	Objective time.Duration
-	// MaxPause is the longest time between two events that is on time.
-	MaxPause time.Duration
 	// Priority ranks requests; 0 is the most urgent.
 	Priority int
 	// Attempts is the number of targets on which one request may run.
@@ -72,13 +70,6 @@
 // Service is a set of targets that answer the same requests.
 type Service struct {
 	Name ident.ServiceName
-	// HealthPath answers 200 at a target that is well.
-	HealthPath string
-	// MaxConns is the number of connections that a target takes from all.
-	MaxConns int
-	// Slots is the number of requests that a model engine runs at once; 0 where
-	// the document does not tell.
-	Slots int
 }
 
 // Customer is a party with keys.
--- a/internal/version/route/table.go
+++ b/internal/version/route/table.go
@@ -13,7 +13,6 @@
 type Table struct {
 	version   ident.Version
 	hosts     map[string][]*Route
-	services  map[ident.ServiceName]*Service
 	customers map[string]*Customer
 	keyed     bool
 	limits    Limits
@@ -27,7 +26,6 @@
 	t := &Table{
 		version:   d.Version,
 		hosts:     make(map[string][]*Route),
-		services:  make(map[ident.ServiceName]*Service, len(d.Services)),
 		customers: make(map[string]*Customer),
 		keyed:     len(d.Customers) > 0,
 		limits:    d.Limits,
@@ -39,9 +37,6 @@
 	for _, routes := range t.hosts {
 		slices.SortFunc(routes, func(a, b *Route) int { return cmp.Compare(a.Prefix, b.Prefix) })
 	}
-	for i := range d.Services {
-		t.services[d.Services[i].Name] = &d.Services[i]
-	}
 	for i := range d.Customers {
 		for _, key := range d.Customers[i].Keys {
 			t.customers[key] = &d.Customers[i]
@@ -56,9 +51,6 @@
 // Limits returns the limits of callers.
 func (t *Table) Limits() Limits { return t.limits }
 
-// Service returns a service of the document, nil if there is none.
-func (t *Table) Service(name ident.ServiceName) *Service { return t.services[name] }
-
 // Keyed reports whether requests need a key.
 func (t *Table) Keyed() bool { return t.keyed }
 
