Test that a caller that does not read is left, and tell sending from spoiled

Cause: read in the code. The bound on writes to callers had no test; it fails with the bound off. Ruled out on the way: that the bound outlives its request on a kept connection; the server resets it.

--- a/internal/conn/pool/conn.go
+++ b/internal/conn/pool/conn.go
@@ -46,8 +46,10 @@
 	keep      time.Duration
 	// idled is how long the connection was idle before this exchange.
 	idled time.Duration
-	// spoiled connections are not used again.
+	// spoiled connections are not used again, nor those on which a request is
+	// still being sent.
 	spoiled atomic.Bool
+	sending atomic.Bool
 }
 
 // Request is what is sent to a target.
@@ -86,10 +88,10 @@
 	}
 	// A target may answer before it has read the body, so that the answer is
 	// read meanwhile. The connection is not used again until the body is out.
-	c.spoiled.Store(true)
+	c.sending.Store(true)
 	go func() {
 		if _, err := c.Write(r.Body); err == nil {
-			c.spoiled.Store(false)
+			c.sending.Store(false)
 		}
 	}()
 	return true, nil
@@ -170,7 +172,7 @@
 // closes it where it can't be used again.
 func (c *Conn) Done(answer *http.Response) {
 	framed := answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0
-	if answer.Close || !framed || c.spoiled.Load() || c.reader.Buffered() > 0 {
+	if answer.Close || !framed || c.spoiled.Load() || c.sending.Load() || c.reader.Buffered() > 0 {
 		c.Drop()
 		return
 	}
--- a/internal/process/gate/answer.go
+++ b/internal/process/gate/answer.go
@@ -13,13 +13,9 @@
 	"cactusline.dev/cactusline/internal/request/place"
 )
 
-const (
-	// maxHeldBytes bounds an answer that is read whole before the caller gets
-	// any of it.
-	maxHeldBytes = 8 << 20
-	// writeTimeout bounds one write to a caller that does not read.
-	writeTimeout = 5 * time.Second
-)
+// maxHeldBytes bounds an answer that is read whole before the caller gets any
+// of it.
+const maxHeldBytes = 8 << 20
 
 // heldAnswer is a whole answer of a target.
 type heldAnswer struct {
@@ -68,9 +64,16 @@
 	}
 }
 
+// boundWrite gives the next writes to the caller their time. The server takes the
+// bound away after the request.
+func (j *job) boundWrite(now time.Time) {
+	// A connection that takes no deadline is broken, which the write shows.
+	_ = http.NewResponseController(j.writer).SetWriteDeadline(now.Add(j.gate.cfg.WriteTimeout))
+}
+
 // head writes an answer's head; length is below 0 for streams.
 func (j *job) head(status int, header http.Header, length int) {
-	_ = http.NewResponseController(j.writer).SetWriteDeadline(j.gate.cfg.Clock.Now().Add(writeTimeout))
+	j.boundWrite(j.gate.cfg.Clock.Now())
 	out := j.writer.Header()
 	for name, values := range header {
 		out[name] = values
--- a/internal/process/gate/events.go
+++ b/internal/process/gate/events.go
@@ -108,12 +108,11 @@
 	}
 	now := j.gate.cfg.Clock.Now()
 	j.gate.field.Heard(now, e.pick.Target)
-	control := http.NewResponseController(j.writer)
-	_ = control.SetWriteDeadline(now.Add(writeTimeout))
+	j.boundWrite(now)
 	if _, err := j.writer.Write(events); err != nil {
 		return &callerError{err: err}
 	}
-	if err := control.Flush(); err != nil {
+	if err := http.NewResponseController(j.writer).Flush(); err != nil {
 		return &callerError{err: err}
 	}
 	return nil
--- a/internal/process/gate/gate.go
+++ b/internal/process/gate/gate.go
@@ -35,6 +35,8 @@
 	DefaultDrainDelay = 2500 * time.Millisecond
 	// DefaultGrace is how long it may take to stop.
 	DefaultGrace = 8 * time.Second
+	// DefaultWriteTimeout bounds one write to a caller that does not read.
+	DefaultWriteTimeout = 5 * time.Second
 	// DefaultRetryShare is the number of repeats that one request earns; half
 	// of what the platform allows leaves room for what other processes send.
 	DefaultRetryShare = 0.1
@@ -73,8 +75,9 @@
 	// Follower brings the document and the targets; its OnUpdate is Update.
 	Follower *watch.Follower
 
-	DrainDelay time.Duration
-	Grace      time.Duration
+	DrainDelay   time.Duration
+	Grace        time.Duration
+	WriteTimeout time.Duration
 	// RetryShare is the number of repeats that a request earns, and RetryRate
 	// the repeats a second of all gates that need not be earned.
 	RetryShare float64
@@ -110,6 +113,9 @@
 	if cfg.Grace == 0 {
 		cfg.Grace = DefaultGrace
 	}
+	if cfg.WriteTimeout == 0 {
+		cfg.WriteTimeout = DefaultWriteTimeout
+	}
 	if cfg.RetryShare == 0 {
 		cfg.RetryShare = DefaultRetryShare
 	}
--- a/internal/process/gate/gate_test.go
+++ b/internal/process/gate/gate_test.go
@@ -408,3 +408,32 @@
 		})
 	}
 }
+
+// A caller that does not read holds neither the gate nor the target for long.
+func TestCallerThatDoesNotReadIsLeft(t *testing.T) {
+	target := newReplica(t, "t1", func(r *run) {
+		r.head(http.StatusOK, -1)
+		for id := 1; ; id++ {
+			select {
+			case <-r.closed:
+				return
+			default:
+				r.chunk(fmt.Sprintf("id: %d\ndata: %s\n\n", id, strings.Repeat("x", 10_000)))
+			}
+		}
+	})
+	r := newRig(t, gate.Config{WriteTimeout: 100 * time.Millisecond}, target)
+	document := routes()
+	for i := range document.Routes {
+		document.Routes[i].Timeout = time.Minute
+	}
+	r.put(document)
+	answer, err := r.call(context.Background(), "/stream/", "q")
+	assert.NilError(t, err)
+	defer func() { _ = answer.Body.Close() }()
+	select {
+	case <-target.run(0).closed:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the target still works for a caller that does not read")
+	}
+}
