Write what changes of a target only, and rank each target once a choice

Cause: read in the code: an update of the roster wrote a target's name and address again while requests read them without the lock (the race detector had no test that does both at once), and a choice hashed each name for each comparison.

--- a/internal/request/place/choose.go
+++ b/internal/request/place/choose.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"cmp"
 	"math"
 	"time"
 
@@ -195,14 +194,16 @@
 func (s *service) byWarmth(now time.Time, ask *Ask, candidates []*Target, pick *Pick) {
 	key := ask.key()
 	bound := pick.Mean*loadFactor + loadSlack
-	var home *Target
+	home, homeRank := candidates[0], rank(key, candidates[0])
 	var best *Target
+	var bestRank uint64
 	for _, t := range candidates {
-		if home == nil || above(key, t, home) {
-			home = t
+		r := rank(key, t)
+		if r > homeRank {
+			home, homeRank = t, r
 		}
-		if float64(t.load()) < bound && (best == nil || above(key, t, best)) {
-			best = t
+		if float64(t.load()) < bound && (best == nil || r > bestRank) {
+			best, bestRank = t, r
 		}
 	}
 	pick.Target, pick.Reason = best, ByWarmth
@@ -262,11 +263,9 @@
 }
 
 // above reports whether a target goes before another in the order of a key.
-func above(key uint64, a, b *Target) bool {
-	return cmp.Or(cmp.Compare(rank(key, a), rank(key, b)), cmp.Compare(a.Name, b.Name)) > 0
-}
+func above(key uint64, a, b *Target) bool { return rank(key, a) > rank(key, b) }
 
-func rank(key uint64, t *Target) uint64 { return mix(key ^ hashText(string(t.Name))) }
+func rank(key uint64, t *Target) uint64 { return mix(key ^ t.hash) }
 
 // lightest returns the target with the least load by its slots.
 func lightest(candidates []*Target, domain ident.DomainName) *Target {
--- a/internal/request/place/field.go
+++ b/internal/request/place/field.go
@@ -37,10 +37,13 @@
 	warm    warmth
 }
 
-// Target is one target. Its fields but Roster's are guarded by the service.
+// Target is one target. Its name, service and address never change; all else is
+// guarded by the service.
 type Target struct {
 	roster.Target
 	service *service
+	// hash is of the name.
+	hash uint64
 	// since is when the target was first listed.
 	since time.Time
 	gone  bool
@@ -81,7 +84,7 @@
 		}
 		f.byNumber[entry.Number] = t
 		t.service.mu.Lock()
-		t.Target = entry
+		t.Number, t.Domain, t.Leaving, t.Slots = entry.Number, entry.Domain, entry.Leaving, entry.Slots
 		if renumbered {
 			t.others = 0
 		}
@@ -101,7 +104,7 @@
 		s = new(service)
 		f.services[entry.Service] = s
 	}
-	t := &Target{Target: entry, service: s, since: now}
+	t := &Target{Target: entry, service: s, hash: hashText(string(entry.Name)), since: now}
 	if first {
 		t.since = now.Add(-youngFor)
 	}
--- a/internal/request/place/place_test.go
+++ b/internal/request/place/place_test.go
@@ -217,3 +217,16 @@
 	choose(t, field, start, ask)
 	assert.Equal(t, choose(t, field, start.Add(2*time.Second), prompt(1)).Target, first)
 }
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{10, 100, 700, 3000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			field := newField(n)
+			ask := prompt(7)
+			for b.Loop() {
+				pick, _ := field.Choose(start, ask)
+				field.Finish(start, pick.Target, place.Served)
+			}
+		})
+	}
+}
