--- a/internal/process/gate/gate.go
+++ b/internal/process/gate/gate.go
@@ -234,6 +234,7 @@
 	defer cancel()
 	g.stopping.Store(true)
 	_ = g.cfg.Clock.Sleep(stop, g.cfg.DrainDelay)
+	awaitPace(stop, g.cfg.Clock)
 	err := g.front.shutdown(stop)
 	_ = readiness.Close()
 	_ = level.Info(g.cfg.Logger).Log("msg", "stopped", "err", err)
