--- a/internal/process/gate/pace_test.go
+++ b/internal/process/gate/pace_test.go
@@ -28,7 +28,7 @@
 	return ctx.Err()
 }
 
-// On the bench, dar-siraj-grown scale-1 (once in seven plays): a gate that stood
+// On the bench, dar-siraj-grown scale-1 (once in four plays): a gate that stood
 // still at the end of its drain closed idle connections with requests in them.
 func TestStopWaitsForAProcessThatStoodStill(t *testing.T) {
 	onTime := &stalled{}
