Let a started router wait for a target that takes requests

A sidecar that was never confirmed refuses all, so that a router that was confirmed first was ready and then answered 503.

--- a/cmd/cactusline/config_test.go
+++ b/cmd/cactusline/config_test.go
@@ -102,3 +102,28 @@
 	r := c.chat(t.Context(), request, nil)
 	assert.Assert(t, r.whole(request), "%v", r)
 }
+
+// TestReadyRouterServesAfterAllRestarted restarts a router and all sidecars
+// while two control processes of three stand still: the router must not be
+// ready before a sidecar has been confirmed as well.
+func TestReadyRouterServesAfterAllRestarted(t *testing.T) {
+	f := startFleet(t, acceptanceConfig())
+	router, address := f.routers[0], f.routerAddresses[0]
+	router.kill()
+	f.controls[1].freeze()
+	f.controls[2].freeze()
+	router.start()
+	for _, sidecar := range f.sidecars {
+		sidecar.kill()
+		sidecar.start()
+	}
+	// The processes have turned to other control processes a few times, at
+	// moments that differ.
+	time.Sleep(unreadyTime)
+	f.controls[1].thaw()
+	f.controls[2].thaw()
+	await(t, settleTime, "the router is ready", func() bool { return ready(address) })
+	request := newChat("after the power came back", 5, false)
+	r := newCaller(address).chat(t.Context(), request, nil)
+	assert.Assert(t, r.whole(request), "%v", r)
+}
--- a/internal/process/router/router.go
+++ b/internal/process/router/router.go
@@ -98,6 +98,7 @@
 	requests requestNames
 	random   lockedRand
 	limits   limit.Limiter
+	start    start
 	// routers counts the routers of the fleet; zero if not known yet.
 	routers atomic.Uint32
 }
@@ -168,6 +169,7 @@
 	probing, stopProbing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopProbing()
 	go r.view.probe(probing)
+	go r.awaitTarget(probing)
 	server := httpd.New(httpd.Config{
 		Handler:      r.Handler(),
 		TLS:          r.cfg.TLS,
@@ -193,6 +195,9 @@
 	if !r.cfg.Follower.Leased() {
 		return errNotLeased
 	}
+	if !r.start.reached.Load() {
+		return errNoTargetYet
+	}
 	return nil
 }
 
--- a/internal/process/side/side.go
+++ b/internal/process/side/side.go
@@ -236,7 +236,12 @@
 	case *wire.Call_Tombstone:
 		_ = stream.Send(s.bury(body.Tombstone))
 	case *wire.Call_Probe:
-		_ = stream.Send(&wire.ProbeReply{Load: s.Load(), Target: string(s.cfg.Name), Revision: uint64(s.revision())})
+		_ = stream.Send(&wire.ProbeReply{
+			Load:     s.Load(),
+			Target:   string(s.cfg.Name),
+			Revision: uint64(s.revision()),
+			Starting: !s.confirmed(),
+		})
 	case *wire.Call_Served:
 		s.noteServed(body.Served)
 	case *wire.Call_Transfer:
