Ask again for votes, and promote nobody beside a voter that is gone

Ruled out: votes from lost memory, silence that is not counted. Tests that failed first: TestLostRequestForAVoteIsSentAgain, a case of TestPlan.

--- a/internal/process/member/keeper.go
+++ b/internal/process/member/keeper.go
@@ -20,6 +20,10 @@
 	// replaceAfter is how long a voter must be silent before a newcomer takes
 	// its place; longer than a restart of a process takes.
 	replaceAfter = 1500 * time.Millisecond
+	// missingAfter is how long a voter must be silent for no learner to be
+	// promoted meanwhile: some heartbeats. One voter more, with one that is gone
+	// among them, makes a quorum of all that are left.
+	missingAfter = 300 * time.Millisecond
 	// removeAfter is how long a voter must be silent before it is taken out
 	// without a newcomer, where enough are left.
 	removeAfter = 2500 * time.Millisecond
@@ -198,10 +202,11 @@
 // seat puts a newcomer in the place of a silent voter, or adds it as far as
 // there is room.
 func (p *planner) seat(fresh group.Member, kind Kind) Change {
-	if old, silent := p.mostSilent(); silent > replaceAfter {
+	old, silent := p.mostSilent()
+	if silent > replaceAfter {
 		return Change{Kind: Replace, Old: old, New: fresh, Silent: silent}
 	}
-	if p.voters() >= maxVoters {
+	if p.voters() >= maxVoters || kind == Promote && silent > missingAfter {
 		return Change{}
 	}
 	return Change{Kind: kind, New: fresh}
--- a/internal/process/member/plan_test.go
+++ b/internal/process/member/plan_test.go
@@ -50,6 +50,8 @@
 		{"a wiped disk", []group.MemberStatus{leads, voter("b", "1", 0), voter("c", "1", 0)}, []member.Entry{word("b", "2")}, member.Replace, "b/1", "b/2"},
 		{"a newcomer for one that is gone", []group.MemberStatus{leads, voter("b", "1", 2*time.Second), voter("c", "1", 0)}, []member.Entry{word("d", "1")}, member.Replace, "b/1", "d/1"},
 		{"a newcomer for one that only restarts", []group.MemberStatus{leads, voter("b", "1", time.Second), voter("c", "1", 0)}, []member.Entry{word("d", "1")}, member.Add, "", "d/1"},
+		{"a learner while a voter is silent", []group.MemberStatus{leads, voter("b", "1", 500*time.Millisecond), voter("c", "1", 0), learner}, []member.Entry{word("d", "1")}, member.Nothing, "", ""},
+		{"a learner for one that is gone", []group.MemberStatus{leads, voter("b", "1", 2*time.Second), voter("c", "1", 0), learner}, []member.Entry{word("d", "1")}, member.Replace, "b/1", "d/1"},
 		{"one is gone and enough are left", []group.MemberStatus{leads, voter("b", "1", 4*time.Second), voter("c", "1", 0), voter("d", "1", 0)}, nil, member.Remove, "b/1", ""},
 		{"one is gone and too few are left", []group.MemberStatus{leads, voter("b", "1", 4*time.Second), voter("c", "1", 0)}, nil, member.Nothing, "", ""},
 	}
--- a/internal/process/raft/election.go
+++ b/internal/process/raft/election.go
@@ -45,9 +45,26 @@
 	n.askVotes(raftpb.MessageKind_VOTE, n.term)
 }
 
+// askAgain asks those that have not voted, since a request or its answer may be
+// lost: to begin anew would take another election timeout, in which nothing
+// commits.
+func (n *Node) askAgain() {
+	if n.now.Before(n.askAt) {
+		return
+	}
+	switch n.role {
+	case PreCandidate:
+		n.askVotes(raftpb.MessageKind_PRE_VOTE, n.term+1)
+	case Candidate:
+		n.askVotes(raftpb.MessageKind_VOTE, n.term)
+	default:
+	}
+}
+
 func (n *Node) askVotes(kind raftpb.MessageKind, term uint64) {
+	n.askAt = n.now.Add(n.cfg.HeartbeatInterval)
 	for _, member := range n.members {
-		if member.GetLearner() || member.GetId() == n.cfg.ID {
+		if member.GetLearner() || member.GetId() == n.cfg.ID || n.votes[member.GetId()] {
 			continue
 		}
 		n.afterSync(&raftpb.Message{
--- a/internal/process/raft/raft.go
+++ b/internal/process/raft/raft.go
@@ -82,6 +82,8 @@
 	forced      bool
 	heardLeader time.Time
 	electAt     time.Time
+	// askAt is when voters that have not answered are asked again.
+	askAt       time.Time
 	heartbeatAt time.Time
 	checkAt     time.Time
 
@@ -133,6 +135,7 @@
 		return
 	}
 	if now.Before(n.electAt) {
+		n.askAgain()
 		return
 	}
 	if n.isVoter(n.cfg.ID) {
--- a/internal/process/raft/raft_test.go
+++ b/internal/process/raft/raft_test.go
@@ -284,3 +284,36 @@
 	assert.Assert(t, !ok)
 	assert.Equal(t, c.nodes["m1"].Status().Term, uint64(1))
 }
+
+// TestLostRequestForAVoteIsSentAgain loses the first request of each kind to
+// each voter, and the first answers: the campaign goes on without another one.
+func TestLostRequestForAVoteIsSentAgain(t *testing.T) {
+	c := newCluster(t, 3, 0)
+	c.cut["m3"] = true
+	lost := map[string]bool{}
+	terms := uint64(0)
+	c.drop = func(m *raftpb.Message) bool {
+		switch m.GetKind() {
+		case raftpb.MessageKind_PRE_VOTE, raftpb.MessageKind_VOTE, raftpb.MessageKind_PRE_VOTE_REPLY, raftpb.MessageKind_VOTE_REPLY:
+		default:
+			return false
+		}
+		terms = max(terms, m.GetTerm())
+		name := fmt.Sprint(m.GetKind(), m.GetFrom(), m.GetTo())
+		if lost[name] {
+			return false
+		}
+		lost[name] = true
+		return true
+	}
+	// The longest first wait, and two rounds for each of the two kinds.
+	c.run(2*election + 6*heartbeat)
+	leaders := 0
+	for _, id := range c.ids {
+		if c.nodes[id].Status().Role == raft.Leader {
+			leaders++
+		}
+	}
+	assert.Equal(t, leaders, 1, "terms asked for: %d", terms)
+	assert.Equal(t, terms, uint64(2), "a campaign began anew")
+}
