--- a/internal/conn/pool/pool.go
+++ b/internal/conn/pool/pool.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sys/unix"
 
 	"cactusline.dev/cactusline/internal/conn/sock"
+	"cactusline.dev/cactusline/internal/conn/tunnel"
 )
 
 // Defaults of Config.
@@ -43,6 +44,9 @@
 	DialTimeout time.Duration
 	Keep        time.Duration
 	DeadPeer    time.Duration
+	// Tunnel opens a connection to a target by another way than TCP, nil where
+	// there is none at the moment. It may be nil itself.
+	Tunnel func(address string) net.Conn
 }
 
 // Pool keeps idle connections by the address of their target. It is safe for
@@ -185,7 +189,7 @@
 
 func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
 	began := p.cfg.Clock.Now()
-	conn, err := p.dialer.DialContext(ctx, "tcp", address)
+	conn, err := p.connect(ctx, address)
 	if err != nil {
 		failed.Inc()
 		return nil, &DialError{Address: address, Err: err}
@@ -198,6 +202,15 @@
 	return &Conn{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), pool: p, Address: address}, nil
 }
 
+func (p *Pool) connect(ctx context.Context, address string) (net.Conn, error) {
+	if p.cfg.Tunnel != nil {
+		if conn := p.cfg.Tunnel(address); conn != nil {
+			return conn, nil
+		}
+	}
+	return p.dialer.DialContext(ctx, "tcp", address)
+}
+
 func (p *Pool) put(c *Conn) {
 	c.idleSince = p.cfg.Clock.Now()
 	p.mu.Lock()
@@ -239,6 +252,9 @@
 // silent reports whether an idle connection has neither been closed by its
 // peer nor brought bytes that nobody asked for.
 func silent(conn net.Conn) bool {
+	if tunnel, ok := conn.(*tunnel.Conn); ok {
+		return tunnel.Live()
+	}
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
 		return true
--- a/internal/process/cmds/gate.go
+++ b/internal/process/cmds/gate.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
 	"time"
 
+	"cactusline.dev/cactusline/internal/conn/tunnel"
 	"cactusline.dev/cactusline/internal/conn/watch"
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/process/clock"
@@ -53,8 +56,18 @@
 	}
 	links := platformLinks(settings)
 	defer func() { _ = links.Close() }()
+	datagrams, err := net.ListenPacket("udp", settings.Tunnel)
+	if err != nil {
+		return fmt.Errorf("listen for datagrams: %w", err)
+	}
+	defer func() { _ = datagrams.Close() }()
+	tunnels, err := tunnel.NewClient(clock.System{}, datagrams, settings.TunnelPort)
+	if err != nil {
+		return fmt.Errorf("make tunnels: %w", err)
+	}
 	g := gate.New(gate.Config{
-		Name: string(settings.VM), Domain: settings.Domain,
+		Tunnels: tunnels.Open,
+		Name:    string(settings.VM), Domain: settings.Domain,
 		Compile: platform.Compile, Dialect: platform.Dialect{}, Clock: clock.System{}, Logger: logger,
 		Grace:      settings.Grace,
 		RetryShare: settings.RetryShare * earnedPart,
--- a/internal/process/gate/gate.go
+++ b/internal/process/gate/gate.go
@@ -83,14 +83,18 @@
 	RetryShare float64
 	RetryRate  float64
 	Pool       pool.Config
+	// Tunnels, if set, opens connections to targets for streams.
+	Tunnels func(address string) net.Conn
 }
 
 // Gate serves callers.
 type Gate struct {
-	cfg    Config
-	field  *place.Field
-	pool   *pool.Pool
-	budget *budget.Budget
+	cfg   Config
+	field *place.Field
+	pool  *pool.Pool
+	// streams are the connections for streams.
+	streams *pool.Pool
+	budget  *budget.Budget
 
 	table atomic.Pointer[route.Table]
 	// firstAt is when the first document came.
@@ -123,12 +127,15 @@
 		cfg.RetryRate = DefaultRetryRate
 	}
 	cfg.Pool.Clock = cfg.Clock
+	tunnelled := cfg.Pool
+	tunnelled.Tunnel = cfg.Tunnels
 	return &Gate{
-		cfg:    cfg,
-		field:  place.NewField(place.Config{Domain: cfg.Domain}),
-		pool:   pool.New(cfg.Pool),
-		front:  frontServer{clock: cfg.Clock},
-		budget: budget.New(budget.Config{Share: cfg.RetryShare, PoolRate: cfg.RetryRate / usualGates}),
+		cfg:     cfg,
+		field:   place.NewField(place.Config{Domain: cfg.Domain}),
+		pool:    pool.New(cfg.Pool),
+		streams: pool.New(tunnelled),
+		front:   frontServer{clock: cfg.Clock},
+		budget:  budget.New(budget.Config{Share: cfg.RetryShare, PoolRate: cfg.RetryRate / usualGates}),
 	}
 }
 
@@ -145,6 +152,7 @@
 		source, targets := g.cfg.Follower.Targets()
 		g.field.Update(now, source, targets)
 		g.pool.Retain(g.field.Addresses())
+		g.streams.Retain(g.field.Addresses())
 	}
 	if gates := update.GetRouters(); gates > 0 {
 		g.budget.SetPoolRate(g.cfg.RetryRate / float64(gates))
