--- a/internal/conn/pool/pool.go
+++ b/internal/conn/pool/pool.go
@@ -116,6 +116,9 @@
 func (p *Pool) Get(ctx context.Context, address string, careful bool) (*Conn, error) {
 	for {
 		c := p.take(address, careful)
+		if tunnelled := p.tunnel(address, c); tunnelled != nil {
+			return tunnelled, nil
+		}
 		if c == nil {
 			return p.dial(ctx, address)
 		}
@@ -189,26 +192,43 @@
 
 func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
 	began := p.cfg.Clock.Now()
-	conn, err := p.connect(ctx, address)
+	conn, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		failed.Inc()
 		return nil, &DialError{Address: address, Err: err}
 	}
-	dialed.Inc()
 	dialing.Update(p.cfg.Clock.Now().Sub(began).Seconds())
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.counts[address]++
-	return &Conn{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), pool: p, Address: address}, nil
+	return p.made(address, conn), nil
 }
 
-func (p *Pool) connect(ctx context.Context, address string) (net.Conn, error) {
-	if p.cfg.Tunnel != nil {
-		if conn := p.cfg.Tunnel(address); conn != nil {
-			return conn, nil
+// tunnel returns a new connection by the tunnel where there is one, unless the
+// idle connection that was taken goes by it already. Another one is dropped.
+func (p *Pool) tunnel(address string, idle *Conn) *Conn {
+	if p.cfg.Tunnel == nil {
+		return nil
+	}
+	if idle != nil {
+		if _, tunnelled := idle.Conn.(*tunnel.Conn); tunnelled {
+			return nil
 		}
 	}
-	return p.dialer.DialContext(ctx, "tcp", address)
+	conn := p.cfg.Tunnel(address)
+	if conn == nil {
+		return nil
+	}
+	if idle != nil {
+		idle.Drop()
+	}
+	return p.made(address, conn)
+}
+
+// made counts a new connection.
+func (p *Pool) made(address string, conn net.Conn) *Conn {
+	dialed.Inc()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.counts[address]++
+	return &Conn{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), pool: p, Address: address}
 }
 
 func (p *Pool) put(c *Conn) {
--- a/internal/conn/tunnel/client.go
+++ b/internal/conn/tunnel/client.go
@@ -5,28 +5,44 @@
 	"crypto/tls"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/quic-go/quic-go"
 )
 
 const (
-	// openTimeout bounds the set-up of a session: four times the round trip
-	// between regions.
-	openTimeout = 500 * time.Millisecond
-	// firstPause is until an address that did not answer is tried again; it
-	// doubles up to lastPause, since some targets have no process beside them.
-	firstPause = time.Second
-	lastPause  = time.Minute
+	// openTimeout bounds the set-up of a session: many times the round trip
+	// between failure domains, with room for one lost packet.
+	openTimeout = 600 * time.Millisecond
+	// firstPause is until a VM that did not answer is tried again; it doubles up
+	// to lastPause, since some targets have no process beside them.
+	firstPause = 500 * time.Millisecond
+	lastPause  = 30 * time.Second
+	// keepInterval is between two looks for VMs without a session.
+	keepInterval = 250 * time.Millisecond
+	// opensAtOnce bounds the set-ups of one look, each of which takes a signature.
+	opensAtOnce = 8
+	// maxSessions bounds the VMs that sessions are kept to: their memory, and the
+	// signs of life that each needs. Others are reached by TCP.
+	maxSessions = 64
 )
 
-// Clock tells the time.
+var (
+	opened = metrics.NewCounter(`cactusline_tunnel_sessions_total{result="opened"}`)
+	failed = metrics.NewCounter(`cactusline_tunnel_sessions_total{result="failed"}`)
+	used   = metrics.NewCounter(`cactusline_tunnel_connections_total`)
+)
+
+// Clock is what the package needs of a clock.
 type Clock interface {
 	Now() time.Time
+	Sleep(ctx context.Context, d time.Duration) error
 }
 
-// Client holds sessions to the processes beside targets.
+// Client keeps sessions to the processes beside targets.
 type Client struct {
 	clock     Clock
 	port      string
@@ -46,9 +62,13 @@
 	pause time.Duration
 }
 
-// NewClient returns a client that sends from conn to a port.
+// live reports whether the session stands.
+func (s *session) live() bool { return s.conn != nil && s.conn.Context().Err() == nil }
+
+// NewClient returns a client that sends from conn to a port. Run keeps its
+// sessions.
 func NewClient(clock Clock, conn net.PacketConn, port string) (*Client, error) {
-	secrets, err := SelfSigned()
+	secrets, err := selfSigned()
 	if err != nil {
 		return nil, err
 	}
@@ -59,57 +79,88 @@
 	}, nil
 }
 
-// Open returns a connection to a target, nil while there is no session to the
-// process beside it; one is then set up for the next time.
-func (c *Client) Open(address string) net.Conn {
-	host, _, err := net.SplitHostPort(address)
-	if err != nil {
-		return nil
+// Run keeps sessions until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	for c.clock.Sleep(ctx, keepInterval) == nil {
+		for _, host := range c.due() {
+			go c.open(ctx, host)
+		}
 	}
-	live := c.session(host)
-	if live == nil {
-		return nil
+	_ = c.transport.Close() // the process ends
+}
+
+// Keep names the addresses of all targets.
+func (c *Client) Keep(addresses map[string]bool) {
+	hosts := make([]string, 0, len(addresses))
+	for address := range addresses {
+		if host, _, err := net.SplitHostPort(address); err == nil {
+			hosts = append(hosts, host)
+		}
 	}
-	stream, err := live.OpenStream()
-	if err != nil {
-		return nil
+	slices.Sort(hosts)
+	hosts = slices.Compact(hosts)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for host, s := range c.sessions {
+		if _, found := slices.BinarySearch(hosts, host); found {
+			continue
+		}
+		delete(c.sessions, host)
+		if s.live() {
+			_ = s.conn.CloseWithError(codeIdle, "the target is no longer listed")
+		}
+	}
+	for _, host := range hosts {
+		if c.sessions[host] == nil {
+			c.sessions[host] = &session{pause: firstPause}
+		}
 	}
-	return &Conn{Stream: stream, session: live}
 }
 
-func (c *Client) session(host string) *quic.Conn {
+// due returns the hosts to which a session is to be set up now.
+func (c *Client) due() []string {
 	now := c.clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s := c.sessions[host]
-	if s == nil {
-		s = &session{pause: firstPause}
-		c.sessions[host] = s
-	}
-	if s.conn != nil && s.conn.Context().Err() == nil {
-		return s.conn
+	var list []string
+	busy := 0
+	for host, s := range c.sessions {
+		switch {
+		case s.opening || s.live():
+			busy++
+		case !now.Before(s.next):
+			list = append(list, host)
+		}
 	}
-	if !s.opening && !now.Before(s.next) {
-		s.opening = true
-		go c.open(host, s)
+	list = list[:max(0, min(len(list), opensAtOnce, maxSessions-busy))]
+	for _, host := range list {
+		c.sessions[host].opening = true
 	}
-	return nil
+	return list
 }
 
-func (c *Client) open(host string, s *session) {
-	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
+func (c *Client) open(ctx context.Context, host string) {
+	ctx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
 	conn, err := c.connect(ctx, host)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	s := c.sessions[host]
+	if s == nil {
+		if err == nil {
+			_ = conn.CloseWithError(codeIdle, "the target is no longer listed")
+		}
+		return
+	}
 	s.opening = false
-	s.conn = conn
 	if err != nil {
-		s.conn = nil
+		failed.Inc()
 		s.next = c.clock.Now().Add(s.pause)
 		s.pause = min(lastPause, 2*s.pause)
 		return
 	}
+	opened.Inc()
+	s.conn = conn
 	s.pause = firstPause
 }
 
@@ -125,6 +176,27 @@
 	return conn, nil
 }
 
+// Open returns a connection to a target, nil where no session stands.
+func (c *Client) Open(address string) net.Conn {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil
+	}
+	c.mu.Lock()
+	s := c.sessions[host]
+	live := s != nil && s.live()
+	c.mu.Unlock()
+	if !live {
+		return nil
+	}
+	stream, err := s.conn.OpenStream()
+	if err != nil {
+		return nil
+	}
+	used.Inc()
+	return &Conn{Stream: stream, session: s.conn}
+}
+
 // Conn is a connection to a target over a tunnel.
 type Conn struct {
 	*quic.Stream
@@ -138,11 +210,13 @@
 	return nil
 }
 
-// LocalAddr and RemoteAddr implement net.Conn.
-func (c *Conn) LocalAddr() net.Addr  { return c.session.LocalAddr() }
+// LocalAddr implements net.Conn.
+func (c *Conn) LocalAddr() net.Addr { return c.session.LocalAddr() }
+
+// RemoteAddr implements net.Conn.
 func (c *Conn) RemoteAddr() net.Addr { return c.session.RemoteAddr() }
 
-// Live reports whether the session still stands.
+// Live reports whether an idle connection still stands.
 func (c *Conn) Live() bool {
 	return c.session.Context().Err() == nil && c.Stream.Context().Err() == nil
 }
--- a/internal/conn/tunnel/server.go
+++ b/internal/conn/tunnel/server.go
@@ -31,7 +31,7 @@
 // Serve takes sessions on conn until ctx ends, then waits for open streams
 // until done ends.
 func (s *Server) Serve(ctx, done context.Context, conn net.PacketConn) error {
-	secrets, err := SelfSigned()
+	secrets, err := selfSigned()
 	if err != nil {
 		return err
 	}
--- a/internal/conn/tunnel/tunnel.go
+++ b/internal/conn/tunnel/tunnel.go
@@ -58,9 +58,9 @@
 // plainConn hides what a socket offers beside sending and receiving.
 type plainConn struct{ net.PacketConn }
 
-// SelfSigned returns a certificate that nobody vouches for, for links that are
+// selfSigned returns a certificate that nobody vouches for, for links that are
 // not authenticated.
-func SelfSigned() (*tls.Config, error) {
+func selfSigned() (*tls.Config, error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		return nil, fmt.Errorf("make key: %w", err)
--- a/internal/process/cmds/gate.go
+++ b/internal/process/cmds/gate.go
@@ -66,7 +66,7 @@
 		return fmt.Errorf("make tunnels: %w", err)
 	}
 	g := gate.New(gate.Config{
-		Tunnels: tunnels.Open,
+		Tunnels: tunnels,
 		Name:    string(settings.VM), Domain: settings.Domain,
 		Compile: platform.Compile, Dialect: platform.Dialect{}, Clock: clock.System{}, Logger: logger,
 		Grace:      settings.Grace,
@@ -84,6 +84,7 @@
 	life, end := context.WithCancel(context.WithoutCancel(s.ctx))
 	defer end()
 	go follower.Run(life)
+	go tunnels.Run(life)
 	go followSettings(life, logger, c.Settings, func(fresh *platform.Settings) { follower.Reseed(fresh.Seeds) })
 	return g.Run(s.ctx, callers, ready)
 }
--- a/internal/process/gate/gate.go
+++ b/internal/process/gate/gate.go
@@ -20,6 +20,7 @@
 	"github.com/go-kit/log/level"
 
 	"cactusline.dev/cactusline/internal/conn/pool"
+	"cactusline.dev/cactusline/internal/conn/tunnel"
 	"cactusline.dev/cactusline/internal/conn/watch"
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/request/budget"
@@ -83,8 +84,8 @@
 	RetryShare float64
 	RetryRate  float64
 	Pool       pool.Config
-	// Tunnels, if set, opens connections to targets for streams.
-	Tunnels func(address string) net.Conn
+	// Tunnels carries streams where it can; nil for none.
+	Tunnels *tunnel.Client
 }
 
 // Gate serves callers.
@@ -128,7 +129,9 @@
 	}
 	cfg.Pool.Clock = cfg.Clock
 	tunnelled := cfg.Pool
-	tunnelled.Tunnel = cfg.Tunnels
+	if cfg.Tunnels != nil {
+		tunnelled.Tunnel = cfg.Tunnels.Open
+	}
 	return &Gate{
 		cfg:     cfg,
 		field:   place.NewField(place.Config{Domain: cfg.Domain}),
@@ -151,8 +154,7 @@
 	if update.GetRoster() != nil {
 		source, targets := g.cfg.Follower.Targets()
 		g.field.Update(now, source, targets)
-		g.pool.Retain(g.field.Addresses())
-		g.streams.Retain(g.field.Addresses())
+		g.keep(g.field.Addresses())
 	}
 	if gates := update.GetRouters(); gates > 0 {
 		g.budget.SetPoolRate(g.cfg.RetryRate / float64(gates))
@@ -162,6 +164,15 @@
 	}
 }
 
+// keep closes connections to targets that are not listed any more.
+func (g *Gate) keep(addresses map[string]bool) {
+	g.pool.Retain(addresses)
+	g.streams.Retain(addresses)
+	if g.cfg.Tunnels != nil {
+		g.cfg.Tunnels.Keep(addresses)
+	}
+}
+
 func (g *Gate) takeDocument(now time.Time) {
 	version, body := g.cfg.Follower.Document()
 	held := g.table.Load()
