--- a/internal/conn/pool/pool.go
+++ b/internal/conn/pool/pool.go
@@ -13,7 +13,6 @@
 	"golang.org/x/sys/unix"
 
 	"cactusline.dev/cactusline/internal/conn/sock"
-	"cactusline.dev/cactusline/internal/conn/tunnel"
 )
 
 // Defaults of Config.
@@ -44,9 +43,6 @@
 	DialTimeout time.Duration
 	Keep        time.Duration
 	DeadPeer    time.Duration
-	// Tunnel opens a connection to a target by another way than TCP, nil where
-	// there is none at the moment. It may be nil itself.
-	Tunnel func(address string) net.Conn
 }
 
 // Pool keeps idle connections by the address of their target. It is safe for
@@ -116,9 +112,6 @@
 func (p *Pool) Get(ctx context.Context, address string, careful bool) (*Conn, error) {
 	for {
 		c := p.take(address, careful)
-		if tunnelled := p.tunnel(address, c); tunnelled != nil {
-			return tunnelled, nil
-		}
 		if c == nil {
 			return p.dial(ctx, address)
 		}
@@ -197,38 +190,12 @@
 		failed.Inc()
 		return nil, &DialError{Address: address, Err: err}
 	}
-	dialing.Update(p.cfg.Clock.Now().Sub(began).Seconds())
-	return p.made(address, conn), nil
-}
-
-// tunnel returns a new connection by the tunnel where there is one, unless the
-// idle connection that was taken goes by it already. Another one is dropped.
-func (p *Pool) tunnel(address string, idle *Conn) *Conn {
-	if p.cfg.Tunnel == nil {
-		return nil
-	}
-	if idle != nil {
-		if _, tunnelled := idle.Conn.(*tunnel.Conn); tunnelled {
-			return nil
-		}
-	}
-	conn := p.cfg.Tunnel(address)
-	if conn == nil {
-		return nil
-	}
-	if idle != nil {
-		idle.Drop()
-	}
-	return p.made(address, conn)
-}
-
-// made counts a new connection.
-func (p *Pool) made(address string, conn net.Conn) *Conn {
 	dialed.Inc()
+	dialing.Update(p.cfg.Clock.Now().Sub(began).Seconds())
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.counts[address]++
-	return &Conn{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), pool: p, Address: address}
+	return &Conn{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), pool: p, Address: address}, nil
 }
 
 func (p *Pool) put(c *Conn) {
@@ -272,9 +239,6 @@
 // silent reports whether an idle connection has neither been closed by its
 // peer nor brought bytes that nobody asked for.
 func silent(conn net.Conn) bool {
-	if tunnel, ok := conn.(*tunnel.Conn); ok {
-		return tunnel.Live()
-	}
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
 		return true
--- a/internal/process/cmds/cmds.go
+++ b/internal/process/cmds/cmds.go
@@ -49,7 +49,6 @@
 	Router  RouterCommand  `cmd:"" help:"Take callers' requests and route them to targets."`
 	Sidecar SidecarCommand `cmd:"" help:"Guard one target: admit, run and account for its work."`
 	Control ControlCommand `cmd:"" help:"Replicate records, claims and orders."`
-	Tunnel  TunnelCommand  `cmd:"" help:"On the platform: carry the streams of gates to the target on this VM."`
 	Gate    GateCommand    `cmd:"" help:"On the platform: take callers' requests by the routing document."`
 	Core    CoreCommand    `cmd:"" help:"On the platform: replicate the routing document and read the list of targets."`
 	Check   CheckCommand   `cmd:"" help:"Check a settings file and routing documents of the platform."`
--- a/internal/process/cmds/gate.go
+++ b/internal/process/cmds/gate.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"fmt"
-	"net"
 	"time"
 
-	"cactusline.dev/cactusline/internal/conn/tunnel"
 	"cactusline.dev/cactusline/internal/conn/watch"
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/process/clock"
@@ -56,18 +53,8 @@
 	}
 	links := platformLinks(settings)
 	defer func() { _ = links.Close() }()
-	datagrams, err := net.ListenPacket("udp", settings.Tunnel)
-	if err != nil {
-		return fmt.Errorf("listen for datagrams: %w", err)
-	}
-	defer func() { _ = datagrams.Close() }()
-	tunnels, err := tunnel.NewClient(clock.System{}, datagrams, settings.TunnelPort)
-	if err != nil {
-		return fmt.Errorf("make tunnels: %w", err)
-	}
 	g := gate.New(gate.Config{
-		Tunnels: tunnels,
-		Name:    string(settings.VM), Domain: settings.Domain,
+		Name: string(settings.VM), Domain: settings.Domain,
 		Compile: platform.Compile, Dialect: platform.Dialect{}, Clock: clock.System{}, Logger: logger,
 		Grace:      settings.Grace,
 		RetryShare: settings.RetryShare * earnedPart,
@@ -84,7 +71,6 @@
 	life, end := context.WithCancel(context.WithoutCancel(s.ctx))
 	defer end()
 	go follower.Run(life)
-	go tunnels.Run(life)
 	go followSettings(life, logger, c.Settings, func(fresh *platform.Settings) { follower.Reseed(fresh.Seeds) })
 	return g.Run(s.ctx, callers, ready)
 }
--- a/internal/process/gate/gate.go
+++ b/internal/process/gate/gate.go
@@ -20,7 +20,6 @@
 	"github.com/go-kit/log/level"
 
 	"cactusline.dev/cactusline/internal/conn/pool"
-	"cactusline.dev/cactusline/internal/conn/tunnel"
 	"cactusline.dev/cactusline/internal/conn/watch"
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/request/budget"
@@ -84,18 +83,14 @@
 	RetryShare float64
 	RetryRate  float64
 	Pool       pool.Config
-	// Tunnels carries streams where it can; nil for none.
-	Tunnels *tunnel.Client
 }
 
 // Gate serves callers.
 type Gate struct {
-	cfg   Config
-	field *place.Field
-	pool  *pool.Pool
-	// streams are the connections for streams.
-	streams *pool.Pool
-	budget  *budget.Budget
+	cfg    Config
+	field  *place.Field
+	pool   *pool.Pool
+	budget *budget.Budget
 
 	table atomic.Pointer[route.Table]
 	// firstAt is when the first document came.
@@ -128,17 +123,12 @@
 		cfg.RetryRate = DefaultRetryRate
 	}
 	cfg.Pool.Clock = cfg.Clock
-	tunnelled := cfg.Pool
-	if cfg.Tunnels != nil {
-		tunnelled.Tunnel = cfg.Tunnels.Open
-	}
 	return &Gate{
-		cfg:     cfg,
-		field:   place.NewField(place.Config{Domain: cfg.Domain}),
-		pool:    pool.New(cfg.Pool),
-		streams: pool.New(tunnelled),
-		front:   frontServer{clock: cfg.Clock},
-		budget:  budget.New(budget.Config{Share: cfg.RetryShare, PoolRate: cfg.RetryRate / usualGates}),
+		cfg:    cfg,
+		field:  place.NewField(place.Config{Domain: cfg.Domain}),
+		pool:   pool.New(cfg.Pool),
+		front:  frontServer{clock: cfg.Clock},
+		budget: budget.New(budget.Config{Share: cfg.RetryShare, PoolRate: cfg.RetryRate / usualGates}),
 	}
 }
 
@@ -154,7 +144,7 @@
 	if update.GetRoster() != nil {
 		source, targets := g.cfg.Follower.Targets()
 		g.field.Update(now, source, targets)
-		g.keep(g.field.Addresses())
+		g.pool.Retain(g.field.Addresses())
 	}
 	if gates := update.GetRouters(); gates > 0 {
 		g.budget.SetPoolRate(g.cfg.RetryRate / float64(gates))
@@ -164,15 +154,6 @@
 	}
 }
 
-// keep closes connections to targets that are not listed any more.
-func (g *Gate) keep(addresses map[string]bool) {
-	g.pool.Retain(addresses)
-	g.streams.Retain(addresses)
-	if g.cfg.Tunnels != nil {
-		g.cfg.Tunnels.Keep(addresses)
-	}
-}
-
 func (g *Gate) takeDocument(now time.Time) {
 	version, body := g.cfg.Follower.Document()
 	held := g.table.Load()
--- a/internal/process/gate/try.go
+++ b/internal/process/gate/try.go
@@ -93,7 +93,7 @@
 // run sends the request and takes the answer to the caller.
 func (e *exchange) run(ctx context.Context) (carry.Result, place.Verdict) {
 	careful := !e.job.route.Repeatable()
-	if e.conn, e.err = e.job.pool().Get(ctx, e.pick.Target.Address, careful); e.err != nil {
+	if e.conn, e.err = e.job.gate.pool.Get(ctx, e.pick.Target.Address, careful); e.err != nil {
 		if ctx.Err() != nil {
 			return e.ended(ctx)
 		}
@@ -122,14 +122,6 @@
 	return result, verdict
 }
 
-// pool returns the connections for this kind of request.
-func (j *job) pool() *pool.Pool {
-	if j.route.Kind == route.Stream {
-		return j.gate.streams
-	}
-	return j.gate.pool
-}
-
 // own reports whether an answer is to this request.
 func (e *exchange) own(header http.Header) bool {
 	return e.job.gate.cfg.Dialect.Word(header).ID == e.job.ask.ID
