--- a/internal/process/cmds/cmds.go
+++ b/internal/process/cmds/cmds.go
@@ -69,6 +69,7 @@
 
 	Engine  EngineCommand  `cmd:"" help:"Run a stand-in model engine, for trials."`
 	Service ServiceCommand `cmd:"" help:"Run a stand-in plain service, for trials."`
+	Load    LoadCommand    `cmd:"" help:"Send chats to a router and print how they were answered."`
 	Version VersionCommand `cmd:"" help:"Print the program's version."`
 }
 
