--- a/internal/process/cmds/core.go
+++ b/internal/process/cmds/core.go
@@ -178,7 +178,7 @@
 		MinVoters: 2*r.settings.Losses + 1, Clock: clock.System{}, Logger: r.logger,
 	})
 	list := lister.New(lister.Config{
-		Catalog: platform.NewCatalog(r.settings.Catalog), Book: r.book, Due: r.reads,
+		Catalog: platform.NewCatalog(r.settings.Catalog, r.settings.CatalogRate, clock.System{}), Book: r.book, Due: r.reads,
 		Clock: clock.System{}, Logger: r.logger,
 	})
 	go r.peers.Run(life)
--- a/internal/process/lister/lister.go
+++ b/internal/process/lister/lister.go
@@ -21,12 +21,12 @@
 	DefaultInterval = 500 * time.Millisecond
 	// idleInterval is between two looks whether this process is to read.
 	idleInterval = 100 * time.Millisecond
-	readTimeout  = 2 * time.Second
 )
 
-// Catalog is the platform's list of targets.
+// Catalog is the platform's list of targets. It bounds its own calls, and hands
+// on what it has read so far of a long list.
 type Catalog interface {
-	Targets(ctx context.Context) ([]roster.Target, error)
+	Targets(ctx context.Context, soFar func([]roster.Target)) ([]roster.Target, error)
 }
 
 // Clock is what the package needs of a clock.
@@ -50,6 +50,8 @@
 type Lister struct {
 	cfg  Config
 	lost bool
+	// whole is true once the list has been read to its end.
+	whole bool
 }
 
 var (
@@ -79,12 +81,11 @@
 }
 
 func (l *Lister) read(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	list, err := l.cfg.Catalog.Targets(ctx)
+	list, err := l.cfg.Catalog.Targets(ctx, l.part)
 	if err != nil {
 		return fmt.Errorf("read list of targets: %w", err)
 	}
+	l.whole = true
 	changed, gone := l.cfg.Book.Put(list)
 	for _, target := range changed {
 		_ = level.Info(l.cfg.Logger).Log("msg", "target listed", "target", target.Name, "service", target.Service,
@@ -96,6 +97,14 @@
 	return nil
 }
 
+// part puts what is known into the roster while the list has not been read to its
+// end: routers that have just started serve by a part of it at once.
+func (l *Lister) part(list []roster.Target) {
+	if !l.whole {
+		l.cfg.Book.Add(list)
+	}
+}
+
 // note logs when the platform is lost and when it is back.
 func (l *Lister) note(err error) {
 	if err == nil {
