--- a/internal/process/lister/lister.go
+++ b/internal/process/lister/lister.go
@@ -21,6 +21,10 @@
 	DefaultInterval = 500 * time.Millisecond
 	// idleInterval is between two looks whether this process is to read.
 	idleInterval = 100 * time.Millisecond
+	// DefaultPartAfter is how long a list is read for the first time before parts
+	// of it are used: longer than three thousand targets take. By a part, prompts
+	// go to other targets than by the whole, which are cold then.
+	DefaultPartAfter = 3 * time.Second
 )
 
 // Catalog is the platform's list of targets. It bounds its own calls, and hands
@@ -35,14 +39,18 @@
 	Sleep(ctx context.Context, d time.Duration) error
 }
 
-// Config makes a Lister. Interval has a default; all else is required.
+// Config makes a Lister. Interval and PartAfter have defaults; all else is
+// required.
 type Config struct {
 	Catalog Catalog
 	Book    *roster.Book
 	// Due reports whether this process is the one to read.
 	Due      func() bool
 	Interval time.Duration
-	Clock    Clock
+	// PartAfter is how long after its first read a process uses parts of a list
+	// that it has never read to its end.
+	PartAfter time.Duration
+	Clock     Clock
 	Logger   log.Logger
 }
 
@@ -50,7 +58,8 @@
 type Lister struct {
 	cfg  Config
 	lost bool
-	// whole is true once the list has been read to its end.
+	// since is when the first read began, and whole true once one has ended.
+	since time.Time
 	whole bool
 }
 
@@ -64,6 +73,9 @@
 	if cfg.Interval == 0 {
 		cfg.Interval = DefaultInterval
 	}
+	if cfg.PartAfter == 0 {
+		cfg.PartAfter = DefaultPartAfter
+	}
 	return &Lister{cfg: cfg}
 }
 
@@ -75,6 +87,9 @@
 			continue
 		}
 		began := l.cfg.Clock.Now()
+		if l.since.IsZero() {
+			l.since = began
+		}
 		l.note(l.read(ctx))
 		_ = l.cfg.Clock.Sleep(ctx, l.cfg.Interval-l.cfg.Clock.Now().Sub(began))
 	}
@@ -97,10 +112,10 @@
 	return nil
 }
 
-// part puts what is known into the roster while the list has not been read to its
-// end: routers that have just started serve by a part of it at once.
+// part puts what is known into the roster where the list has not been read to its
+// end for long: routers that have just started serve by a part of it.
 func (l *Lister) part(list []roster.Target) {
-	if !l.whole {
+	if !l.whole && l.cfg.Clock.Now().Sub(l.since) >= l.cfg.PartAfter {
 		l.cfg.Book.Add(list)
 	}
 }
--- a/internal/process/lister/lister_test.go
+++ b/internal/process/lister/lister_test.go
@@ -49,16 +49,19 @@
 	return len(s.book.Since("", 0).GetTargets())
 }
 
-// Until the list has been read to its end once, parts of it are used at once,
-// and a read that breaks off takes nothing away. After that only whole lists
+// Parts of a list are used where it has not been read to its end for long, and a
+// read that breaks off takes nothing away. After a whole list only whole lists
 // count.
-func TestPartsOfTheFirstListAreUsed(t *testing.T) {
+func TestPartsAreUsedWhereNoReadEnds(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	s := &steps{now: time.Unix(1000, 0), book: roster.NewBook("b"), stop: cancel}
 	all := []roster.Target{target("a"), target("b"), target("c")}
 	s.reads = []func(func([]roster.Target)) ([]roster.Target, error){
 		func(soFar func([]roster.Target)) ([]roster.Target, error) {
+			soFar(all[:2])
+			assert.Equal(t, s.listed(), 0, "a part is used at once")
+			s.now = s.now.Add(lister.DefaultPartAfter)
 			soFar(all[:2])
 			assert.Equal(t, s.listed(), 2)
 			return nil, errProvider
