Trial: a reader stops once another process is the one to read

Cause: readers that go on after a leader is known take the calls that all processes share. Ruled out: the number of tries.

--- a/internal/process/lister/lister.go
+++ b/internal/process/lister/lister.go
@@ -51,7 +51,7 @@
 	// that it has never read to its end.
 	PartAfter time.Duration
 	Clock     Clock
-	Logger   log.Logger
+	Logger    log.Logger
 }
 
 // Lister reads the list.
@@ -96,7 +96,15 @@
 }
 
 func (l *Lister) read(ctx context.Context) error {
-	list, err := l.cfg.Catalog.Targets(ctx, l.part)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	list, err := l.cfg.Catalog.Targets(ctx, func(part []roster.Target) {
+		if !l.cfg.Due() {
+			// The calls are left to the process that reads now.
+			cancel()
+		}
+		l.part(part)
+	})
 	if err != nil {
 		return fmt.Errorf("read list of targets: %w", err)
 	}
