Share idle targets between gates, and use whole lists only

Cause, from the logs of a loss of power on a site with 3,000 targets: after a start all gates sent to the same idle plain service (145 times the mean), which reset connections; among equal loads each took the first of the list. Each gate now has an order of its own. Ruled out: the reading of the list (done by second 14). TestGatesShareIdleTargets failed first: 200 of 200 requests at one target of 50.

--- a/internal/conn/roster/roster.go
+++ b/internal/conn/roster/roster.go
@@ -71,36 +71,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	step := b.step + 1
-	changed = b.merge(list, step)
 	seen := make(map[ident.TargetName]bool, len(list))
 	for _, target := range list {
 		seen[target.Name] = true
-	}
-	for name, known := range b.targets {
-		if !seen[name] {
-			gone = append(gone, known.target)
-			b.gone = append(b.gone, departed{number: known.target.Number, step: step})
-			delete(b.targets, name)
-		}
-	}
-	if len(changed)+len(gone) > 0 || b.step == 0 {
-		b.advance(step)
-	}
-	return changed, gone
-}
-
-// Add takes a part of the list: it leaves out none that are held.
-func (b *Book) Add(part []Target) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if step := b.step + 1; len(b.merge(part, step)) > 0 {
-		b.advance(step)
-	}
-}
-
-// merge takes new and changed targets at a step. The caller holds the lock.
-func (b *Book) merge(list []Target, step uint64) (changed []Target) {
-	for _, target := range list {
 		known := b.targets[target.Name]
 		if known == nil {
 			b.next++
@@ -115,7 +88,17 @@
 			changed = append(changed, target)
 		}
 	}
-	return changed
+	for name, known := range b.targets {
+		if !seen[name] {
+			gone = append(gone, known.target)
+			b.gone = append(b.gone, departed{number: known.target.Number, step: step})
+			delete(b.targets, name)
+		}
+	}
+	if len(changed)+len(gone) > 0 || b.step == 0 {
+		b.advance(step)
+	}
+	return changed, gone
 }
 
 func (b *Book) advance(step uint64) {
--- a/internal/process/gate/gate.go
+++ b/internal/process/gate/gate.go
@@ -125,7 +125,7 @@
 	cfg.Pool.Clock = cfg.Clock
 	return &Gate{
 		cfg:    cfg,
-		field:  place.NewField(place.Config{Domain: cfg.Domain}),
+		field:  place.NewField(place.Config{Name: cfg.Name, Domain: cfg.Domain}),
 		pool:   pool.New(cfg.Pool),
 		front:  frontServer{clock: cfg.Clock},
 		budget: budget.New(budget.Config{Share: cfg.RetryShare, PoolRate: cfg.RetryRate / usualGates}),
--- a/internal/process/lister/lister.go
+++ b/internal/process/lister/lister.go
@@ -21,16 +21,12 @@
 	DefaultInterval = 500 * time.Millisecond
 	// idleInterval is between two looks whether this process is to read.
 	idleInterval = 100 * time.Millisecond
-	// DefaultPartAfter is how long a list is read for the first time before parts
-	// of it are used: longer than three thousand targets take. By a part, prompts
-	// go to other targets than by the whole, which are cold then.
-	DefaultPartAfter = 3 * time.Second
 )
 
-// Catalog is the platform's list of targets. It bounds its own calls, and hands
-// on what it has read so far of a long list.
+// Catalog is the platform's list of targets. It bounds its own calls, and calls
+// more before it goes on to a further page.
 type Catalog interface {
-	Targets(ctx context.Context, soFar func([]roster.Target)) ([]roster.Target, error)
+	Targets(ctx context.Context, more func()) ([]roster.Target, error)
 }
 
 // Clock is what the package needs of a clock.
@@ -39,28 +35,21 @@
 	Sleep(ctx context.Context, d time.Duration) error
 }
 
-// Config makes a Lister. Interval and PartAfter have defaults; all else is
-// required.
+// Config makes a Lister. Interval has a default; all else is required.
 type Config struct {
 	Catalog Catalog
 	Book    *roster.Book
 	// Due reports whether this process is the one to read.
 	Due      func() bool
 	Interval time.Duration
-	// PartAfter is how long after its first read a process uses parts of a list
-	// that it has never read to its end.
-	PartAfter time.Duration
-	Clock     Clock
-	Logger    log.Logger
+	Clock    Clock
+	Logger   log.Logger
 }
 
 // Lister reads the list.
 type Lister struct {
 	cfg  Config
 	lost bool
-	// since is when the first read began, and whole true once one has ended.
-	since time.Time
-	whole bool
 }
 
 var (
@@ -73,9 +62,6 @@
 	if cfg.Interval == 0 {
 		cfg.Interval = DefaultInterval
 	}
-	if cfg.PartAfter == 0 {
-		cfg.PartAfter = DefaultPartAfter
-	}
 	return &Lister{cfg: cfg}
 }
 
@@ -87,9 +73,6 @@
 			continue
 		}
 		began := l.cfg.Clock.Now()
-		if l.since.IsZero() {
-			l.since = began
-		}
 		l.note(l.read(ctx))
 		_ = l.cfg.Clock.Sleep(ctx, l.cfg.Interval-l.cfg.Clock.Now().Sub(began))
 	}
@@ -98,17 +81,15 @@
 func (l *Lister) read(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	list, err := l.cfg.Catalog.Targets(ctx, func(part []roster.Target) {
+	list, err := l.cfg.Catalog.Targets(ctx, func() {
 		if !l.cfg.Due() {
 			// The calls are left to the process that reads now.
 			cancel()
 		}
-		l.part(part)
 	})
 	if err != nil {
 		return fmt.Errorf("read list of targets: %w", err)
 	}
-	l.whole = true
 	changed, gone := l.cfg.Book.Put(list)
 	for _, target := range changed {
 		_ = level.Info(l.cfg.Logger).Log("msg", "target listed", "target", target.Name, "service", target.Service,
@@ -120,14 +101,6 @@
 	return nil
 }
 
-// part puts what is known into the roster where the list has not been read to its
-// end for long: routers that have just started serve by a part of it.
-func (l *Lister) part(list []roster.Target) {
-	if !l.whole && l.cfg.Clock.Now().Sub(l.since) >= l.cfg.PartAfter {
-		l.cfg.Book.Add(list)
-	}
-}
-
 // note logs when the platform is lost and when it is back.
 func (l *Lister) note(err error) {
 	if err == nil {
--- a/internal/request/place/choose.go
+++ b/internal/request/place/choose.go
@@ -111,9 +111,9 @@
 	}
 	pick := Pick{Mean: mean(candidates)}
 	if len(ask.Parts) > 0 {
-		s.byWarmth(now, ask, candidates, &pick)
+		s.byWarmth(now, ask, candidates, f.order, &pick)
 	} else {
-		pick.Target, pick.Reason = lightest(candidates, f.cfg.Domain), ByLoad
+		pick.Target, pick.Reason = lightest(candidates, f.cfg.Domain, f.order), ByLoad
 	}
 	pick.Load = pick.Target.load()
 	s.take(now, pick.Target)
@@ -191,7 +191,7 @@
 
 // byWarmth takes the first target in the order of the prompt's key whose load
 // is within the bound.
-func (s *service) byWarmth(now time.Time, ask *Ask, candidates []*Target, pick *Pick) {
+func (s *service) byWarmth(now time.Time, ask *Ask, candidates []*Target, order uint64, pick *Pick) {
 	key := ask.key()
 	bound := pick.Mean*loadFactor + loadSlack
 	home, homeRank := candidates[0], rank(key, candidates[0])
@@ -208,7 +208,7 @@
 	}
 	pick.Target, pick.Reason = best, ByWarmth
 	if best == nil {
-		pick.Target = lightest(candidates, "")
+		pick.Target = lightest(candidates, "", order)
 	}
 	if pick.Target != home {
 		pick.Reason = BySpill
@@ -267,8 +267,10 @@
 
 func rank(key uint64, t *Target) uint64 { return mix(key ^ t.hash) }
 
-// lightest returns the target with the least load by its slots.
-func lightest(candidates []*Target, domain ident.DomainName) *Target {
+// lightest returns the target with the least load by its slots. Equal ones are
+// taken in an order that differs between processes, which would otherwise all
+// send to the same idle target at once.
+func lightest(candidates []*Target, domain ident.DomainName, order uint64) *Target {
 	var best *Target
 	least := math.Inf(1)
 	for _, t := range candidates {
@@ -276,7 +278,7 @@
 		if domain != "" && t.Domain != domain {
 			cost += remoteCost / float64(max(1, t.Slots))
 		}
-		if cost < least {
+		if cost < least || (cost == least && above(order, t, best)) {
 			best, least = t, cost
 		}
 	}
--- a/internal/request/place/field.go
+++ b/internal/request/place/field.go
@@ -15,6 +15,8 @@
 
 // Config makes a Field.
 type Config struct {
+	// Name is this process's.
+	Name string
 	// Domain is this process's failure domain.
 	Domain ident.DomainName
 }
@@ -22,6 +24,8 @@
 // Field holds the targets of all services. It is safe for concurrent use.
 type Field struct {
 	cfg Config
+	// order is of equal targets.
+	order uint64
 
 	mu       sync.RWMutex
 	source   string
@@ -60,6 +64,7 @@
 func NewField(cfg Config) *Field {
 	return &Field{
 		cfg:      cfg,
+		order:    hashText(cfg.Name),
 		services: make(map[ident.ServiceName]*service),
 		byNumber: make(map[roster.Number]*Target),
 		byName:   make(map[ident.TargetName]*Target),
--- a/internal/request/place/place_test.go
+++ b/internal/request/place/place_test.go
@@ -230,3 +230,20 @@
 		})
 	}
 }
+
+// Gates that know nothing of each other's requests yet, such as after a start,
+// do not all send to the same idle target.
+func TestGatesShareIdleTargets(t *testing.T) {
+	const gates, idle, most = 200, 50, 20
+	counts := map[ident.TargetName]int{}
+	for i := range gates {
+		field := place.NewField(place.Config{Name: fmt.Sprint("gate-", i)})
+		field.Update(start, "s", targets(idle))
+		pick := choose(t, field, start, &place.Ask{Service: "model"})
+		counts[pick.Target.Name]++
+	}
+	for name, count := range counts {
+		// Four are expected.
+		assert.Check(t, count <= most, "%s got %d of %d requests", name, count, gates)
+	}
+}
