--- a/internal/process/ctrl/document_test.go
+++ b/internal/process/ctrl/document_test.go
@@ -175,5 +175,11 @@
 		}
 	}
 	assert.Equal(t, string(body), `{"a":{"b":2}}`)
-	assert.Assert(t, one.Confirmed())
+	for !one.Confirmed() {
+		select {
+		case <-updates:
+		case <-limit:
+			t.Fatal("no quorum confirms what the follower holds")
+		}
+	}
 }
