Send one whole list of targets to all gates that start

It is made once a step now and shared. Ruled out: the records and the document (small), links (bounded windows). TestNewViewsShareTheWholeList.

--- a/internal/conn/roster/roster.go
+++ b/internal/conn/roster/roster.go
@@ -41,6 +41,9 @@
 	// gone are numbers of targets that left, with their step.
 	gone    []departed
 	changed chan struct{}
+	// full is the whole list at the step that it names. All views that start get
+	// the same one, which must not be changed.
+	full *wire.Roster
 }
 
 type listed struct {
@@ -128,6 +131,17 @@
 	if source != b.source || step > b.step || (len(b.gone) == maxGone && step < b.gone[0].step) {
 		step = 0
 	}
+	if step > 0 {
+		return b.since(step)
+	}
+	if b.full.GetStep() != b.step {
+		b.full = b.since(0)
+	}
+	return b.full
+}
+
+// since makes what a view at a step lacks. The caller holds the lock.
+func (b *Book) since(step uint64) *wire.Roster {
 	out := &wire.Roster{Source: b.source, From: step, Step: b.step}
 	for _, known := range b.targets {
 		if known.step > step {
--- a/internal/conn/roster/roster_test.go
+++ b/internal/conn/roster/roster_test.go
@@ -63,3 +63,15 @@
 	assert.DeepEqual(t, news.GetTargets(), []uint32{2})
 	assert.DeepEqual(t, news.GetRequests(), []uint32{0})
 }
+
+// All views that start share one whole list, until the book changes.
+func TestNewViewsShareTheWholeList(t *testing.T) {
+	book := roster.NewBook("b")
+	book.Put([]roster.Target{{Name: "t1", Service: "s"}})
+	first := book.Since("", 0)
+	assert.Assert(t, first == book.Since("another", 9), "made anew for each view")
+	book.Put([]roster.Target{{Name: "t1", Service: "s"}, {Name: "t2", Service: "s"}})
+	assert.Equal(t, len(book.Since("", 0).GetTargets()), 2)
+	assert.Equal(t, len(first.GetTargets()), 1)
+	assert.Equal(t, len(book.Since("b", first.GetStep()).GetTargets()), 1, "only what is new")
+}
