--- a/cmd/cactusline/config_test.go
+++ b/cmd/cactusline/config_test.go
@@ -73,15 +73,21 @@
 	}
 }
 
+// restartRouterWithoutQuorum restarts the first router while two control
+// processes of three stand still, and returns its address.
+func (f *fleet) restartRouterWithoutQuorum() string {
+	f.routers[0].kill()
+	f.controls[1].freeze()
+	f.controls[2].freeze()
+	f.routers[0].start()
+	return f.routerAddresses[0]
+}
+
 // TestRestartedRouterAwaitsAQuorum restarts a router while one control process
 // of three is left, which can't know whether its records are the newest.
 func TestRestartedRouterAwaitsAQuorum(t *testing.T) {
 	f := startFleet(t, acceptanceConfig())
-	router, address := f.routers[0], f.routerAddresses[0]
-	router.kill()
-	f.controls[1].freeze()
-	f.controls[2].freeze()
-	router.start()
+	address := f.restartRouterWithoutQuorum()
 	c := newCaller(address)
 	request := newChat("too early", 5, false)
 	answered := false
@@ -108,11 +114,7 @@
 // ready before a sidecar has been confirmed as well.
 func TestReadyRouterServesAfterAllRestarted(t *testing.T) {
 	f := startFleet(t, acceptanceConfig())
-	router, address := f.routers[0], f.routerAddresses[0]
-	router.kill()
-	f.controls[1].freeze()
-	f.controls[2].freeze()
-	router.start()
+	address := f.restartRouterWithoutQuorum()
 	for _, sidecar := range f.sidecars {
 		sidecar.kill()
 		sidecar.start()
