Say more plainly how long a started router waits

Cause: read as a newcomer, the comment on the patience of a start did not parse. No code changed. Ruled out: nothing. Conclusion: comments only.

--- a/internal/process/router/start.go
+++ b/internal/process/router/start.go
@@ -19,17 +19,17 @@
 	// startInterval is the pause between the rounds; the balancer asks whether a
 	// router is ready no more often.
 	startInterval = 100 * time.Millisecond
-	// startPatience ends the wait where no target answers. It is longer than the
-	// watch of a control process that sends nothing, after which a sidecar turns
-	// to the next one, takes twice in a row.
+	// startPatience ends the wait where no target answers. It is longer than two
+	// watches in a row of control processes that send nothing, after each of which
+	// a sidecar turns to the next one.
 	startPatience = 3 * time.Second
 )
 
 // errNoTargetYet is why a router that has just started gets no callers.
 var errNoTargetYet = errors.New("no target takes requests yet")
 
-// start is whether a router that has just started has found a target that takes
-// requests.
+// start tells whether a router has found a target that takes requests since it
+// started.
 type start struct {
 	reached atomic.Bool
 }
