--- a/cmd/cactusline/config_test.go
+++ b/cmd/cactusline/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -18,6 +19,9 @@
 	inForceLimit = 3 * time.Second
 	// unreadyTime is how long a router without a quorum is watched.
 	unreadyTime = 4 * time.Second
+	// noTargetTime is how long a router without a target is watched: longer than
+	// its way to a quorum, which is below a second, and shorter than its patience.
+	noTargetTime = 2 * time.Second
 )
 
 // TestChangeIsInForceEverywhere adds the route of a model with each control
@@ -109,23 +113,61 @@
 	assert.Assert(t, r.whole(request), "%v", r)
 }
 
-// TestReadyRouterServesAfterAllRestarted restarts a router and all sidecars
-// while two control processes of three stand still: the router must not be
-// ready before a sidecar has been confirmed as well.
-func TestReadyRouterServesAfterAllRestarted(t *testing.T) {
-	f := startFleet(t, acceptanceConfig())
-	address := f.restartRouterWithoutQuorum()
+// startedApart restarts a router and all sidecars, as after a loss of power,
+// while the sidecars hear nothing from control, so that they refuse all work. It
+// returns the fleet, the router's address and what lets the sidecars hear again.
+func startedApart(t *testing.T) (f *fleet, address string, heal func()) {
+	cfg := acceptanceConfig()
+	var relays []*relay
+	cfg.through = func(process, control string) string {
+		if !strings.HasPrefix(process, "sidecar-") {
+			return control
+		}
+		relays = append(relays, startRelay(t, control, 1))
+		return relays[len(relays)-1].address()
+	}
+	f = startFleet(t, cfg)
+	f.routers[0].kill()
+	for _, r := range relays {
+		r.silence()
+	}
 	for _, sidecar := range f.sidecars {
 		sidecar.kill()
 		sidecar.start()
 	}
-	// The processes have turned to other control processes a few times, at
-	// moments that differ.
-	time.Sleep(unreadyTime)
-	f.controls[1].thaw()
-	f.controls[2].thaw()
+	f.routers[0].start()
+	return f, f.routerAddresses[0], func() {
+		for _, r := range relays {
+			r.resume()
+		}
+	}
+}
+
+// checkUnready wants a router to be not ready for a while, most of which it
+// knows the newest records.
+func checkUnready(t *testing.T, address string) {
+	for end := time.Now().Add(noTargetTime); time.Now().Before(end); time.Sleep(pollInterval) {
+		assert.Assert(t, !ready(address), "ready while no sidecar takes requests")
+	}
+}
+
+// TestReadyRouterServesAfterAllRestarted wants a started router to be ready only
+// once a sidecar takes requests, and to serve then.
+func TestReadyRouterServesAfterAllRestarted(t *testing.T) {
+	_, address, heal := startedApart(t)
+	checkUnready(t, address)
+	heal()
 	await(t, settleTime, "the router is ready", func() bool { return ready(address) })
 	request := newChat("after the power came back", 5, false)
 	r := newCaller(address).chat(t.Context(), request, nil)
 	assert.Assert(t, r.whole(request), "%v", r)
 }
+
+// TestRouterWithoutAnyTargetIsReadyInTheEnd wants a started router to wait for a
+// target for a bounded time only: callers that it turns away learn why, which a
+// balancer without any router can't tell them.
+func TestRouterWithoutAnyTargetIsReadyInTheEnd(t *testing.T) {
+	_, address, _ := startedApart(t)
+	checkUnready(t, address)
+	await(t, settleTime, "the router is ready", func() bool { return ready(address) })
+}
