Log crashes of targets and fingerprints of lost requests at the gate

Nothing said that two requests are resends of one, a lost response looked like a crash, and retries were not counted.

Change: RequestEnded has the fingerprint of a request whose response was lost, TargetCrashed tells a target that accepts no connection from one that lost a response, explain lists the resends of a request, and a counter has the granted and denied retries. The probe of a target after a lost response is the only new traffic; its connection is kept for the next request.

--- a/internal/conn/pool/pool.go
+++ b/internal/conn/pool/pool.go
@@ -206,6 +206,17 @@
 	return &Conn{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), pool: p, Address: address}, nil
 }
 
+// Probe returns nil if address accepts a connection, which is then kept for a later
+// request, and a *DialError otherwise.
+func (p *Pool) Probe(ctx context.Context, address string) error {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	p.putIdle(c)
+	return nil
+}
+
 func (p *Pool) putIdle(c *Conn) {
 	c.idleSince = p.cfg.Clock.Now()
 	p.mu.Lock()
--- a/internal/process/gate/attempt.go
+++ b/internal/process/gate/attempt.go
@@ -45,6 +45,7 @@
 		attempt.Error = e.err.Error()
 	}
 	c.attempts = append(c.attempts, attempt)
+	c.recordLost(now, choice.Target, result)
 	if ejected {
 		c.gate.logTargetEjected(c, attempt)
 	}
@@ -75,7 +76,7 @@
 // to other requests is only busy, and another target may be as busy.
 func (c *call) prepayRetryIfSilent(target *place.Target, waited time.Duration) bool {
 	now := c.gate.cfg.Clock.Now()
-	if !c.gate.balancer.SilentFor(now, target, waited/2) || !c.gate.budget.Spend(now, c.customerName()) {
+	if !c.gate.balancer.SilentFor(now, target, waited/2) || !c.spendRetry(now) {
 		return false
 	}
 	c.retryPrepaid.Store(true)
--- a/internal/process/gate/gate.go
+++ b/internal/process/gate/gate.go
@@ -95,6 +95,7 @@
 	balancer *place.Balancer
 	pool     *pool.Pool
 	budget   *budget.Budget
+	crashes  crashDetector
 
 	routeTable atomic.Pointer[route.Table]
 	// firstDocumentAt is when the first document was received.
--- a/internal/process/gate/harness_test.go
+++ b/internal/process/gate/harness_test.go
@@ -83,6 +83,8 @@
 
 	mu       sync.Mutex
 	requests []*receivedRequest
+	listener net.Listener
+	conns    []net.Conn
 }
 
 // receivedRequest is one request that a fakeTarget received.
@@ -144,12 +146,23 @@
 	return f.requests[i]
 }
 
+// crash closes the listener and resets all connections.
+func (f *fakeTarget) crash() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_ = f.listener.Close()
+	for _, conn := range f.conns {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}
+}
+
 func newFakeTarget(t *testing.T, name string, handler func(r *receivedRequest)) *fakeTarget {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	target := &fakeTarget{name: name, address: listener.Addr().String(), handler: handler}
+	target := &fakeTarget{name: name, address: listener.Addr().String(), handler: handler, listener: listener}
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -164,6 +177,9 @@
 
 func (f *fakeTarget) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
+	f.mu.Lock()
+	f.conns = append(f.conns, conn)
+	f.mu.Unlock()
 	reader := bufio.NewReader(conn)
 	for {
 		request, err := http.ReadRequest(reader)
@@ -212,7 +228,10 @@
 	t.Helper()
 	links := link.NewClient(link.Config{Clock: clock.System{}})
 	t.Cleanup(func() { _ = links.Close() })
-	cfg.Compile, cfg.Dialect, cfg.Clock, cfg.Logger = compile, testDialect{}, clock.System{}, log.NewNopLogger()
+	cfg.Compile, cfg.Dialect, cfg.Clock = compile, testDialect{}, clock.System{}
+	if cfg.Logger == nil {
+		cfg.Logger = log.NewNopLogger()
+	}
 	if cfg.DrainDelay == 0 {
 		cfg.DrainDelay = 10 * time.Millisecond
 	}
--- a/internal/process/gate/log.go
+++ b/internal/process/gate/log.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log/level"
 
 	"cactusline.dev/cactusline/internal/process/logs"
+	"cactusline.dev/cactusline/internal/version/ident"
 )
 
 // logRequestEnded logs how a request ended, with all its attempts, and updates the
@@ -30,6 +31,9 @@
 	if c.route != nil {
 		fields = append(fields, "Route", c.route.Name, "Customer", string(c.customerName()), "Attempts", c.attempts)
 	}
+	if c.responseLost {
+		fields = append(fields, logs.FieldFingerprint, c.fingerprint().String())
+	}
 	logger := level.Info(g.cfg.Logger)
 	if outcome != "Finish" {
 		logger = level.Warn(g.cfg.Logger)
@@ -45,3 +49,20 @@
 		"Target", attempt.Target, "Result", attempt.Result, "Status", attempt.Status, logs.FieldError, attempt.Error,
 	)
 }
+
+// logTargetCrashed logs that a target crashed, with the requests that were sent to it
+// and got no complete response.
+func (g *Gate) logTargetCrashed(target ident.TargetName, lost *lostRequests, err error) {
+	metrics.GetOrCreateCounter("cactusline_target_crashes_total").Inc()
+	fingerprints := lost.sortedFingerprints()
+	texts := make([]string, 0, min(len(fingerprints), maxLoggedFingerprints))
+	for _, fingerprint := range fingerprints[:cap(texts)] {
+		texts = append(texts, fingerprint.String())
+	}
+	_ = level.Error(g.cfg.Logger).Log(
+		logs.FieldEvent, "TargetCrashed", "Target", target, "InFlight", len(fingerprints), "Fingerprints", texts, logs.FieldError, err,
+	)
+}
+
+// maxLoggedFingerprints bounds the length of a line about a crash.
+const maxLoggedFingerprints = 16
--- a/internal/process/gate/serve.go
+++ b/internal/process/gate/serve.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"cactusline.dev/cactusline/internal/request/carry"
 	"cactusline.dev/cactusline/internal/request/place"
 	"cactusline.dev/cactusline/internal/version/ident"
@@ -71,6 +75,10 @@
 	// retryPrepaid is set if the budget was already charged for the next retry.
 	retryPrepaid atomic.Bool
 	attempts     []attemptLog
+	// responseLost is set once an attempt ended without a complete response.
+	responseLost bool
+	// cachedFingerprint is 0 until fingerprint is called.
+	cachedFingerprint ident.Fingerprint
 }
 
 // attemptLog is one attempt as it is logged, under the names of its fields.
@@ -194,7 +202,14 @@
 // allowRetry charges the retry budget, unless the retry is already paid for, and
 // reports whether the request may be retried.
 func (c *call) allowRetry() bool {
-	return c.retryPrepaid.Swap(false) || c.gate.budget.Spend(c.gate.cfg.Clock.Now(), c.customerName())
+	return c.retryPrepaid.Swap(false) || c.spendRetry(c.gate.cfg.Clock.Now())
+}
+
+// spendRetry charges the retry budget and counts whether it allows a retry.
+func (c *call) spendRetry(now time.Time) bool {
+	granted := c.gate.budget.Spend(now, c.customerName())
+	metrics.GetOrCreateCounter(fmt.Sprintf("cactusline_retries_total{granted=%q}", strconv.FormatBool(granted))).Inc()
+	return granted
 }
 
 // customerName returns the name of the customer, empty if unknown.
--- a/internal/process/logs/logs.go
+++ b/internal/process/logs/logs.go
@@ -25,6 +25,8 @@
 	FieldTrace   = "Trace"
 	FieldEvent   = "Event"
 	FieldError   = "Error"
+	// FieldFingerprint identifies a request whose response was lost, across resends.
+	FieldFingerprint = "Fingerprint"
 )
 
 // Clock provides the timestamps of entries.
--- a/internal/request/recap/recap.go
+++ b/internal/request/recap/recap.go
@@ -123,7 +123,8 @@
 }
 
 // relatedLines returns the lines about the targets of a request, and those of its
-// process that concern no target, within relatedWindow of the request's end.
+// process that concern no target, within relatedWindow of the request's end. It also
+// returns the ends of other requests with the same fingerprint, at any time.
 func relatedLines(end *Line, lines []Line) []Line {
 	targets := make(map[string]bool)
 	for _, a := range attemptsOf(end) {
@@ -131,7 +132,14 @@
 	}
 	var found []Line
 	for _, line := range lines {
-		if line.Time.Sub(end.Time).Abs() > relatedWindow || stringField(line.Fields, "Request") == stringField(end.Fields, "Request") {
+		if stringField(line.Fields, "Request") == stringField(end.Fields, "Request") {
+			continue
+		}
+		if isResend(&line, end) {
+			found = append(found, line)
+			continue
+		}
+		if line.Time.Sub(end.Time).Abs() > relatedWindow {
 			continue
 		}
 		target := stringField(line.Fields, "Target") + stringField(line.Fields, "target")
@@ -143,6 +151,13 @@
 	return found
 }
 
+// isResend reports whether a line is the end of a request with the fingerprint of the
+// one that ended with end.
+func isResend(line, end *Line) bool {
+	fingerprint := stringField(end.Fields, "Fingerprint")
+	return fingerprint != "" && line.Event == end.Event && stringField(line.Fields, "Fingerprint") == fingerprint
+}
+
 // attempt is one element of a line's Attempts field.
 type attempt struct {
 	Target string
@@ -221,7 +236,7 @@
 	var failures []error
 	for _, line := range r.Lines {
 		_, err := fmt.Fprintf(w, "%s  %-20s %-5s %s%s\n",
-			line.Time.UTC().Format("15:04:05.000"), line.Process, line.Role, line.Event, fieldText(line.Fields))
+			line.Time.UTC().Format("15:04:05.000"), line.Process, line.Role, line.Event, requestText(&line, r.Request)+fieldText(line.Fields))
 		failures = append(failures, err)
 	}
 	text := r.Cause
@@ -232,11 +247,21 @@
 	return errors.Join(append(failures, err)...)
 }
 
+// requestText returns the ID of the request that ended with a line, unless it is the
+// one that the report is about.
+func requestText(line *Line, explained string) string {
+	request := stringField(line.Fields, "Request")
+	if line.Event != "RequestEnded" || request == explained {
+		return ""
+	}
+	return " Request=" + request
+}
+
 // fieldText returns the relevant fields of a line as text.
 func fieldText(fields map[string]any) string {
 	var text strings.Builder
 	for _, name := range []string{
-		"Outcome", "Status", "Route", "Customer", "Document", "version", "Target", "target", "Result", "Took",
+		"Fingerprint", "Outcome", "Status", "Route", "Customer", "Document", "version", "Target", "target", "Result", "Took",
 		"address", "change", "old", "new", "leaving", "Error", "err",
 	} {
 		if value, found := fields[name]; found && value != nil && value != "" {
--- a/internal/request/recap/recap_test.go
+++ b/internal/request/recap/recap_test.go
@@ -46,6 +46,20 @@
 	assert.Assert(t, strings.Contains(out.String(), "attempt 2: t2 Lost"), out.String())
 }
 
+func TestExplainListsResendsAtOtherGates(t *testing.T) {
+	const first = `{"Event":"RequestEnded","Fingerprint":"0a","Outcome":"Unknown","Request":"r1","Time":"2026-01-01T00:00:10Z","process":"edge-1","role":"gate"}
+`
+	const second = `{"Event":"RequestEnded","Fingerprint":"0a","Outcome":"Unknown","Request":"r2","Time":"2026-01-01T00:01:10Z","process":"edge-2","role":"gate"}
+{"Event":"RequestEnded","Fingerprint":"0b","Outcome":"Unknown","Request":"r3","Time":"2026-01-01T00:01:10Z","process":"edge-2","role":"gate"}
+`
+	report, err := recap.Explain("r1", read(t, first, second))
+	assert.NilError(t, err)
+	assert.Equal(t, len(report.Lines), 2)
+	var out bytes.Buffer
+	assert.NilError(t, report.Write(&out))
+	assert.Assert(t, strings.Contains(out.String(), "RequestEnded Request=r2 Fingerprint=0a"), out.String())
+}
+
 func TestExplainUnknownRequest(t *testing.T) {
 	_, err := recap.Explain("none", read(t, gateLog))
 	var missing *recap.NotFoundError
--- a/internal/version/ident/ident.go
+++ b/internal/version/ident/ident.go
@@ -2,6 +2,8 @@
 // several packages use.
 package ident
 
+import "fmt"
+
 // Names of customers, models, services, targets and machines.
 type (
 	// CustomerName names a customer, the party that owns a bearer key.
@@ -56,3 +58,6 @@
 	// Bytes counts bytes.
 	Bytes int64
 )
+
+// String returns the fingerprint in hexadecimal, with leading zeros.
+func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
