--- a/internal/conn/remote/remote.go
+++ b/internal/conn/remote/remote.go
@@ -64,12 +64,25 @@
 // concurrent use.
 type Client struct {
 	cfg         Config
+	addresses   atomic.Pointer[[]string]
 	leader      atomic.Pointer[string]
 	nextAddress atomic.Uint64
 }
 
 // NewClient returns a Client.
-func NewClient(cfg Config) *Client { return &Client{cfg: cfg} }
+func NewClient(cfg Config) *Client {
+	c := &Client{cfg: cfg}
+	c.addresses.Store(&cfg.Addresses)
+	return c
+}
+
+// SetAddresses replaces the addresses of the control processes, which change as VMs
+// are replaced. It ignores an empty list.
+func (c *Client) SetAddresses(addresses []string) {
+	if len(addresses) > 0 {
+		c.addresses.Store(&addresses)
+	}
+}
 
 // ProposeEntry proposes entry, retrying until it is committed or refused or ctx
 // ends, and returns its result. It may propose an entry more than once; the
@@ -165,7 +178,8 @@
 		return *leader
 	}
 	next := c.nextAddress.Add(1)
-	return c.cfg.Addresses[next%uint64(len(c.cfg.Addresses))]
+	addresses := *c.addresses.Load()
+	return addresses[next%uint64(len(addresses))]
 }
 
 func (c *Client) setLeader(leader string) { c.leader.Store(&leader) }
--- a/internal/conn/watch/convert.go
+++ b/internal/conn/watch/convert.go
@@ -73,6 +73,7 @@
 		changes = append(changes, poison.VerdictChange{
 			Fingerprint: ident.Fingerprint(v.GetFingerprint()),
 			Verdict:     poison.Verdict(v.GetVerdict()),
+			Expires:     time.Unix(0, v.GetExpires()),
 		})
 	}
 	return changes
--- a/internal/process/cmds/gate.go
+++ b/internal/process/cmds/gate.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"cactusline.dev/cactusline/internal/conn/remote"
 	"cactusline.dev/cactusline/internal/conn/watch"
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/process/clock"
@@ -57,9 +58,10 @@
 	}
 	links := platformLinks(settings)
 	defer func() { _ = links.Close() }()
+	control := remote.NewClient(remote.Config{Addresses: settings.Seeds, Link: links, Clock: clock.System{}})
 	g := gate.New(gate.Config{
 		Name: string(settings.VM), Domain: settings.Domain,
-		Compile: platform.CompileDocument, Dialect: platform.Dialect{}, Clock: clock.System{}, Logger: logger,
+		Compile: platform.CompileDocument, Dialect: platform.Dialect{}, Clock: clock.System{}, Logger: logger, Control: control,
 		GracePeriod:              settings.GracePeriod,
 		RetryRatio:               settings.RetryRatio * earnedRetryShare,
 		UnearnedRetriesPerSecond: unearnedRetryRate(settings),
@@ -68,7 +70,10 @@
 		Addresses: settings.Seeds, Link: links, Clock: clock.System{}, Logger: logger,
 		Process: uniqueName(string(settings.VM)), Role: "router",
 		SilenceTimeout: gateSilenceTimeout, FollowLeader: true, CollectLoads: g.Loads, LoadInterval: gateLoadInterval,
-		OnUpdate: func(update *wire.Update, _ *record.Set) { g.Update(update) },
+		OnUpdate: func(update *wire.Update, _ *record.Set) {
+			control.SetAddresses(update.GetControls())
+			g.Update(update)
+		},
 	})
 	g.SetFollower(follower)
 	// Updates continue while the process stops, for the requests in flight.
--- a/internal/process/gate/attempt.go
+++ b/internal/process/gate/attempt.go
@@ -45,7 +45,7 @@
 		attempt.Error = e.err.Error()
 	}
 	c.attempts = append(c.attempts, attempt)
-	c.recordLost(now, choice.Target, result)
+	c.recordOutcome(now, choice.Target, result)
 	if ejected {
 		c.gate.logTargetEjected(c, attempt)
 	}
@@ -56,7 +56,7 @@
 // response, or 0 if only the deadline applies. Only the first attempt at a
 // repeatable request has such a timeout.
 func (c *call) firstByteTimeout() time.Duration {
-	if !c.route.Repeatable() || c.route.Attempts < 2 || c.retryState.Attempts() > 0 || c.route.LatencyObjective <= 0 {
+	if !c.route.Repeatable() || c.retryState.MaxRuns < 2 || c.retryState.Attempts() > 0 || c.route.LatencyObjective <= 0 {
 		return 0
 	}
 	return firstByteTimeoutFactor * c.route.LatencyObjective
--- a/internal/process/gate/crash.go
+++ b/internal/process/gate/crash.go
@@ -12,8 +12,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"cactusline.dev/cactusline/internal/request/carry"
 	"cactusline.dev/cactusline/internal/request/place"
+	"cactusline.dev/cactusline/internal/request/poison"
 	"cactusline.dev/cactusline/internal/version/ident"
 )
 
@@ -81,10 +81,7 @@
 
 // recordLost records an attempt that ended without a complete response, and probes
 // the target unless a probe is pending.
-func (c *call) recordLost(now time.Time, target *place.Target, result carry.Result) {
-	if result != carry.ResponseLost && result != carry.Truncated {
-		return
-	}
+func (c *call) recordLost(now time.Time, target *place.Target) {
 	c.responseLost = true
 	if c.gate.crashes.add(now, target, c.fingerprint()) {
 		go c.gate.checkCrash(target.Name)
@@ -98,9 +95,14 @@
 	defer cancel()
 	_ = g.cfg.Clock.Sleep(ctx, crashCheckDelay)
 	lost := g.crashes.take(target)
-	if err := g.pool.Probe(ctx, lost.address); isUnreachable(err) {
-		g.logTargetCrashed(target, lost, err)
+	err := g.pool.Probe(ctx, lost.address)
+	if !isUnreachable(err) {
+		return
 	}
+	crash := poison.DirectCrash{Target: target, At: lost.lostAt, InFlight: lost.sortedFingerprints()}
+	g.logTargetCrashed(crash, err)
+	g.suspects.recordCrash(g.cfg.Clock.Now(), crash)
+	g.reporter.addCrashes(crash)
 }
 
 // isUnreachable reports whether a connection failed because the peer refused it or did
--- a/internal/process/gate/crash_test.go
+++ b/internal/process/gate/crash_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"bytes"
+	"context"
+	"errors"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -11,7 +14,10 @@
 	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
 
+	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/process/gate"
+	"cactusline.dev/cactusline/internal/request/poison"
+	"cactusline.dev/cactusline/internal/version/cmdpb"
 )
 
 // logBuffer collects log lines.
@@ -66,7 +72,155 @@
 	assert.Equal(t, len(lines.lines(`"Target":"crashing"`)) > 0, true)
 	ends := lines.lines("RequestEnded")
 	assert.Equal(t, len(ends), 2)
-	fingerprint := ends[0][strings.Index(ends[0], `"Fingerprint":"`):][:31]
+	_, fingerprint, found := strings.Cut(ends[0], `"Fingerprint":`)
+	assert.Assert(t, found, ends[0])
+	fingerprint, _, _ = strings.Cut(fingerprint, ",")
 	assert.Assert(t, strings.Contains(ends[1], fingerprint), "%s in %s", fingerprint, ends[1])
-	assert.Assert(t, strings.Contains(lines.lines("TargetCrashed")[0], fingerprint[15:]))
+	assert.Assert(t, strings.Contains(lines.lines("TargetCrashed")[0], fingerprint))
+}
+
+// fakeControl keeps the reports of crashes.
+type fakeControl struct {
+	mu      sync.Mutex
+	failing bool
+	reports []*cmdpb.GateReport
+}
+
+// Propose implements gate.Control.
+func (c *fakeControl) Propose(_ context.Context, command *cmdpb.Command) (*cmdpb.Result, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.failing {
+		return nil, errors.New("no leader")
+	}
+	c.reports = append(c.reports, command.GetGateReport())
+	return new(cmdpb.Result), nil
+}
+
+func (c *fakeControl) setFailing(failing bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failing = failing
+}
+
+// reported returns the crashes and completions of all reports.
+func (c *fakeControl) reported() (crashes []*cmdpb.TargetCrash, completed []uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, report := range c.reports {
+		crashes = append(crashes, report.GetCrashes()...)
+		completed = append(completed, report.GetCompleted()...)
+	}
+	return crashes, completed
+}
+
+func newCrashingTarget(t *testing.T, name string) *fakeTarget {
+	target := newFakeTarget(t, name, nil)
+	target.handler = func(r *receivedRequest) {
+		if r.body == "poison" {
+			target.crash()
+			return
+		}
+		respondOK(r)
+	}
+	return target
+}
+
+func TestCrashIsReportedUntilControlAcceptsIt(t *testing.T) {
+	control := &fakeControl{failing: true}
+	var lines logBuffer
+	h := newHarness(t, gate.Config{Control: control, Logger: log.NewJSONLogger(log.NewSyncWriter(&lines))}, newCrashingTarget(t, "t1"))
+	h.putDocument(testDocument())
+	status, _, err := h.sendAndRead("/once/a", "poison")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusBadGateway)
+	waitFor(t, "failed report", func() bool { return len(lines.lines("report of crashes failed")) > 0 })
+	control.setFailing(false)
+	waitFor(t, "report", func() bool { crashes, _ := control.reported(); return len(crashes) > 0 })
+	crashes, _ := control.reported()
+	assert.Equal(t, len(crashes), 1)
+	assert.Equal(t, crashes[0].GetTarget(), "t1")
+	assert.Equal(t, len(crashes[0].GetFingerprints()), 1)
+	age := time.Duration(crashes[0].GetAge())
+	assert.Assert(t, age > 0 && age < 5*time.Second, "%s", age)
+}
+
+func TestQuarantinedRequestIsRejectedWithRetryAfter(t *testing.T) {
+	control := new(fakeControl)
+	target := newCrashingTarget(t, "t1")
+	h := newHarness(t, gate.Config{Control: control}, target)
+	h.putDocument(testDocument())
+	_, _, err := h.sendAndRead("/once/a", "poison")
+	assert.NilError(t, err)
+	waitFor(t, "report", func() bool { crashes, _ := control.reported(); return len(crashes) > 0 })
+	crashes, _ := control.reported()
+
+	other := newFakeTarget(t, "t2", respondOK)
+	h.setTargets(other)
+	h.setVerdict(crashes[0].GetFingerprints()[0], poison.VerdictQuarantined, time.Now().Add(time.Minute))
+	response, err := h.send(context.Background(), "/once/a", "poison")
+	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	wait, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, wait > 50 && wait < 100, "Retry-After: %v s", wait)
+	assert.Equal(t, other.count(), 0)
+
+	for _, c := range []struct{ path, body string }{{"/once/a", "harmless"}, {"/once/b", "poison"}} {
+		status, _, err := h.sendAndRead(c.path, c.body)
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusOK, "%s %s", c.path, c.body)
+	}
+}
+
+// Guards against a poison request that a gate without contact to control sends on.
+func TestGateQuarantinesByItsOwnCrashes(t *testing.T) {
+	targets := []*fakeTarget{newCrashingTarget(t, "t1"), newCrashingTarget(t, "t2"), newCrashingTarget(t, "t3"), newCrashingTarget(t, "t4")}
+	h := newHarness(t, gate.Config{Control: &fakeControl{failing: true}}, targets...)
+	h.putDocument(testDocument())
+	statuses := make(map[int]int)
+	for range 8 {
+		status, _, err := h.sendAndRead("/once/a", "poison")
+		assert.NilError(t, err)
+		statuses[status]++
+		time.Sleep(200 * time.Millisecond)
+	}
+	assert.DeepEqual(t, statuses, map[int]int{http.StatusBadGateway: 3, http.StatusServiceUnavailable: 5})
+	status, _, err := h.sendAndRead("/once/a", "harmless")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+}
+
+func TestSuspectRunsOnceAndIsClearedByCompletion(t *testing.T) {
+	control := new(fakeControl)
+	losing := newFakeTarget(t, "t1", func(r *receivedRequest) { r.reset() })
+	h := newHarness(t, gate.Config{Control: control}, newCrashingTarget(t, "t0"))
+	h.putDocument(testDocument())
+	_, _, err := h.sendAndRead("/safe/a", "poison")
+	assert.NilError(t, err)
+	waitFor(t, "report", func() bool { crashes, _ := control.reported(); return len(crashes) > 0 })
+	crashes, _ := control.reported()
+	fingerprint := crashes[0].GetFingerprints()[0]
+	h.setVerdict(fingerprint, poison.VerdictSuspect, time.Time{})
+
+	healthy := newFakeTarget(t, "t2", respondOK)
+	h.setTargets(losing)
+	status, _, err := h.sendAndRead("/safe/a", "poison")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusBadGateway, "a suspect is not retried")
+	assert.Equal(t, losing.count(), 1)
+	h.setTargets(healthy)
+	status, _, err = h.sendAndRead("/safe/a", "poison")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	waitFor(t, "completion", func() bool { _, completed := control.reported(); return len(completed) > 0 })
+	_, completed := control.reported()
+	assert.DeepEqual(t, completed, []uint64{fingerprint})
+}
+
+// setVerdict delivers a list with one verdict.
+func (h *harness) setVerdict(fingerprint uint64, verdict poison.Verdict, expires time.Time) {
+	active := &wire.CrashVerdict{Fingerprint: fingerprint, Verdict: uint32(verdict), Expires: expires.UnixNano()}
+	assert.NilError(h.t, h.follower.ApplyUpdate(&wire.Update{Verdicts: []*wire.CrashVerdict{active}, VerdictsSet: true}))
 }
--- a/internal/process/gate/gate.go
+++ b/internal/process/gate/gate.go
@@ -72,6 +72,8 @@
 	// Follower receives the document and the targets. It must call Update for each
 	// update.
 	Follower *watch.Follower
+	// Control gets the reports of crashes; nil to report none.
+	Control Control
 
 	// DrainDelay is how long a stopping process still accepts connections after it
 	// has become not ready.
@@ -96,6 +98,8 @@
 	pool     *pool.Pool
 	budget   *budget.Budget
 	crashes  crashDetector
+	reporter *crashReporter
+	suspects *suspects
 
 	routeTable atomic.Pointer[route.Table]
 	// firstDocumentAt is when the first document was received.
@@ -136,6 +140,8 @@
 		balancer: place.NewBalancer(place.Config{Name: cfg.Name, Domain: cfg.Domain}),
 		pool:     pool.New(cfg.Pool),
 		server:   callerServer{clock: cfg.Clock},
+		reporter: newCrashReporter(),
+		suspects: newSuspects(cfg.Name),
 		budget:   budget.New(budget.Config{RetryRatio: cfg.RetryRatio, PoolRate: cfg.UnearnedRetriesPerSecond / defaultGateCount}),
 	}
 }
@@ -155,6 +161,9 @@
 		g.balancer.Update(now, source, targets)
 		g.pool.CloseIdleExcept(g.balancer.Addresses())
 	}
+	if update.GetVerdictsSet() {
+		g.suspects.fleet.Replace(watch.DecodeVerdicts(update.GetVerdicts()))
+	}
 	if gates := update.GetRouters(); gates > 0 {
 		g.budget.SetPoolRate(g.cfg.UnearnedRetriesPerSecond / float64(gates))
 	}
@@ -240,6 +249,12 @@
 	readinessServer := &http.Server{Handler: g.readinessHandler(), ReadHeaderTimeout: defaultHeaderTimeout}
 	go func() { _ = readinessServer.Serve(readinessListener) }()
 	go g.server.serve(callerListener, g)
+	// Reports continue while the process stops, for the requests in flight.
+	reportCtx, stopReports := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopReports()
+	if g.cfg.Control != nil {
+		go g.reportCrashes(reportCtx)
+	}
 	<-ctx.Done()
 	_ = level.Info(g.cfg.Logger).Log("msg", "stopping", "grace", g.cfg.GracePeriod)
 	// ctx has ended, so the shutdown needs a context of its own.
--- a/internal/process/gate/log.go
+++ b/internal/process/gate/log.go
@@ -8,7 +8,7 @@
 	"github.com/go-kit/log/level"
 
 	"cactusline.dev/cactusline/internal/process/logs"
-	"cactusline.dev/cactusline/internal/version/ident"
+	"cactusline.dev/cactusline/internal/request/poison"
 )
 
 // logRequestEnded logs how a request ended, with all its attempts, and updates the
@@ -52,15 +52,14 @@
 
 // logTargetCrashed logs that a target crashed, with the requests that were sent to it
 // and got no complete response.
-func (g *Gate) logTargetCrashed(target ident.TargetName, lost *lostRequests, err error) {
+func (g *Gate) logTargetCrashed(crash poison.DirectCrash, err error) {
 	metrics.GetOrCreateCounter("cactusline_target_crashes_total").Inc()
-	fingerprints := lost.sortedFingerprints()
-	texts := make([]string, 0, min(len(fingerprints), maxLoggedFingerprints))
-	for _, fingerprint := range fingerprints[:cap(texts)] {
+	texts := make([]string, 0, min(len(crash.InFlight), maxLoggedFingerprints))
+	for _, fingerprint := range crash.InFlight[:cap(texts)] {
 		texts = append(texts, fingerprint.String())
 	}
 	_ = level.Error(g.cfg.Logger).Log(
-		logs.FieldEvent, "TargetCrashed", "Target", target, "InFlight", len(fingerprints), "Fingerprints", texts, logs.FieldError, err,
+		logs.FieldEvent, "TargetCrashed", "Target", crash.Target, "InFlight", len(crash.InFlight), "Fingerprints", texts, logs.FieldError, err,
 	)
 }
 
--- a/internal/process/gate/response.go
+++ b/internal/process/gate/response.go
@@ -92,12 +92,27 @@
 // respondError writes an error response of this process itself, with a reason that
 // is also logged as the outcome.
 func (c *call) respondError(status int, reason string) {
+	retryAfter := randomRetryAfter()
+	if c.routeTable == nil {
+		retryAfter += startupRetryAfter
+	}
+	c.respondErrorRetryAfter(status, reason, retryAfter)
+}
+
+// finishQuarantined ends a request that must not run until the given time.
+func (c *call) finishQuarantined(ctx context.Context, until time.Time) {
+	if action := c.retryState.NextWithoutTarget(); action != carry.Reject {
+		c.finish(ctx, action)
+		return
+	}
+	c.respondErrorRetryAfter(http.StatusServiceUnavailable, "Quarantined", until.Sub(c.gate.cfg.Clock.Now()))
+}
+
+// respondErrorRetryAfter is respondError with the time after which the caller of a
+// rejected request may retry.
+func (c *call) respondErrorRetryAfter(status int, reason string, retryAfter time.Duration) {
 	header := c.writer.Header()
 	if status == http.StatusServiceUnavailable {
-		retryAfter := randomRetryAfter()
-		if c.routeTable == nil {
-			retryAfter += startupRetryAfter
-		}
 		c.gate.cfg.Dialect.SetRetryAfter(header, retryAfter)
 	}
 	header.Set("Content-Type", "application/json")
--- a/internal/process/gate/serve.go
+++ b/internal/process/gate/serve.go
@@ -183,7 +183,15 @@
 // run makes attempts at targets until one action ends the request.
 func (c *call) run(ctx context.Context) {
 	c.gate.budget.RecordRequest(c.startedAt, c.customerName())
+	if c.isSuspect() {
+		// Its caller may send it again; this process does not.
+		c.retryState.MaxRuns = 1
+	}
 	for {
+		if end, quarantined := c.quarantineEnd(c.gate.cfg.Clock.Now()); quarantined {
+			c.finishQuarantined(ctx, end)
+			return
+		}
 		choice, found := c.gate.balancer.Choose(c.gate.cfg.Clock.Now(), &c.placement)
 		if !found {
 			c.finish(ctx, c.retryState.NextWithoutTarget())
--- /dev/null
+++ b/internal/request/poison/direct.go
@@ -0,0 +1,141 @@
+package poison
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cactusline.dev/cactusline/internal/version/ident"
+)
+
+const (
+	// MaxDirectCrashes is the number of direct crashes at which a request is
+	// quarantined. One or two prove little, since a gate cannot run a suspect alone.
+	MaxDirectCrashes = 3
+	// minRestartTime is the shortest time in which a target restarts and crashes
+	// again. Reports of crashes of one target within it are about one crash.
+	minRestartTime = time.Second
+)
+
+// DirectCrash is the crash of a target without a sidecar, as a gate saw it that sent
+// requests to the target.
+type DirectCrash struct {
+	Target ident.TargetName
+	At     time.Time
+	// InFlight are those requests of the gate that got no complete response. What
+	// other gates had in flight is in their reports.
+	InFlight []ident.Fingerprint
+}
+
+// RecordDirectCrash records a direct crash and returns the verdicts that it changed,
+// ordered by fingerprint.
+func (t *Tracker) RecordDirectCrash(now time.Time, crash DirectCrash) []VerdictChange {
+	t.Expire(now)
+	var changes []VerdictChange
+	for _, fingerprint := range sortedUnique(crash.InFlight) {
+		entry := t.entry(fingerprint)
+		before := t.change(entry)
+		if crash.At.After(entry.Cleared) {
+			entry.addDirectCrash(crash.Target, crash.At)
+		}
+		if after := t.change(entry); after != before {
+			changes = append(changes, after)
+		}
+	}
+	t.evictExcess()
+	return changes
+}
+
+// addDirectCrash adds a direct crash, unless another gate has reported the same one.
+func (e *Entry) addDirectCrash(target ident.TargetName, at time.Time) {
+	for _, crash := range e.Crashes {
+		if crash.Direct && crash.Target == target && crash.At.Sub(at).Abs() < minRestartTime {
+			return
+		}
+	}
+	// A crash is identified by its number, and no target counts its crashes here.
+	e.addCrash(Crash{Target: target, Number: uint64(at.UnixNano()), Direct: true, At: at})
+}
+
+// directCrashTimes returns the times of the direct crashes in ascending order. All of
+// them count, also if a target restarts under the same name, since a restarted target
+// is another instance.
+func (e *Entry) directCrashTimes() []time.Time {
+	var times []time.Time
+	for _, crash := range e.Crashes {
+		if crash.Direct {
+			times = append(times, crash.At)
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	return times
+}
+
+// verdict returns the verdict on an entry at the given time. It is Entry.Verdict,
+// except that the first quarantine by direct crashes lasts only for DirectQuarantine.
+// The request is suspect after that, and one more crash quarantines it again.
+func (t *Tracker) verdict(now time.Time, entry *Entry) Verdict {
+	verdict := entry.Verdict()
+	if verdict == VerdictQuarantined && !now.Before(t.quarantineEnd(entry)) {
+		return VerdictSuspect
+	}
+	return verdict
+}
+
+// quarantineEnd returns when the quarantine of an entry ends. The first quarantine by
+// direct crashes starts anew with each crash before its end, since the request may have
+// been in flight already. A crash after its end extends it until the entry expires.
+func (t *Tracker) quarantineEnd(entry *Entry) time.Time {
+	times := entry.directCrashTimes()
+	if len(times) < MaxDirectCrashes {
+		return t.expiry(entry)
+	}
+	length := t.directQuarantine(entry.Fingerprint)
+	end := times[MaxDirectCrashes-1].Add(length)
+	for _, at := range times[MaxDirectCrashes:] {
+		if !at.Before(end) {
+			return t.expiry(entry)
+		}
+		end = at.Add(length)
+	}
+	return end
+}
+
+// directQuarantine returns a length between DirectQuarantine and twice that. It differs
+// between requests, so that a poison request does not run again together with those
+// that were in flight beside it.
+func (t *Tracker) directQuarantine(fingerprint ident.Fingerprint) time.Duration {
+	return t.cfg.DirectQuarantine + spread(fingerprint, "", t.cfg.DirectQuarantine)
+}
+
+// releaseSpread is the time over which the gates let a request run again after its
+// quarantine has ended.
+const releaseSpread = 30 * time.Second
+
+// ReleaseDelay returns how much longer than others a gate rejects a request after its
+// quarantine has ended. Gates differ, so that a poison request runs again at one gate
+// alone, whose report then reaches the others.
+func ReleaseDelay(gate string, fingerprint ident.Fingerprint) time.Duration {
+	return spread(fingerprint, gate, releaseSpread)
+}
+
+// spread maps a request and a name to a time in [0, limit), uniformly by hash.
+func spread(fingerprint ident.Fingerprint, name string, limit time.Duration) time.Duration {
+	hash := xxhash.Sum64String(fingerprint.String() + name)
+	return time.Duration(hash % uint64(limit))
+}
+
+// change returns the verdict on an entry, with its expiry if there is one. A quarantine
+// that has ended stays in force at each gate until its ReleaseDelay is over.
+func (t *Tracker) change(entry *Entry) VerdictChange {
+	change := VerdictChange{Fingerprint: entry.Fingerprint, Verdict: entry.Verdict()}
+	switch change.Verdict {
+	case VerdictNone:
+	case VerdictQuarantined:
+		change.Expires = t.quarantineEnd(entry)
+	default:
+		change.Expires = t.expiry(entry)
+	}
+	return change
+}
--- /dev/null
+++ b/internal/request/poison/direct_test.go
@@ -0,0 +1,230 @@
+package poison_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cactusline.dev/cactusline/internal/process/seeds"
+	"cactusline.dev/cactusline/internal/request/poison"
+	"cactusline.dev/cactusline/internal/version/ident"
+)
+
+func directCrash(target ident.TargetName, second int, inFlight ...ident.Fingerprint) poison.DirectCrash {
+	return poison.DirectCrash{Target: target, At: at(second), InFlight: inFlight}
+}
+
+func TestDirectCrashVerdicts(t *testing.T) {
+	const poisonous = 7
+	for name, c := range map[string]struct {
+		crashes []poison.DirectCrash
+		want    poison.Verdict
+	}{
+		"one":                           {[]poison.DirectCrash{directCrash("a", 1, poisonous)}, poison.VerdictNone},
+		"two":                           {[]poison.DirectCrash{directCrash("a", 1, poisonous), directCrash("b", 2, poisonous, 8)}, poison.VerdictSuspect},
+		"three":                         {[]poison.DirectCrash{directCrash("a", 1, poisonous), directCrash("b", 2, 8, poisonous), directCrash("c", 3, poisonous)}, poison.VerdictQuarantined},
+		"one target, restarted":         {[]poison.DirectCrash{directCrash("a", 1, poisonous), directCrash("a", 4, poisonous), directCrash("a", 7, poisonous)}, poison.VerdictQuarantined},
+		"one crash, seen by two gates":  {[]poison.DirectCrash{directCrash("a", 1, poisonous), directCrash("a", 1, poisonous), directCrash("b", 2, poisonous)}, poison.VerdictSuspect},
+		"reports out of order of times": {[]poison.DirectCrash{directCrash("c", 3, poisonous), directCrash("a", 1, poisonous), directCrash("b", 2, poisonous)}, poison.VerdictQuarantined},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := poison.NewTracker(poison.Config{})
+			for _, crash := range c.crashes {
+				tracker.RecordDirectCrash(at(8), crash)
+			}
+			assert.Equal(t, tracker.Verdict(at(9), poisonous), c.want)
+			assert.Equal(t, tracker.Verdict(at(9), 8), poison.VerdictNone)
+
+			restored := poison.NewTracker(poison.Config{})
+			restored.Merge(tracker.Entries())
+			assert.DeepEqual(t, restored.ActiveVerdicts(at(9)), tracker.ActiveVerdicts(at(9)))
+		})
+	}
+}
+
+func TestCompletionClearsDirectCrashes(t *testing.T) {
+	tracker := poison.NewTracker(poison.Config{})
+	tracker.RecordDirectCrash(at(1), directCrash("a", 1, 7))
+	tracker.RecordDirectCrash(at(2), directCrash("b", 2, 7))
+	assert.DeepEqual(t, tracker.RecordCompletion(at(3), 7), []poison.VerdictChange{{Fingerprint: 7}})
+	assert.Equal(t, len(tracker.RecordDirectCrash(at(4), directCrash("c", 1, 7))), 0, "a late report of an earlier crash counts")
+	tracker.RecordDirectCrash(at(4), directCrash("c", 4, 7))
+	assert.Equal(t, tracker.Verdict(at(5), 7), poison.VerdictNone)
+}
+
+// A request that only ran beside a poison request may run again after the first
+// quarantine; the poison request then crashes one more target.
+func TestDirectQuarantineEndsOnce(t *testing.T) {
+	tracker := poison.NewTracker(poison.Config{})
+	for i, target := range []ident.TargetName{"a", "b", "c"} {
+		tracker.RecordDirectCrash(at(i), directCrash(target, i, 7, 8))
+	}
+	var set poison.VerdictSet
+	set.Replace(tracker.ActiveVerdicts(at(3)))
+	var ends []time.Time
+	for _, fingerprint := range []ident.Fingerprint{7, 8} {
+		end, quarantined := set.QuarantineEnd(at(3), fingerprint)
+		length := end.Sub(at(2))
+		assert.Assert(t, quarantined && length >= poison.DefaultDirectQuarantine && length < 2*poison.DefaultDirectQuarantine, "%s", length)
+		_, quarantined = set.QuarantineEnd(end, fingerprint)
+		assert.Assert(t, !quarantined)
+		ends = append(ends, end)
+	}
+	assert.Assert(t, ends[0].Sub(ends[1]).Abs() > time.Second, "both may run again at the same time")
+	assert.Equal(t, len(tracker.RecordCompletion(at(4), 8)), 0, "a quarantined request was cleared")
+	assert.DeepEqual(t, tracker.RecordCompletion(ends[1], 8), []poison.VerdictChange{{Fingerprint: 8}})
+
+	end := ends[0]
+
+	crashedAgain := poison.DirectCrash{Target: "d", At: end, InFlight: []ident.Fingerprint{7}}
+	changes := tracker.RecordDirectCrash(end, crashedAgain)
+	assert.DeepEqual(t, changes, []poison.VerdictChange{{
+		Fingerprint: 7, Verdict: poison.VerdictQuarantined, Expires: end.Add(poison.DefaultQuarantine),
+	}})
+}
+
+// gateModel is a fleet of gates that send requests to targets without sidecars. Its
+// reports and verdicts take up to maxReportDelay, as during an election.
+type gateModel struct {
+	rng     *rand.Rand
+	now     time.Time
+	tracker *poison.Tracker
+	set     poison.VerdictSet
+	pending []delayedReport
+	// upAt is when each target is up again, running what it runs, by bystander.
+	upAt    [4]time.Time
+	running map[ident.Fingerprint]run
+	// poisonRuns are the times at which the poison request crashed a target.
+	poisonRuns []time.Time
+	completed  map[ident.Fingerprint]int
+}
+
+type delayedReport struct {
+	due   time.Time
+	apply func()
+}
+
+type run struct {
+	target int
+	until  time.Time
+}
+
+const (
+	modelPoison    ident.Fingerprint = 1000
+	modelStep                        = 10 * time.Millisecond
+	maxReportDelay                   = 2 * time.Second
+)
+
+func (m *gateModel) report(apply func()) {
+	delay := time.Duration(m.rng.Int64N(int64(maxReportDelay)))
+	if m.rng.IntN(4) > 0 {
+		delay = min(delay, 100*time.Millisecond)
+	}
+	m.pending = append(m.pending, delayedReport{due: m.now.Add(delay), apply: apply})
+}
+
+// quarantined reports whether a gate drawn at random rejects a request.
+func (m *gateModel) quarantined(fingerprint ident.Fingerprint) bool {
+	gate := fmt.Sprint("gate-", m.rng.IntN(7))
+	_, quarantined := m.set.QuarantineEnd(m.now.Add(-poison.ReleaseDelay(gate, fingerprint)), fingerprint)
+	return quarantined
+}
+
+// sendPoison sends the poison request to a target that is up, which crashes with all
+// that it runs. Each request in flight is reported by another gate.
+func (m *gateModel) sendPoison() {
+	target := m.rng.IntN(len(m.upAt))
+	if m.quarantined(modelPoison) || m.now.Before(m.upAt[target]) {
+		return
+	}
+	m.poisonRuns = append(m.poisonRuns, m.now)
+	m.upAt[target] = m.now.Add(1500 * time.Millisecond)
+	lost := []ident.Fingerprint{modelPoison}
+	for fingerprint, running := range m.running {
+		if running.target == target {
+			lost = append(lost, fingerprint)
+			delete(m.running, fingerprint)
+		}
+	}
+	for _, fingerprint := range lost {
+		crash := poison.DirectCrash{Target: ident.TargetName(fmt.Sprint(target)), At: m.now, InFlight: []ident.Fingerprint{fingerprint}}
+		m.report(func() { m.tracker.RecordDirectCrash(m.now, crash) })
+	}
+}
+
+// sendBystander sends a harmless request, or ends it.
+func (m *gateModel) sendBystander(fingerprint ident.Fingerprint) {
+	running, inFlight := m.running[fingerprint]
+	if inFlight {
+		if m.now.Before(running.until) {
+			return
+		}
+		delete(m.running, fingerprint)
+		m.completed[fingerprint]++
+		if m.set.Verdict(fingerprint) != poison.VerdictNone {
+			m.report(func() { m.tracker.RecordCompletion(m.now, fingerprint) })
+		}
+		return
+	}
+	target := m.rng.IntN(len(m.upAt))
+	if m.quarantined(fingerprint) || m.now.Before(m.upAt[target]) {
+		return
+	}
+	m.running[fingerprint] = run{target: target, until: m.now.Add(time.Duration(20+m.rng.IntN(500)) * time.Millisecond)}
+}
+
+func (m *gateModel) step() {
+	m.now = m.now.Add(modelStep)
+	kept := m.pending[:0]
+	for _, report := range m.pending {
+		if m.now.Before(report.due) {
+			kept = append(kept, report)
+			continue
+		}
+		report.apply()
+		m.set.Replace(m.tracker.ActiveVerdicts(m.now))
+	}
+	m.pending = kept
+	if m.rng.IntN(10) == 0 {
+		m.sendPoison()
+	}
+	for fingerprint := range ident.Fingerprint(20) {
+		m.sendBystander(fingerprint)
+	}
+}
+
+// Five minutes of a poison request that is sent ten times a second. It may reach a
+// target three times more than maxReportDelay after its third crash, and every
+// bystander goes on to complete.
+func TestRandomisedPoisonRequestStopsAtGates(t *testing.T) {
+	seeds.Run(t, seeds.Range{First: 1, Last: 20}, func(t *testing.T, seed uint64) {
+		m := &gateModel{
+			rng: rand.New(rand.NewPCG(seed, 0)), now: baseTime, tracker: poison.NewTracker(poison.Config{}),
+			running: make(map[ident.Fingerprint]run), completed: make(map[ident.Fingerprint]int),
+		}
+		halfway := make(map[ident.Fingerprint]int)
+		const steps = int(5 * time.Minute / modelStep)
+		for step := range steps {
+			m.step()
+			if step == steps/2 {
+				for fingerprint, count := range m.completed {
+					halfway[fingerprint] = count
+				}
+			}
+		}
+		late := 0
+		for _, at := range m.poisonRuns {
+			if len(m.poisonRuns) >= 3 && at.Sub(m.poisonRuns[2]) > maxReportDelay+modelStep {
+				late++
+			}
+		}
+		assert.Check(t, late <= 3, "%d late runs of %d", late, len(m.poisonRuns))
+		for fingerprint := range ident.Fingerprint(20) {
+			assert.Check(t, m.completed[fingerprint] > halfway[fingerprint], "bystander %d completes no more", fingerprint)
+			assert.Check(t, m.tracker.Verdict(m.now, fingerprint) < poison.VerdictQuarantined)
+		}
+	})
+}
--- a/internal/request/poison/poison_test.go
+++ b/internal/request/poison/poison_test.go
@@ -84,7 +84,7 @@
 			}
 			for fingerprint := range ident.Fingerprint(5) {
 				if set.Verdict(fingerprint) == poison.VerdictSuspect {
-					set.Apply(tracker.RecordRanAlone(at(second), fingerprint))
+					set.Apply(tracker.RecordCompletion(at(second), fingerprint))
 				}
 				assert.Assert(t, set.Verdict(fingerprint) < poison.VerdictSuspect)
 			}
@@ -101,7 +101,7 @@
 	assert.DeepEqual(t, changes, []poison.VerdictChange{{
 		Fingerprint: 7, Verdict: poison.VerdictQuarantined, Expires: baseTime.Add(poison.DefaultQuarantine),
 	}})
-	assert.Equal(t, len(tracker.RecordRanAlone(at(1), 7)), 0, "a quarantined request was cleared")
+	assert.Equal(t, len(tracker.RecordCompletion(at(1), 7)), 0, "a quarantined request was cleared")
 	end := baseTime.Add(poison.DefaultQuarantine)
 	assert.Equal(t, tracker.Verdict(end, 7), poison.VerdictNone)
 	assert.DeepEqual(t, tracker.Expire(end), []poison.VerdictChange{{Fingerprint: 7}})
@@ -119,7 +119,7 @@
 				fingerprint := ident.Fingerprint(rapid.IntRange(1, 3).Draw(t, "fingerprint"))
 				target := ident.TargetName(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "target"))
 				if rapid.IntRange(0, 3).Draw(t, "clear") == 0 {
-					tracker.RecordRanAlone(now, fingerprint)
+					tracker.RecordCompletion(now, fingerprint)
 					continue
 				}
 				report := crash(target, uint64(rapid.IntRange(1, 3).Draw(t, "number")), fingerprint)
--- a/internal/request/poison/set.go
+++ b/internal/request/poison/set.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"cactusline.dev/cactusline/internal/version/ident"
 )
@@ -20,7 +21,13 @@
 	// localWatched are the fingerprints added by MarkWatched for which control
 	// has not sent a verdict yet, oldest first.
 	localWatched []ident.Fingerprint
-	verdicts     atomic.Pointer[map[ident.Fingerprint]Verdict]
+	verdicts     atomic.Pointer[map[ident.Fingerprint]activeVerdict]
+}
+
+// activeVerdict is a verdict with its expiry, which is zero if it is not known.
+type activeVerdict struct {
+	verdict Verdict
+	expires time.Time
 }
 
 // Quarantined reports whether a request is quarantined.
@@ -34,7 +41,24 @@
 	if verdicts == nil {
 		return VerdictNone
 	}
-	return (*verdicts)[fingerprint]
+	return (*verdicts)[fingerprint].verdict
+}
+
+// QuarantineEnd returns when the quarantine of a request ends, and false if the
+// request is not quarantined at the given time.
+func (s *VerdictSet) QuarantineEnd(now time.Time, fingerprint ident.Fingerprint) (time.Time, bool) {
+	verdicts := s.verdicts.Load()
+	if verdicts == nil {
+		return time.Time{}, false
+	}
+	active := (*verdicts)[fingerprint]
+	return active.expires, active.verdict == VerdictQuarantined && now.Before(active.expires)
+}
+
+// Empty reports whether there is no verdict on any request.
+func (s *VerdictSet) Empty() bool {
+	verdicts := s.verdicts.Load()
+	return verdicts == nil || len(*verdicts) == 0
 }
 
 // Replace replaces all verdicts. Fingerprints added by MarkWatched stay until
@@ -42,11 +66,11 @@
 func (s *VerdictSet) Replace(changes []VerdictChange) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	verdicts := make(map[ident.Fingerprint]Verdict, len(changes))
+	verdicts := make(map[ident.Fingerprint]activeVerdict, len(changes))
 	applyChanges(verdicts, changes)
 	s.dropLocalWatched(changes)
 	for _, fingerprint := range s.localWatched {
-		verdicts[fingerprint] = VerdictWatched
+		verdicts[fingerprint] = activeVerdict{verdict: VerdictWatched}
 	}
 	s.verdicts.Store(&verdicts)
 }
@@ -62,7 +86,7 @@
 // applyToCopy applies changes to a copy of the verdicts and stores the copy.
 // The caller holds the lock.
 func (s *VerdictSet) applyToCopy(changes []VerdictChange) {
-	verdicts := make(map[ident.Fingerprint]Verdict)
+	verdicts := make(map[ident.Fingerprint]activeVerdict)
 	if current := s.verdicts.Load(); current != nil {
 		maps.Copy(verdicts, *current)
 	}
@@ -105,12 +129,12 @@
 }
 
 // applyChanges updates verdicts in place; VerdictNone removes the entry.
-func applyChanges(verdicts map[ident.Fingerprint]Verdict, changes []VerdictChange) {
+func applyChanges(verdicts map[ident.Fingerprint]activeVerdict, changes []VerdictChange) {
 	for _, change := range changes {
 		if change.Verdict == VerdictNone {
 			delete(verdicts, change.Fingerprint)
 			continue
 		}
-		verdicts[change.Fingerprint] = change.Verdict
+		verdicts[change.Fingerprint] = activeVerdict{verdict: change.Verdict, expires: change.Expires}
 	}
 }
--- a/internal/request/poison/tracker.go
+++ b/internal/request/poison/tracker.go
@@ -10,9 +10,12 @@
 
 // Defaults of Config.
 const (
-	DefaultWindow          = 10 * time.Minute
-	DefaultQuarantine      = time.Hour
-	DefaultMaxFingerprints = 1 << 14
+	DefaultWindow     = 10 * time.Minute
+	DefaultQuarantine = time.Hour
+	// DefaultDirectQuarantine is short, since it may hit a request that only ran
+	// beside the poison request.
+	DefaultDirectQuarantine = time.Minute
+	DefaultMaxFingerprints  = 1 << 14
 )
 
 // Config sets the limits of a Tracker. Zero fields take the defaults.
@@ -23,6 +26,10 @@
 	// Quarantine is how long a quarantined request is blocked after its last
 	// crash.
 	Quarantine time.Duration
+	// DirectQuarantine is how long at least, and half of how long at most, a request
+	// is blocked after MaxDirectCrashes. If it then crashes one more target, it is
+	// blocked for Quarantine.
+	DirectQuarantine time.Duration
 	// MaxFingerprints is the maximum number of entries. The least severe ones
 	// are dropped first, the oldest among equally severe ones.
 	MaxFingerprints int
@@ -40,6 +47,7 @@
 func NewTracker(cfg Config) *Tracker {
 	cfg.Window = cmp.Or(cfg.Window, DefaultWindow)
 	cfg.Quarantine = cmp.Or(cfg.Quarantine, DefaultQuarantine)
+	cfg.DirectQuarantine = cmp.Or(cfg.DirectQuarantine, DefaultDirectQuarantine)
 	cfg.MaxFingerprints = cmp.Or(cfg.MaxFingerprints, DefaultMaxFingerprints)
 	return &Tracker{cfg: cfg, entries: make(map[ident.Fingerprint]*Entry)}
 }
@@ -93,12 +101,13 @@
 	return changes
 }
 
-// RecordRanAlone clears a request that completed with nothing else in flight,
-// unless it is quarantined. It returns the verdict that it changed, if any.
-func (t *Tracker) RecordRanAlone(now time.Time, fingerprint ident.Fingerprint) []VerdictChange {
+// RecordCompletion clears a request that completed, unless it is quarantined. A
+// sidecar reports a completion only if nothing else was in flight. It returns the
+// verdict that it changed, if any.
+func (t *Tracker) RecordCompletion(now time.Time, fingerprint ident.Fingerprint) []VerdictChange {
 	t.Expire(now)
 	entry, ok := t.entries[fingerprint]
-	if !ok || entry.Verdict() == VerdictQuarantined {
+	if !ok || t.verdict(now, entry) == VerdictQuarantined {
 		return nil
 	}
 	before := entry.Verdict()
@@ -112,7 +121,7 @@
 	if !ok || !now.Before(t.expiry(entry)) {
 		return VerdictNone
 	}
-	return entry.Verdict()
+	return t.verdict(now, entry)
 }
 
 // InFlightAtCrash returns the requests that were in flight when a target
@@ -170,8 +179,8 @@
 func (t *Tracker) ActiveVerdicts(now time.Time) []VerdictChange {
 	var changes []VerdictChange
 	for fingerprint, entry := range t.entries {
-		if verdict := t.Verdict(now, fingerprint); verdict != VerdictNone {
-			changes = append(changes, VerdictChange{Fingerprint: fingerprint, Verdict: verdict, Expires: t.expiry(entry)})
+		if t.Verdict(now, fingerprint) != VerdictNone {
+			changes = append(changes, t.change(entry))
 		}
 	}
 	slices.SortFunc(changes, compareChanges)
--- a/internal/request/poison/verdict.go
+++ b/internal/request/poison/verdict.go
@@ -21,15 +21,16 @@
 	// VerdictNone means that no crash counts against the request.
 	VerdictNone Verdict = iota
 	// VerdictWatched means that one target crashed while it ran the request; a
-	// router should not retry the request on its own.
+	// router should not retry the request on its own. One direct crash is no
+	// verdict.
 	VerdictWatched
 	// VerdictSuspect means that at least two targets crashed while they ran the
 	// request, but that VerdictQuarantined does not apply; the request may only
 	// run alone.
 	VerdictSuspect
 	// VerdictQuarantined means that two targets crashed while they ran only this
-	// request, or that one did so after crashes of two targets; the request must
-	// not run.
+	// request, or that one did so after crashes of two targets, or that there were
+	// MaxDirectCrashes; the request must not run.
 	VerdictQuarantined
 )
 
@@ -41,7 +42,9 @@
 	Number      uint64
 	// Alone is set if nothing else was in flight.
 	Alone bool
-	At    time.Time
+	// Direct is set if a gate reported the crash.
+	Direct bool
+	At     time.Time
 }
 
 // Entry is the record of one fingerprint.
@@ -59,14 +62,15 @@
 const MaxCrashes = 8
 
 // Verdict returns the verdict that follows from the crashes. A request is
-// quarantined when two targets crashed while running it alone, or when one did
-// so after the request had become suspect.
+// quarantined when two targets crashed while running it alone, when one did so
+// after the request had become suspect, or when there were MaxDirectCrashes.
 func (e *Entry) Verdict() Verdict {
-	targets := e.countTargets(func(Crash) bool { return true })
+	targets := e.countTargets(isReportedBySidecar)
+	direct := len(e.directCrashTimes())
 	switch {
-	case e.countTargets(isAlone) >= 2, slices.ContainsFunc(e.Crashes, e.crashedAloneAsSuspect):
+	case e.countTargets(isAlone) >= 2, slices.ContainsFunc(e.Crashes, e.crashedAloneAsSuspect), direct >= MaxDirectCrashes:
 		return VerdictQuarantined
-	case targets >= 2:
+	case targets >= 2, direct >= 2:
 		return VerdictSuspect
 	case targets == 1:
 		return VerdictWatched
@@ -97,6 +101,8 @@
 
 func isAlone(c Crash) bool { return c.Alone }
 
+func isReportedBySidecar(c Crash) bool { return !c.Direct }
+
 // LastCrash returns the time of the newest crash, zero if there is none.
 func (e *Entry) LastCrash() time.Time {
 	var last time.Time
--- a/internal/request/tries/sidecar_test.go
+++ b/internal/request/tries/sidecar_test.go
@@ -193,7 +193,7 @@
 	delete(s.running, run.attempt)
 	s.table.Finish(s.sim.now, run.attempt, end)
 	if alone && end.Outcome == wire.Outcome_OUTCOME_RAN && s.verdicts.Verdict(run.op.fingerprint) == poison.VerdictSuspect {
-		s.sim.propagateVerdicts(s.sim.tracker.RecordRanAlone(s.sim.now, run.op.fingerprint))
+		s.sim.propagateVerdicts(s.sim.tracker.RecordCompletion(s.sim.now, run.op.fingerprint))
 	}
 	s.sendToReaders()
 }
--- a/internal/version/store/codec.go
+++ b/internal/version/store/codec.go
@@ -11,7 +11,14 @@
 // Format is the newest command format that this program applies and writes.
 // The rules of a format never change; new rules need a new format, which may
 // be proposed only once every replica supports it.
-const Format = 2
+const (
+	Format = formatGateReport
+
+	// formatBase is the format of all commands but GateReport. Older programs apply it
+	// too.
+	formatBase       = 2
+	formatGateReport = 3
+)
 
 // maxCommandBytes limits the size of one encoded command.
 const maxCommandBytes = 16 << 20
@@ -61,9 +68,13 @@
 	return nil
 }
 
-// EncodeCommand sets the command's format to Format and encodes it.
+// EncodeCommand sets the command's format to the oldest one that has the command, and
+// encodes it.
 func EncodeCommand(command *cmdpb.Command) ([]byte, error) {
-	command.Format = Format
+	command.Format = formatBase
+	if command.GetGateReport() != nil {
+		command.Format = formatGateReport
+	}
 	data, err := proto.Marshal(command)
 	if err != nil {
 		return nil, fmt.Errorf("encode command: %w", err)
--- a/internal/version/store/crash.go
+++ b/internal/version/store/crash.go
@@ -39,10 +39,36 @@
 	return s.verdictResult(c, changes, audit.Event{Kind: audit.KindCrash, Subject: body.GetTarget(), Detail: detail})
 }
 
+// handleGateReport records crashes that a gate saw, and clears the requests that it
+// saw complete.
+func (s *Store) handleGateReport(c *cmdpb.Command, body *cmdpb.GateReport) *cmdpb.Result {
+	for _, crash := range body.GetCrashes() {
+		if crash.GetTarget() == "" || crash.GetAge() < 0 {
+			return invalidResult("target must be set and age must not be negative")
+		}
+	}
+	result := &cmdpb.Result{Status: cmdpb.Status_STATUS_OK}
+	for _, crash := range body.GetCrashes() {
+		report := poison.DirectCrash{Target: ident.TargetName(crash.GetTarget()), At: s.now.Add(-time.Duration(crash.GetAge()))}
+		for _, fingerprint := range crash.GetFingerprints() {
+			report.InFlight = append(report.InFlight, ident.Fingerprint(fingerprint))
+		}
+		s.recordVerdicts(result, c, s.crashes.RecordDirectCrash(s.now, report), audit.Event{
+			Kind: audit.KindCrash, Subject: crash.GetTarget(), Detail: fmt.Sprintf("seen by a gate, %d in flight", len(report.InFlight)),
+		})
+	}
+	for _, fingerprint := range body.GetCompleted() {
+		s.recordVerdicts(result, c, s.crashes.RecordCompletion(s.now, ident.Fingerprint(fingerprint)), audit.Event{
+			Kind: audit.KindQuarantine, Subject: fingerprintSubject(fingerprint), Detail: "completed",
+		})
+	}
+	return result
+}
+
 // handleRanAlone clears a request of the crashes recorded against it, because
 // it completed while it ran alone on its target.
 func (s *Store) handleRanAlone(c *cmdpb.Command, body *cmdpb.RanAlone) *cmdpb.Result {
-	changes := s.crashes.RecordRanAlone(s.now, ident.Fingerprint(body.GetFingerprint()))
+	changes := s.crashes.RecordCompletion(s.now, ident.Fingerprint(body.GetFingerprint()))
 	return s.verdictResult(c, changes, audit.Event{
 		Kind: audit.KindQuarantine, Subject: fingerprintSubject(body.GetFingerprint()), Detail: "ran alone to its end",
 	})
@@ -75,6 +101,12 @@
 // chain. The audit index of the result is that of the last of these entries.
 func (s *Store) verdictResult(c *cmdpb.Command, changes []poison.VerdictChange, event audit.Event) *cmdpb.Result {
 	result := &cmdpb.Result{Status: cmdpb.Status_STATUS_OK}
+	s.recordVerdicts(result, c, changes, event)
+	return result
+}
+
+// recordVerdicts is verdictResult for a command that records several events.
+func (s *Store) recordVerdicts(result *cmdpb.Result, c *cmdpb.Command, changes []poison.VerdictChange, event audit.Event) {
 	s.appendAudit(result, c, event)
 	for _, change := range changes {
 		verdict := &cmdpb.Verdict{Fingerprint: uint64(change.Fingerprint), Verdict: uint32(change.Verdict)}
@@ -88,7 +120,6 @@
 	if len(changes) > 0 {
 		s.updateVerdicts()
 	}
-	return result
 }
 
 // updateVerdicts rebuilds the list of verdicts in force and notifies the
@@ -97,9 +128,11 @@
 	active := s.crashes.ActiveVerdicts(s.now)
 	list := make([]*wire.CrashVerdict, 0, len(active))
 	for _, change := range active {
-		list = append(list, &wire.CrashVerdict{
-			Fingerprint: uint64(change.Fingerprint), Verdict: uint32(change.Verdict),
-		})
+		verdict := &wire.CrashVerdict{Fingerprint: uint64(change.Fingerprint), Verdict: uint32(change.Verdict)}
+		if change.Verdict == poison.VerdictQuarantined {
+			verdict.Expires = unixNanos(change.Expires)
+		}
+		list = append(list, verdict)
 	}
 	s.verdicts = activeVerdicts{list: list, index: s.applied}
 	s.notifyChanged()
@@ -135,7 +168,7 @@
 		for _, site := range entry.Crashes {
 			encoded.Sites = append(encoded.Sites, &cmdpb.CrashSite{
 				Target: string(site.Target), Incarnation: uint64(site.Incarnation),
-				Number: site.Number, Alone: site.Alone, At: unixNanos(site.At),
+				Number: site.Number, Alone: site.Alone, At: unixNanos(site.At), Direct: site.Direct,
 			})
 		}
 		out = append(out, encoded)
@@ -151,7 +184,7 @@
 		for _, site := range encoded.GetSites() {
 			entry.Crashes = append(entry.Crashes, poison.Crash{
 				Target: ident.TargetName(site.GetTarget()), Incarnation: ident.Incarnation(site.GetIncarnation()),
-				Number: site.GetNumber(), Alone: site.GetAlone(), At: timeFromUnixNanos(site.GetAt()),
+				Number: site.GetNumber(), Alone: site.GetAlone(), At: timeFromUnixNanos(site.GetAt()), Direct: site.GetDirect(),
 			})
 		}
 		out = append(out, entry)
--- a/internal/version/store/random_test.go
+++ b/internal/version/store/random_test.go
@@ -25,7 +25,7 @@
 	name := fmt.Sprint("s", rng.IntN(4))
 	version := uint64(rng.IntN(6))
 	key, attempt := fmt.Sprint("k", rng.IntN(20)), fmt.Sprint("a", rng.IntN(60))
-	switch rng.IntN(12) {
+	switch rng.IntN(13) {
 	case 0, 1, 2:
 		return applyCommand(change, serviceJSON(name, version, fmt.Sprint("p", rng.IntN(3))))
 	case 3:
@@ -45,6 +45,10 @@
 			Target: fmt.Sprint("t", rng.IntN(3)), Incarnation: version, Number: version,
 			Fingerprints: []uint64{rng.Uint64N(5)},
 		}}}
+	case 11:
+		report := gateReport([]string{fmt.Sprint("t", rng.IntN(3))}, time.Duration(rng.IntN(3))*time.Second, 100+rng.Uint64N(5))
+		report.GetGateReport().Completed = []uint64{100 + rng.Uint64N(5)}
+		return report
 	}
 	return &cmdpb.Command{Body: &cmdpb.Command_Register{Register: &cmdpb.RegisterProcess{
 		Process: name, Nonce: rng.Uint64N(4),
--- a/internal/version/store/snapshot.go
+++ b/internal/version/store/snapshot.go
@@ -20,7 +20,7 @@
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	snapshot := &cmdpb.Snapshot{
-		Format: Format, Applied: s.applied, Time: s.now.UnixNano(), Revision: s.revision(),
+		Format: snapshotFormat(s.crashes), Applied: s.applied, Time: s.now.UnixNano(), Revision: s.revision(),
 		Changes:   s.changeResults.order,
 		Processes: s.processes.sorted(), Incarnations: s.processes.lastIncarnation,
 		Fences: s.fences.sorted(), LastFence: uint64(s.fences.lastFence),
@@ -44,6 +44,16 @@
 	return data, nil
 }
 
+// snapshotFormat returns the oldest format that can hold the crashes.
+func snapshotFormat(crashes *poison.Tracker) uint32 {
+	for _, entry := range crashes.Entries() {
+		if slices.ContainsFunc(entry.Crashes, func(c poison.Crash) bool { return c.Direct }) {
+			return formatGateReport
+		}
+	}
+	return formatBase
+}
+
 // saveRecords adds the records, their history and the highest retired versions
 // to a snapshot.
 func (s *Store) saveRecords(snapshot *cmdpb.Snapshot) {
--- a/internal/version/store/store.go
+++ b/internal/version/store/store.go
@@ -153,6 +153,8 @@
 		return s.clearQuarantine(c, body.Clear)
 	case *cmdpb.Command_Alone:
 		return s.handleRanAlone(c, body.Alone)
+	case *cmdpb.Command_GateReport:
+		return s.handleGateReport(c, body.GateReport)
 	case *cmdpb.Command_Register:
 		return s.registerProcess(c, body.Register)
 	case *cmdpb.Command_Fence:
--- a/internal/version/store/store_test.go
+++ b/internal/version/store/store_test.go
@@ -6,7 +6,10 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/testing/protocmp"
 	"gotest.tools/v3/assert"
 
 	"cactusline.dev/cactusline/internal/process/audit"
@@ -252,6 +255,51 @@
 	assert.Equal(t, report.Entries, 3002)
 }
 
+func gateReport(targets []string, age time.Duration, fingerprint uint64) *cmdpb.Command {
+	report := new(cmdpb.GateReport)
+	for _, target := range targets {
+		report.Crashes = append(report.Crashes, &cmdpb.TargetCrash{Target: target, Age: int64(age), Fingerprints: []uint64{fingerprint}})
+	}
+	return &cmdpb.Command{Body: &cmdpb.Command_GateReport{GateReport: report}}
+}
+
+// Verdicts from the reports of several gates survive a snapshot, and programs that
+// don't know these reports refuse the snapshot.
+func TestGateReportsQuarantineRequest(t *testing.T) {
+	r := newReplica(t, store.Config{})
+	olderFormat := r.snapshot()
+	assert.Equal(t, snapshotFormat(t, olderFormat), uint32(2))
+	r.apply(gateReport([]string{"t1", "t2"}, 0, 7))
+	r.apply(gateReport([]string{"t1"}, 20*time.Millisecond, 7))
+	verdicts, before := r.store.Verdicts()
+	assert.Equal(t, len(verdicts), 1)
+	assert.Equal(t, poison.Verdict(verdicts[0].GetVerdict()), poison.VerdictSuspect)
+	r.apply(gateReport([]string{"t3"}, time.Second, 7))
+	verdicts, after := r.store.Verdicts()
+	assert.Assert(t, after > before)
+	assert.Equal(t, poison.Verdict(verdicts[0].GetVerdict()), poison.VerdictQuarantined)
+	assert.Assert(t, verdicts[0].GetExpires() > r.now.UnixNano())
+
+	restored := newReplica(t, store.Config{})
+	snapshot := r.snapshot()
+	assert.Equal(t, snapshotFormat(t, snapshot), uint32(3))
+	assert.NilError(t, restored.store.Restore(snapshot))
+	got, _ := restored.store.Verdicts()
+	assert.DeepEqual(t, got, verdicts, protocmp.Transform())
+	assert.Equal(t, string(restored.snapshot()), string(snapshot))
+
+	for _, invalid := range []*cmdpb.Command{gateReport([]string{""}, 0, 7), gateReport([]string{"t4"}, -1, 7)} {
+		assert.Equal(t, r.apply(invalid).GetStatus(), cmdpb.Status_STATUS_INVALID)
+	}
+}
+
+func snapshotFormat(t *testing.T, data []byte) uint32 {
+	t.Helper()
+	snapshot := new(cmdpb.Snapshot)
+	assert.NilError(t, proto.Unmarshal(data, snapshot))
+	return snapshot.GetFormat()
+}
+
 // A malformed command must be answered as such. A command of a newer format
 // must stop the replica, which would otherwise diverge.
 func TestMalformedAndNewerCommands(t *testing.T) {
