Bound the header of a target's response at the gate

Cause: http.ReadResponse reads a header of any length; a server's limit on headers does not apply to it.

Change: a connection reads at most 64 KB up to the body of a response. A longer header ends the attempt as one whose response is lost.

Evidence: TestEndlessResponseEndsTheAttempt, 12 kinds of bytes without end. Bodies, events, chunk sizes and interim responses were bounded already.

--- a/internal/conn/pool/conn.go
+++ b/internal/conn/pool/conn.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -31,13 +32,18 @@
 	maxUnmatchedResponses = 3
 	// maxUnmatchedBodyBytes limits the body of a skipped response.
 	maxUnmatchedBodyBytes = 256 << 10
+	// maxHeadBytes limits the status line and header of one response. A target in
+	// trouble may send them without end.
+	maxHeadBytes = 64 << 10
 )
 
 // Conn is a connection to a target. It carries one exchange at a time.
 type Conn struct {
 	net.Conn
 	reader *bufio.Reader
-	pool   *Pool
+	// limit is below reader, and bounds what is read from the connection.
+	limit *io.LimitedReader
+	pool  *Pool
 	// Address is the address of the target.
 	Address string
 	// Reused is true if the connection has carried an exchange before.
@@ -160,10 +166,32 @@
 	return nil, &UnmatchedResponseError{Address: c.Address}
 }
 
+// HeadTooLongError reports that a target sent a status line and header of more than
+// maxHeadBytes.
+type HeadTooLongError struct {
+	Address string
+}
+
+// Error implements the error interface.
+func (e *HeadTooLongError) Error() string {
+	return fmt.Sprintf("target %s sent a response header of more than %d bytes", e.Address, maxHeadBytes)
+}
+
+// readHead reads a response up to its body.
+func (c *Conn) readHead(request *http.Request) (*http.Response, error) {
+	c.limit.N = maxHeadBytes
+	defer func() { c.limit.N = math.MaxInt64 }()
+	response, err := http.ReadResponse(c.reader, request)
+	if err != nil && c.limit.N <= 0 {
+		return nil, &HeadTooLongError{Address: c.Address}
+	}
+	return response, err
+}
+
 // readFinalResponse skips interim responses and returns the final one.
 func (c *Conn) readFinalResponse(request *http.Request) (*http.Response, error) {
 	for range maxInterimResponses {
-		response, err := http.ReadResponse(c.reader, request)
+		response, err := c.readHead(request)
 		if err != nil {
 			return nil, fmt.Errorf("read response: %w", err)
 		}
--- a/internal/conn/pool/pool.go
+++ b/internal/conn/pool/pool.go
@@ -5,6 +5,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"math"
 	"net"
 	"sync"
 	"time"
@@ -203,7 +205,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.connCounts[address]++
-	return &Conn{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), pool: p, Address: address}, nil
+	limit := &io.LimitedReader{R: conn, N: math.MaxInt64}
+	return &Conn{Conn: conn, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes), pool: p, Address: address}, nil
 }
 
 // Probe returns nil if address accepts a connection, which is then kept for a later
--- /dev/null
+++ b/internal/process/gate/endless_test.go
@@ -0,0 +1,76 @@
+package gate_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cactusline.dev/cactusline/internal/process/gate"
+)
+
+const (
+	// endlessTimeout is the timeout of the routes. An endless response ends the attempt
+	// when a limit is reached, in less than maxEndlessTime.
+	endlessTimeout = 20 * time.Second
+	maxEndlessTime = 10 * time.Second
+	// endlessBytes is more than any limit. It bounds what a gate without limits keeps.
+	endlessBytes = 48 << 20
+)
+
+// writeEndlessly writes text, and then waits until the gate closes the connection.
+func (r *receivedRequest) writeEndlessly(text string) {
+	chunk := strings.Repeat(text, 1+(32<<10)/len(text))
+	for written := 0; written < endlessBytes; written += len(chunk) {
+		if _, err := io.WriteString(r.conn, chunk); err != nil {
+			return
+		}
+	}
+	<-r.closed
+}
+
+// Guards against a gate that reads a response without end until the deadline.
+func TestEndlessResponseEndsTheAttempt(t *testing.T) {
+	unmatched := "HTTP/1.1 200 OK\r\nId: another\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, c := range map[string]struct {
+		path, head, endless string
+	}{
+		"bytes that are no response": {"/once/a", "", "\x00garbage"},
+		"status line":                {"/once/a", "HTTP/1.1 200 ", "x"},
+		"header line":                {"/once/a", "HTTP/1.1 200 OK\r\nName: ", "x"},
+		"header lines":               {"/once/a", "HTTP/1.1 200 OK\r\n", "Name: value\r\n"},
+		"header of a stream":         {"/stream/a", "HTTP/1.1 200 OK\r\n", "Name: value\r\n"},
+		"interim responses":          {"/once/a", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+		"body of another response":   {"/once/a", unmatched, "4\r\nbody\r\n"},
+		"body in chunks":             {"/once/a", "HTTP/1.1 200 OK\r\nId: r/once/a\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n"},
+		"body without length":        {"/once/a", "HTTP/1.1 200 OK\r\nId: r/once/a\r\n\r\n", "body"},
+		"body of a rejection":        {"/once/a", "HTTP/1.1 503 X\r\nId: r/once/a\r\nNot-Run: yes\r\n\r\n", "body"},
+		"event of a stream":          {"/stream/a", "HTTP/1.1 200 OK\r\nId: r/stream/a\r\n\r\n", "data: "},
+		"chunk size":                 {"/once/a", "HTTP/1.1 200 OK\r\nId: r/once/a\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			target := newFakeTarget(t, "t1", func(r *receivedRequest) {
+				_, _ = io.WriteString(r.conn, c.head)
+				r.writeEndlessly(c.endless)
+			})
+			h := newHarness(t, gate.Config{}, target)
+			document := testDocument()
+			for i := range document.Routes {
+				document.Routes[i].Timeout = endlessTimeout
+			}
+			h.putDocument(document)
+			start := time.Now()
+			status, _, err := h.sendAndRead(c.path, "question")
+			assert.NilError(t, err)
+			assert.Assert(t, time.Since(start) < maxEndlessTime, "%s", time.Since(start))
+			want := http.StatusBadGateway
+			if strings.Contains(c.head, "Not-Run") {
+				want = http.StatusServiceUnavailable
+			}
+			assert.Equal(t, status, want)
+		})
+	}
+}
