Bound the memory of the long responses that a gate buffers

A gate holds a response that is not a stream until it is complete. Each may take 8 MB, and nothing bounded all of them: 36 responses without end at one time take the 284 MB of an entry VM, and the gate is killed with all its requests.

Cause: the limit was for one response, the memory is the process's.

Change: what a response takes above 64 KB is charged to a budget of 64 MB of the gate; a response for which nothing is left is lost, as one that is too long. Rejections are drained without keeping them. Short responses are never charged.

--- a/internal/process/gate/attempt.go
+++ b/internal/process/gate/attempt.go
@@ -194,7 +194,7 @@
 // did not run the request.
 func (e *exchange) forwardResponse(ctx context.Context, response *http.Response) (carry.Result, place.HealthSignal) {
 	if e.call.gate.cfg.Dialect.ParseResponse(response.Header).NotRun {
-		if _, e.err = readResponseBody(response); e.err != nil {
+		if e.err = drainBody(response); e.err != nil {
 			return carry.Refused, place.Inconclusive
 		}
 		if response.StatusCode == http.StatusMisdirectedRequest {
--- a/internal/process/gate/endless_test.go
+++ b/internal/process/gate/endless_test.go
@@ -1,14 +1,20 @@
 package gate_test
 
 import (
+	"context"
+	"fmt"
 	"io"
 	"net/http"
+	"runtime"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"cactusline.dev/cactusline/internal/conn/pool"
 	"cactusline.dev/cactusline/internal/process/gate"
 )
 
@@ -74,3 +80,56 @@
 		})
 	}
 }
+
+// Guards against running out of memory by many long responses at once.
+func TestLongResponsesShareABoundedBuffer(t *testing.T) {
+	const (
+		requests      = 32
+		responseBytes = 6 << 20
+		bufferBytes   = 16 << 20
+	)
+	release := make(chan struct{})
+	var received atomic.Int64
+	target := newFakeTarget(t, "t1", func(r *receivedRequest) {
+		if r.body == "short" {
+			respondOK(r)
+			return
+		}
+		r.writeHead(http.StatusOK, responseBytes+1)
+		_, _ = io.WriteString(r.conn, strings.Repeat("x", responseBytes))
+		received.Add(1)
+		<-release
+	})
+	h := newHarness(t, gate.Config{MaxBufferedBytes: bufferBytes, Pool: pool.Config{DialTimeout: 10 * time.Second}}, target)
+	document := testDocument()
+	for i := range document.Routes {
+		document.Routes[i].Timeout = endlessTimeout
+	}
+	h.putDocument(document)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var before, during runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var sends sync.WaitGroup
+	for i := range requests {
+		sends.Go(func() {
+			if response, err := h.send(ctx, "/once/a", "long", "Id", fmt.Sprint("r", i)); err == nil {
+				_ = response.Body.Close()
+			}
+		})
+	}
+	waitFor(t, "long responses", func() bool { return received.Load() == requests })
+	status, _, err := h.sendAndRead("/once/a", "short")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK, "a short response")
+	runtime.GC()
+	runtime.ReadMemStats(&during)
+	// Growing a buffer copies it, and the target's own buffer is in this process too.
+	const bound = 3*bufferBytes + requests*responseBytes/10
+	used := int64(during.HeapInuse) - int64(before.HeapInuse)
+	assert.Check(t, used < bound, "%d MB used, bound %d MB", used>>20, bound>>20)
+	cancel()
+	close(release)
+	sends.Wait()
+}
--- a/internal/process/gate/gate.go
+++ b/internal/process/gate/gate.go
@@ -39,6 +39,7 @@
 	// the retries of other processes.
 	DefaultRetryRatio               = 0.1
 	DefaultUnearnedRetriesPerSecond = 3.0
+	DefaultMaxBufferedBytes         = 64 << 20
 	// defaultGateCount is the number of gates that UnearnedRetriesPerSecond is
 	// divided by while the actual number is not known.
 	defaultGateCount = 32
@@ -88,7 +89,10 @@
 	// UnearnedRetriesPerSecond is the number of retries per second that all gates
 	// together may make without having earned them.
 	UnearnedRetriesPerSecond float64
-	Pool                     pool.Config
+	// MaxBufferedBytes bounds the memory of all long responses that are buffered at one
+	// time.
+	MaxBufferedBytes ident.Bytes
+	Pool             pool.Config
 }
 
 // Gate forwards the requests of callers to targets.
@@ -97,6 +101,7 @@
 	balancer *place.Balancer
 	pool     *pool.Pool
 	budget   *budget.Budget
+	buffers  *bufferBudget
 	crashes  crashDetector
 	reporter *crashReporter
 	suspects *suspects
@@ -134,12 +139,16 @@
 	if cfg.UnearnedRetriesPerSecond == 0 {
 		cfg.UnearnedRetriesPerSecond = DefaultUnearnedRetriesPerSecond
 	}
+	if cfg.MaxBufferedBytes == 0 {
+		cfg.MaxBufferedBytes = DefaultMaxBufferedBytes
+	}
 	cfg.Pool.Clock = cfg.Clock
 	return &Gate{
 		cfg:      cfg,
 		balancer: place.NewBalancer(place.Config{Name: cfg.Name, Domain: cfg.Domain}),
 		pool:     pool.New(cfg.Pool),
 		server:   callerServer{clock: cfg.Clock},
+		buffers:  newBufferBudget(cfg.MaxBufferedBytes),
 		reporter: newCrashReporter(),
 		suspects: newSuspects(cfg.Name),
 		budget:   budget.New(budget.Config{RetryRatio: cfg.RetryRatio, PoolRate: cfg.UnearnedRetriesPerSecond / defaultGateCount}),
--- a/internal/process/gate/serve.go
+++ b/internal/process/gate/serve.go
@@ -45,6 +45,7 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), c.deadline, errDeadlineExceeded)
 	defer cancel()
+	defer c.releaseBuffers()
 	c.run(ctx)
 }
 
@@ -79,6 +80,8 @@
 	responseLost bool
 	// cachedFingerprint is 0 until fingerprint is called.
 	cachedFingerprint ident.Fingerprint
+	// chargedBytes is what the buffers of the request were charged.
+	chargedBytes int
 }
 
 // attemptLog is one attempt as it is logged, under the names of its fields.
