Bound an answer that a router holds until it is complete

Cause: the router's buffer for an answer that is not a stream had no limit.

Change: at 8 MB the answer is dropped and the request ends as 502, with the outcome that is known.

--- a/internal/process/router/answer.go
+++ b/internal/process/router/answer.go
@@ -1,7 +1,9 @@
 package router
 
 import (
+	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -71,22 +73,37 @@
 	status  int
 	headers []*wire.Header
 	body    []byte
+	// cancel ends the context of the request once the answer is too long.
+	cancel  context.CancelFunc
+	tooLong bool
 }
 
+// maxBufferedAnswerBytes limits an answer that is held until it is complete. A target
+// in trouble may send one without end.
+const maxBufferedAnswerBytes = 8 << 20
+
+var errAnswerTooLong = fmt.Errorf("answer exceeds %d bytes", maxBufferedAnswerBytes)
+
 // WriteHead implements relay.AnswerWriter.
 func (b *bufferedWriter) WriteHead(status int, headers []*wire.Header) {
 	b.status = status
 	b.headers = headers
 }
 
-// WriteData implements relay.AnswerWriter.
+// WriteData implements relay.AnswerWriter. It fails once the answer is too long.
 func (b *bufferedWriter) WriteData(data []byte) error {
+	if b.tooLong || len(b.body)+len(data) > maxBufferedAnswerBytes {
+		b.tooLong = true
+		b.body = nil
+		b.cancel()
+		return errAnswerTooLong
+	}
 	b.body = append(b.body, data...)
 	return nil
 }
 
 // Reset implements relay.BufferedWriter.
-func (b *bufferedWriter) Reset() { *b = bufferedWriter{} }
+func (b *bufferedWriter) Reset() { *b = bufferedWriter{cancel: b.cancel, tooLong: b.tooLong} }
 
 // finish writes the complete answer to the caller.
 func (b *bufferedWriter) finish(w http.ResponseWriter, result relay.Result) {
--- a/internal/process/router/chat.go
+++ b/internal/process/router/chat.go
@@ -150,10 +150,15 @@
 		r.executeStream(w, req, routed, request)
 		return
 	}
-	buffered := new(bufferedWriter)
-	result := r.runAndRecord(req.Context(), request, buffered)
+	ctx, cancel := context.WithCancel(req.Context())
+	defer cancel()
+	buffered := &bufferedWriter{cancel: cancel}
+	result := r.runAndRecord(ctx, request, buffered)
 	r.notifyHomeSidecar(routed, result)
-	if !result.HeadSent || result.Truncated {
+	if buffered.tooLong {
+		result.Status = http.StatusBadGateway
+	}
+	if !result.HeadSent || result.Truncated || buffered.tooLong {
 		httpd.WriteError(w, req, *resultError(result))
 		return
 	}
