Release the target of a request whose router reads no more

What callers saw: a target stayed busy with requests that had ended. Found by the test of answers without end: 8 s after the router had answered its caller, the service was still sending, and its slot was taken until the attempt's deadline.

Cause: the router cancels an attempt and reads no more. The sidecar's goroutine that handles the cancel ends the context, but the one that sends the answer waits in a write for the router's window, which nothing opens again, and only that one cancels the run. It takes an answer that is longer than the window and faster than its reader.

Change: the end of the router's side aborts the stream, which fails the pending write.

Evidence: TestTargetIsReleasedWhenTheRouterStopsReading failed before (still sending after 3 s), passes now. Ruled out: a cancel that is not sent (the change acts only once the sidecar has received it or the end of the stream), the replay table (a run without readers goes on).

--- a/cmd/cactusline/endless_test.go
+++ b/cmd/cactusline/endless_test.go
@@ -59,3 +59,15 @@
 	assert.NilError(t, r.err)
 	assert.Assert(t, r.status == http.StatusBadGateway && r.outcome != outcomeNotRun, "%v", r)
 }
+
+// TestTargetIsReleasedWhenTheRouterStopsReading guards against a sidecar that waits to
+// send the rest of an answer to a router that reads no more.
+func TestTargetIsReleasedWhenTheRouterStopsReading(t *testing.T) {
+	c, hungUp := startEndlessService(t)
+	c.callService(t, http.MethodGet, "/services/orders/endless", "", "")
+	select {
+	case <-hungUp:
+	case <-time.After(targetReleaseLimit):
+		t.Fatalf("the target still sends after %v", targetReleaseLimit)
+	}
+}
--- a/internal/process/side/submit.go
+++ b/internal/process/side/submit.go
@@ -221,6 +221,8 @@
 		w.canceled.Store(true)
 	}
 	w.cancel()
+	// Fails a reply that waits for the router, which reads no more.
+	w.stream.Abort()
 }
 
 // replyWriter sends the replies to one Submit call.
