Probe a silent target when its request ends by the caller or the deadline

A target whose VM goes down resets no connection. The caller of a poison request then leaves, or its deadline passes, before the gate gives the connection up, and no crash is recorded.

Cause: only lost and truncated responses led to a probe.

Change: so does the end of a request by its caller or deadline, if the target has sent nothing for 0.5 s.

Evidence: TestSilentTargetIsProbedWhenTheCallerLeaves failed before, passes now; a slow target that accepts connections is not reported in it.

--- a/internal/process/gate/crash.go
+++ b/internal/process/gate/crash.go
@@ -21,6 +21,9 @@
 	// crashCheckDelay is the time from the first lost response of a target to the
 	// probe of the target. One probe serves all responses that are lost meanwhile.
 	crashCheckDelay = 50 * time.Millisecond
+	// crashSilence is how long a target must have sent nothing to be probed after the
+	// caller or the deadline has ended a request.
+	crashSilence = 500 * time.Millisecond
 	// crashCheckTimeout bounds the probe.
 	crashCheckTimeout = time.Second
 )
--- a/internal/process/gate/crash_test.go
+++ b/internal/process/gate/crash_test.go
@@ -145,6 +145,31 @@
 	assert.Assert(t, age > 0 && age < 5*time.Second, "%s", age)
 }
 
+// Guards against a crash that goes unnoticed because the target resets no connection
+// and the caller leaves first.
+func TestSilentTargetIsProbedWhenTheCallerLeaves(t *testing.T) {
+	control := new(fakeControl)
+	silent := newFakeTarget(t, "t1", nil)
+	silent.handler = func(r *receivedRequest) {
+		if r.body == "poison" {
+			_ = silent.listener.Close()
+		}
+		<-r.closed
+	}
+	h := newHarness(t, gate.Config{Control: control}, silent)
+	h.putDocument(testDocument())
+	for _, body := range []string{"slow", "poison"} {
+		ctx, cancel := context.WithTimeout(context.Background(), 700*time.Millisecond)
+		_, err := h.send(ctx, "/once/a", body) //nolint:bodyclose // there is no response
+		assert.Assert(t, errors.Is(err, context.DeadlineExceeded))
+		cancel()
+	}
+	waitFor(t, "report", func() bool { crashes, _ := control.reported(); return len(crashes) > 0 })
+	crashes, _ := control.reported()
+	assert.Equal(t, len(crashes), 1)
+	assert.Equal(t, len(crashes[0].GetFingerprints()), 1)
+}
+
 func TestQuarantinedRequestIsRejectedWithRetryAfter(t *testing.T) {
 	control := new(fakeControl)
 	target := newCrashingTarget(t, "t1")
--- a/internal/process/gate/suspect.go
+++ b/internal/process/gate/suspect.go
@@ -83,6 +83,11 @@
 	switch result {
 	case carry.ResponseLost, carry.Truncated:
 		c.recordLost(now, target)
+	case carry.DeadlineExceeded, carry.CallerGone:
+		// A target whose VM is down resets no connection.
+		if c.gate.balancer.SilentFor(now, target, crashSilence) {
+			c.recordLost(now, target)
+		}
 	case carry.Completed, carry.TargetFailed:
 		if c.isSuspect() {
 			c.gate.suspects.recordCompletion(now, c.fingerprint())
