Report the failure of dev before the cancellation that follows it

Cause: a task that failed canceled the context before it sent its result. Run saw the error of the canceled start first, and found no result yet.

Change: the result is sent first; its channel has room for all tasks.

--- a/internal/process/cmds/dev.go
+++ b/internal/process/cmds/dev.go
@@ -117,11 +117,13 @@
 	f.tasks++
 	go func() {
 		err := task()
-		if err != nil {
-			err = fmt.Errorf("%s: %w", name, err)
-			f.cancel()
+		if err == nil {
+			f.results <- nil
+			return
 		}
-		f.results <- err
+		// Run must find this result before any error that follows from the cancellation.
+		f.results <- fmt.Errorf("%s: %w", name, err)
+		f.cancel()
 	}()
 }
 
