Log crashes that a gate drops before it could report them

Change: a log line says how many. Measured: the tests of the package pass; no test fills the list. Conclusion: only a gate that has been without control for long drops any.

--- a/internal/process/gate/gate.go
+++ b/internal/process/gate/gate.go
@@ -149,7 +149,7 @@
 		pool:     pool.New(cfg.Pool),
 		server:   callerServer{clock: cfg.Clock},
 		buffers:  newBufferBudget(cfg.MaxBufferedBytes),
-		reporter: newCrashReporter(),
+		reporter: newCrashReporter(cfg.Logger),
 		suspects: newSuspects(cfg.Name),
 		budget:   budget.New(budget.Config{RetryRatio: cfg.RetryRatio, PoolRate: cfg.UnearnedRetriesPerSecond / defaultGateCount}),
 	}
--- a/internal/process/gate/report.go
+++ b/internal/process/gate/report.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
 	"cactusline.dev/cactusline/internal/request/poison"
@@ -38,6 +39,8 @@
 // crashReporter keeps what this gate saw of crashes until control has it. Control
 // derives the verdicts on requests from the reports of all gates.
 type crashReporter struct {
+	logger log.Logger
+
 	mu        sync.Mutex
 	crashes   []poison.DirectCrash
 	completed map[ident.Fingerprint]struct{}
@@ -45,16 +48,20 @@
 	added chan struct{}
 }
 
-func newCrashReporter() *crashReporter {
-	return &crashReporter{completed: make(map[ident.Fingerprint]struct{}), added: make(chan struct{}, 1)}
+func newCrashReporter(logger log.Logger) *crashReporter {
+	return &crashReporter{logger: logger, completed: make(map[ident.Fingerprint]struct{}), added: make(chan struct{}, 1)}
 }
 
 // addCrashes adds crashes. Above maxPendingCrashes the oldest are dropped.
 func (r *crashReporter) addCrashes(crashes ...poison.DirectCrash) {
 	r.mu.Lock()
 	r.crashes = append(r.crashes, crashes...)
-	r.crashes = r.crashes[max(0, len(r.crashes)-maxPendingCrashes):]
+	dropped := max(0, len(r.crashes)-maxPendingCrashes)
+	r.crashes = r.crashes[dropped:]
 	r.mu.Unlock()
+	if dropped > 0 {
+		_ = level.Warn(r.logger).Log("msg", "too many crashes wait to be reported", "dropped", dropped)
+	}
 	r.signal()
 }
 
