Make the test of suspects fail when a gate retries them

Cause: TestSuspectRunsOnceAndIsClearedByCompletion passed with the mechanism switched off: its only target left none to retry at, and the retry budget of the test allowed no retry. Change: two targets that lose responses, and a budget; the check is as strict. Measured: with the bound of one run switched off it now fails (2 runs, not 1), with it on it passes.

--- a/internal/process/gate/crash_test.go
+++ b/internal/process/gate/crash_test.go
@@ -220,7 +220,8 @@
 func TestSuspectRunsOnceAndIsClearedByCompletion(t *testing.T) {
 	control := new(fakeControl)
 	losing := newFakeTarget(t, "t1", func(r *receivedRequest) { r.reset() })
-	h := newHarness(t, gate.Config{Control: control}, newCrashingTarget(t, "t0"))
+	losingToo := newFakeTarget(t, "t3", func(r *receivedRequest) { r.reset() })
+	h := newHarness(t, gate.Config{Control: control, UnearnedRetriesPerSecond: 1000}, newCrashingTarget(t, "t0"))
 	h.putDocument(testDocument())
 	_, _, err := h.sendAndRead("/safe/a", "poison")
 	assert.NilError(t, err)
@@ -230,11 +231,11 @@
 	h.setVerdict(fingerprint, poison.VerdictSuspect, time.Time{})
 
 	healthy := newFakeTarget(t, "t2", respondOK)
-	h.setTargets(losing)
+	h.setTargets(losing, losingToo)
 	status, _, err := h.sendAndRead("/safe/a", "poison")
 	assert.NilError(t, err)
 	assert.Equal(t, status, http.StatusBadGateway, "a suspect is not retried")
-	assert.Equal(t, losing.count(), 1)
+	assert.Equal(t, losing.count()+losingToo.count(), 1)
 	h.setTargets(healthy)
 	status, _, err = h.sendAndRead("/safe/a", "poison")
 	assert.NilError(t, err)
