Run a released request once at a time at each gate

TestRandomisedPoisonRequestStopsAtGates/7 had 4 runs of the poison request later than the bound after its third crash, 3 are allowed.

Cause: a gate whose release delay is over runs the request again and again until control's new verdict arrives. Reports take up to 2 s in the model, and the gate forgets its own crash meanwhile, since one local crash is no verdict.

Change: a request whose quarantine has ended is on trial. A gate runs it once in 10 s, the time for which it reports a crash, until it completes; meanwhile it is rejected with the time of the next trial. The model has 4 to 12 targets, 10 to 100 poison requests a second, and gates named by seed.

TestGateRunsReleasedRequestOnce failed before (502 for 503) and passes now.

Conclusion: the rule's bound is kept by what a gate knows itself, whatever the delay of its report. A randomised test is only a test if its seed repeats it.

--- a/internal/process/gate/crash_test.go
+++ b/internal/process/gate/crash_test.go
@@ -199,6 +199,36 @@
 	}
 }
 
+// Guards against a poison request that crashes one target after the other when its
+// quarantine has ended, until control's next verdict.
+func TestGateRunsReleasedRequestOnce(t *testing.T) {
+	control := new(fakeControl)
+	h := newHarness(t, gate.Config{Control: control}, newCrashingTarget(t, "t1"))
+	h.putDocument(testDocument())
+	_, _, err := h.sendAndRead("/once/a", "poison")
+	assert.NilError(t, err)
+	waitFor(t, "report", func() bool { crashes, _ := control.reported(); return len(crashes) > 0 })
+	crashes, _ := control.reported()
+	targets := []*fakeTarget{newCrashingTarget(t, "t2"), newCrashingTarget(t, "t3"), newCrashingTarget(t, "t4")}
+	h.setTargets(targets...)
+	h.setVerdict(crashes[0].GetFingerprints()[0], poison.VerdictQuarantined, time.Now().Add(-time.Minute))
+
+	status, _, err := h.sendAndRead("/once/a", "poison")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusBadGateway)
+	for range 3 {
+		response, err := h.send(context.Background(), "/once/a", "poison")
+		assert.NilError(t, err)
+		_ = response.Body.Close()
+		assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+		wait, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+		assert.NilError(t, err)
+		assert.Assert(t, wait > 0 && wait <= poison.TrialInterval.Seconds(), "Retry-After: %v s", wait)
+	}
+	assert.Equal(t, targets[0].count()+targets[1].count()+targets[2].count(), 1)
+	waitFor(t, "second report", func() bool { crashes, _ := control.reported(); return len(crashes) > 1 })
+}
+
 // Guards against a poison request that a gate without contact to control sends on.
 func TestGateQuarantinesByItsOwnCrashes(t *testing.T) {
 	targets := []*fakeTarget{newCrashingTarget(t, "t1"), newCrashingTarget(t, "t2"), newCrashingTarget(t, "t3"), newCrashingTarget(t, "t4")}
--- a/internal/process/gate/serve.go
+++ b/internal/process/gate/serve.go
@@ -78,6 +78,8 @@
 	attempts     []attemptLog
 	// responseLost is set once an attempt ended without a complete response.
 	responseLost bool
+	// onTrial is set once a trial of the request has begun, after its quarantine.
+	onTrial bool
 	// cachedFingerprint is 0 until fingerprint is called.
 	cachedFingerprint ident.Fingerprint
 	// chargedBytes is what the buffers of the request were charged.
@@ -191,8 +193,8 @@
 		c.retryState.MaxRuns = 1
 	}
 	for {
-		if end, quarantined := c.quarantineEnd(c.gate.cfg.Clock.Now()); quarantined {
-			c.finishQuarantined(ctx, end)
+		if next, ok := c.mayRun(c.gate.cfg.Clock.Now()); !ok {
+			c.finishQuarantined(ctx, next)
 			return
 		}
 		choice, found := c.gate.balancer.Choose(c.gate.cfg.Clock.Now(), &c.placement)
--- a/internal/process/gate/suspect.go
+++ b/internal/process/gate/suspect.go
@@ -14,9 +14,10 @@
 // those of control, which has the reports of all gates, and those that follow from the
 // crashes that this gate saw. The latter hold while control cannot be reached.
 type suspects struct {
-	gate  string
-	fleet poison.VerdictSet
-	local poison.VerdictSet
+	gate   string
+	fleet  poison.VerdictSet
+	local  poison.VerdictSet
+	trials poison.Trials
 
 	mu      sync.Mutex
 	tracker *poison.Tracker
@@ -63,18 +64,32 @@
 	return end.Add(releaseDelay), quarantined || quarantinedHere
 }
 
+// wasQuarantined reports whether a request is or was quarantined and has not completed
+// since.
+func (s *suspects) wasQuarantined(fingerprint ident.Fingerprint) bool {
+	return s.fleet.Quarantined(fingerprint) || s.local.Quarantined(fingerprint)
+}
+
 // isSuspect reports whether the request is suspect or quarantined.
 func (c *call) isSuspect() bool {
 	return !c.gate.suspects.empty() && c.gate.suspects.contains(c.fingerprint())
 }
 
-// quarantineEnd returns when the quarantine of the request ends at this gate, and
-// false if it is not quarantined.
-func (c *call) quarantineEnd(now time.Time) (time.Time, bool) {
-	if c.gate.suspects.empty() {
-		return time.Time{}, false
+// mayRun reports whether the request may be sent to a target. If it may not, because it
+// is quarantined or another trial of it has just begun, it returns when it may.
+func (c *call) mayRun(now time.Time) (next time.Time, ok bool) {
+	suspects := c.gate.suspects
+	if suspects.empty() {
+		return time.Time{}, true
+	}
+	if end, quarantined := suspects.quarantineEnd(now, c.fingerprint()); quarantined {
+		return end, false
+	}
+	if c.onTrial || !suspects.wasQuarantined(c.fingerprint()) {
+		return time.Time{}, true
 	}
-	return c.gate.suspects.quarantineEnd(now, c.fingerprint())
+	next, c.onTrial = suspects.trials.Begin(now, c.fingerprint())
+	return next, c.onTrial
 }
 
 // recordOutcome records what the result of an attempt shows of the request: whether
--- a/internal/request/poison/direct_test.go
+++ b/internal/request/poison/direct_test.go
@@ -89,17 +89,26 @@
 // gateModel is a fleet of gates that send requests to targets without sidecars. Its
 // reports and verdicts take up to maxReportDelay, as during an election.
 type gateModel struct {
-	rng     *rand.Rand
-	now     time.Time
+	rng *rand.Rand
+	now time.Time
+	// gates are named by seed, so that each seed has other release delays.
+	gates   [7]modelGate
 	tracker *poison.Tracker
 	set     poison.VerdictSet
 	pending []delayedReport
 	// upAt is when each target is up again, running what it runs, by bystander.
-	upAt    [4]time.Time
+	upAt    []time.Time
 	running map[ident.Fingerprint]run
 	// poisonRuns are the times at which the poison request crashed a target.
 	poisonRuns []time.Time
 	completed  map[ident.Fingerprint]int
+	// poisonEvery is the mean number of steps from one poison request to the next.
+	poisonEvery int
+}
+
+type modelGate struct {
+	name   string
+	trials poison.Trials
 }
 
 type delayedReport struct {
@@ -114,6 +123,7 @@
 
 const (
 	modelPoison    ident.Fingerprint = 1000
+	bystanders                       = 20
 	modelStep                        = 10 * time.Millisecond
 	maxReportDelay                   = 2 * time.Second
 )
@@ -126,25 +136,29 @@
 	m.pending = append(m.pending, delayedReport{due: m.now.Add(delay), apply: apply})
 }
 
-// quarantined reports whether a gate drawn at random rejects a request.
-func (m *gateModel) quarantined(fingerprint ident.Fingerprint) bool {
-	gate := fmt.Sprint("gate-", m.rng.IntN(7))
-	_, quarantined := m.set.QuarantineEnd(m.now.Add(-poison.ReleaseDelay(gate, fingerprint)), fingerprint)
-	return quarantined
+// rejects reports whether a gate drawn at random rejects a request.
+func (m *gateModel) rejects(fingerprint ident.Fingerprint) bool {
+	gate := &m.gates[m.rng.IntN(len(m.gates))]
+	_, quarantined := m.set.QuarantineEnd(m.now.Add(-poison.ReleaseDelay(gate.name, fingerprint)), fingerprint)
+	if quarantined || !m.set.Quarantined(fingerprint) {
+		return quarantined
+	}
+	_, begun := gate.trials.Begin(m.now, fingerprint)
+	return !begun
 }
 
 // sendPoison sends the poison request to a target that is up, which crashes with all
 // that it runs. Each request in flight is reported by another gate.
 func (m *gateModel) sendPoison() {
 	target := m.rng.IntN(len(m.upAt))
-	if m.quarantined(modelPoison) || m.now.Before(m.upAt[target]) {
+	if m.now.Before(m.upAt[target]) || m.rejects(modelPoison) {
 		return
 	}
 	m.poisonRuns = append(m.poisonRuns, m.now)
 	m.upAt[target] = m.now.Add(1500 * time.Millisecond)
 	lost := []ident.Fingerprint{modelPoison}
-	for fingerprint, running := range m.running {
-		if running.target == target {
+	for fingerprint := range ident.Fingerprint(bystanders) {
+		if running, inFlight := m.running[fingerprint]; inFlight && running.target == target {
 			lost = append(lost, fingerprint)
 			delete(m.running, fingerprint)
 		}
@@ -170,7 +184,7 @@
 		return
 	}
 	target := m.rng.IntN(len(m.upAt))
-	if m.quarantined(fingerprint) || m.now.Before(m.upAt[target]) {
+	if m.now.Before(m.upAt[target]) || m.rejects(fingerprint) {
 		return
 	}
 	m.running[fingerprint] = run{target: target, until: m.now.Add(time.Duration(20+m.rng.IntN(500)) * time.Millisecond)}
@@ -188,22 +202,27 @@
 		m.set.Replace(m.tracker.ActiveVerdicts(m.now))
 	}
 	m.pending = kept
-	if m.rng.IntN(10) == 0 {
+	if m.rng.IntN(m.poisonEvery) == 0 {
 		m.sendPoison()
 	}
-	for fingerprint := range ident.Fingerprint(20) {
+	for fingerprint := range ident.Fingerprint(bystanders) {
 		m.sendBystander(fingerprint)
 	}
 }
 
-// Five minutes of a poison request that is sent ten times a second. It may reach a
+// Five minutes of a poison request that is sent 10 to 100 times a second. It may reach a
 // target three times more than maxReportDelay after its third crash, and every
 // bystander goes on to complete.
 func TestRandomisedPoisonRequestStopsAtGates(t *testing.T) {
-	seeds.Run(t, seeds.Range{First: 1, Last: 20}, func(t *testing.T, seed uint64) {
+	seeds.Run(t, seeds.Range{First: 1, Last: 24}, func(t *testing.T, seed uint64) {
 		m := &gateModel{
 			rng: rand.New(rand.NewPCG(seed, 0)), now: baseTime, tracker: poison.NewTracker(poison.Config{}),
-			running: make(map[ident.Fingerprint]run), completed: make(map[ident.Fingerprint]int),
+			poisonEvery: int(1 + seed%10),
+			upAt:        make([]time.Time, 4+seed%3*4),
+			running:     make(map[ident.Fingerprint]run), completed: make(map[ident.Fingerprint]int),
+		}
+		for i := range m.gates {
+			m.gates[i].name = fmt.Sprintf("gate-%d-%d", seed, i)
 		}
 		halfway := make(map[ident.Fingerprint]int)
 		const steps = int(5 * time.Minute / modelStep)
@@ -222,7 +241,7 @@
 			}
 		}
 		assert.Check(t, late <= 3, "%d late runs of %d", late, len(m.poisonRuns))
-		for fingerprint := range ident.Fingerprint(20) {
+		for fingerprint := range ident.Fingerprint(bystanders) {
 			assert.Check(t, m.completed[fingerprint] > halfway[fingerprint], "bystander %d completes no more", fingerprint)
 			assert.Check(t, m.tracker.Verdict(m.now, fingerprint) < poison.VerdictQuarantined)
 		}
