Keep the newest direct crashes of a request

Cause: an entry holds eight crashes, ordered by the names of targets, and drops the last one in that order. A request that has crashed eight targets before its first verdict arrives fills it; a crash after its quarantine, of a target whose name comes later, is dropped as soon as it is added. Then the verdict stays as it was, and each trial of the request crashes one more target.

Evidence: TestCrashAfterQuarantineCountsBesideMany, 16 crashes, then one after the end of the quarantine: suspect before, quarantined now.

Change: with direct crashes in an entry, the oldest of them is dropped. The end of a quarantine follows from the newest ones. Entries of crashes that sidecars reported are kept as before, so that replicas of two program versions agree on them.

Conclusion: a bounded record of evidence has to drop by age, not by name.

--- a/internal/request/poison/direct_test.go
+++ b/internal/request/poison/direct_test.go
@@ -247,3 +247,15 @@
 		}
 	})
 }
+
+// Guards against a crash after the quarantine that is not counted, because the
+// request has crashed more targets before than an entry holds.
+func TestCrashAfterQuarantineCountsBesideMany(t *testing.T) {
+	tracker := poison.NewTracker(poison.Config{})
+	for i := range 2 * poison.MaxCrashes {
+		tracker.RecordDirectCrash(at(0), directCrash(ident.TargetName(fmt.Sprintf("target-%02d", i)), 0, 7))
+	}
+	end := tracker.ActiveVerdicts(at(0))[0].Expires
+	tracker.RecordDirectCrash(end, poison.DirectCrash{Target: "target-99", At: end, InFlight: []ident.Fingerprint{7}})
+	assert.Equal(t, tracker.Verdict(end, 7), poison.VerdictQuarantined)
+}
--- a/internal/request/poison/verdict.go
+++ b/internal/request/poison/verdict.go
@@ -137,10 +137,22 @@
 	}
 	slices.SortFunc(e.Crashes, compareCrashes)
 	if len(e.Crashes) > MaxCrashes {
-		e.Crashes = e.Crashes[:MaxCrashes]
+		e.dropCrash()
 	}
 }
 
+// dropCrash drops the oldest direct crash, since the end of a quarantine follows from
+// the newest ones. Without direct crashes it drops the last one by identity.
+func (e *Entry) dropCrash() {
+	drop := len(e.Crashes) - 1
+	for i, crash := range e.Crashes {
+		if crash.Direct && (!e.Crashes[drop].Direct || crash.At.Before(e.Crashes[drop].At)) {
+			drop = i
+		}
+	}
+	e.Crashes = slices.Delete(e.Crashes, drop, drop+1)
+}
+
 // compareCrashes orders crashes by identity, those with Alone set first.
 func compareCrashes(a, b Crash) int {
 	if a.Alone != b.Alone {
