Let control grant one trial of a released request at a time

What callers saw: nothing yet. In the model of the gates a harmless request that was quarantined beside the poison request was rejected for an hour.

Cause: after a quarantine each gate decided alone when to run a request. Two gates could run two released requests on one target, the poison request crashed it, and the crash counted against both.

Change: a gate asks control before it runs a request whose quarantine has ended, at most once a second. Control grants one trial at a time, for all gates and requests, as part of GateReport; the next may begin after a completion, a crash or 10 s.

Conclusion: what must hold across gates is decided in the replicated log. The first run of a released request costs a commit.

--- a/internal/process/gate/crash_test.go
+++ b/internal/process/gate/crash_test.go
@@ -79,11 +79,13 @@
 	assert.Assert(t, strings.Contains(lines.lines("TargetCrashed")[0], fingerprint))
 }
 
-// fakeControl keeps the reports of crashes.
+// fakeControl keeps the reports of crashes, and grants trials if it is told to.
 type fakeControl struct {
 	mu      sync.Mutex
 	failing bool
-	reports []*cmdpb.GateReport
+	// granting makes it grant the next trial.
+	granting bool
+	reports  []*cmdpb.GateReport
 }
 
 // Propose implements gate.Control.
@@ -93,8 +95,32 @@
 	if c.failing {
 		return nil, errors.New("no leader")
 	}
-	c.reports = append(c.reports, command.GetGateReport())
-	return new(cmdpb.Result), nil
+	report := command.GetGateReport()
+	c.reports = append(c.reports, report)
+	result := new(cmdpb.Result)
+	if c.granting && len(report.GetTrials()) > 0 {
+		c.granting = false
+		result.GrantedTrials = report.GetTrials()
+	}
+	return result, nil
+}
+
+// grantTrial makes the control grant one trial.
+func (c *fakeControl) grantTrial() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.granting = true
+}
+
+// askedTrials returns the number of trials that gates asked for.
+func (c *fakeControl) askedTrials() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	asked := 0
+	for _, report := range c.reports {
+		asked += len(report.GetTrials())
+	}
+	return asked
 }
 
 func (c *fakeControl) setFailing(failing bool) {
@@ -201,7 +227,7 @@
 
 // Guards against a poison request that crashes one target after the other when its
 // quarantine has ended, until control's next verdict.
-func TestGateRunsReleasedRequestOnce(t *testing.T) {
+func TestGateRunsReleasedRequestOnlyOnTrial(t *testing.T) {
 	control := new(fakeControl)
 	h := newHarness(t, gate.Config{Control: control}, newCrashingTarget(t, "t1"))
 	h.putDocument(testDocument())
@@ -211,22 +237,56 @@
 	crashes, _ := control.reported()
 	targets := []*fakeTarget{newCrashingTarget(t, "t2"), newCrashingTarget(t, "t3"), newCrashingTarget(t, "t4")}
 	h.setTargets(targets...)
-	h.setVerdict(crashes[0].GetFingerprints()[0], poison.VerdictQuarantined, time.Now().Add(-time.Minute))
+	h.setVerdict(crashes[0].GetFingerprints()[0], poison.VerdictQuarantined, time.Now().Add(-time.Second))
+	runs := func() int { return targets[0].count() + targets[1].count() + targets[2].count() }
+	expectRejections := func(count int) {
+		t.Helper()
+		for range count {
+			response, err := h.send(context.Background(), "/once/a", "poison")
+			assert.NilError(t, err)
+			_ = response.Body.Close()
+			assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+			wait, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+			assert.NilError(t, err)
+			assert.Assert(t, wait > 0 && wait <= 1, "Retry-After: %v s", wait)
+		}
+	}
 
+	expectRejections(3)
+	assert.Equal(t, control.askedTrials(), 1)
+	assert.Equal(t, runs(), 0)
+	time.Sleep(1100 * time.Millisecond)
+	control.setFailing(true)
+	expectRejections(1)
+	control.setFailing(false)
+	time.Sleep(1100 * time.Millisecond)
+	control.grantTrial()
 	status, _, err := h.sendAndRead("/once/a", "poison")
 	assert.NilError(t, err)
 	assert.Equal(t, status, http.StatusBadGateway)
+	expectRejections(3)
+	assert.Equal(t, runs(), 1)
+	waitFor(t, "second report", func() bool { crashes, _ := control.reported(); return len(crashes) > 1 })
+}
+
+func TestCompletedTrialClearsRequest(t *testing.T) {
+	control := new(fakeControl)
+	h := newHarness(t, gate.Config{Control: control}, newCrashingTarget(t, "t0"))
+	h.putDocument(testDocument())
+	_, _, err := h.sendAndRead("/once/a", "poison")
+	assert.NilError(t, err)
+	waitFor(t, "report", func() bool { crashes, _ := control.reported(); return len(crashes) > 0 })
+	crashes, _ := control.reported()
+	h.setTargets(newFakeTarget(t, "t1", respondOK))
+	h.setVerdict(crashes[0].GetFingerprints()[0], poison.VerdictQuarantined, time.Now().Add(-time.Second))
+	control.grantTrial()
 	for range 3 {
-		response, err := h.send(context.Background(), "/once/a", "poison")
-		assert.NilError(t, err)
-		_ = response.Body.Close()
-		assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
-		wait, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+		status, _, err := h.sendAndRead("/once/a", "poison")
 		assert.NilError(t, err)
-		assert.Assert(t, wait > 0 && wait <= poison.TrialInterval.Seconds(), "Retry-After: %v s", wait)
+		assert.Equal(t, status, http.StatusOK)
 	}
-	assert.Equal(t, targets[0].count()+targets[1].count()+targets[2].count(), 1)
-	waitFor(t, "second report", func() bool { crashes, _ := control.reported(); return len(crashes) > 1 })
+	assert.Equal(t, control.askedTrials(), 1)
+	waitFor(t, "completion", func() bool { _, completed := control.reported(); return len(completed) == 1 })
 }
 
 // Guards against a poison request that a gate without contact to control sends on.
--- a/internal/process/gate/gate.go
+++ b/internal/process/gate/gate.go
@@ -150,7 +150,7 @@
 		server:   callerServer{clock: cfg.Clock},
 		buffers:  newBufferBudget(cfg.MaxBufferedBytes),
 		reporter: newCrashReporter(cfg.Logger),
-		suspects: newSuspects(cfg.Name),
+		suspects: newSuspects(),
 		budget:   budget.New(budget.Config{RetryRatio: cfg.RetryRatio, PoolRate: cfg.UnearnedRetriesPerSecond / defaultGateCount}),
 	}
 }
--- a/internal/process/gate/serve.go
+++ b/internal/process/gate/serve.go
@@ -193,7 +193,7 @@
 		c.retryState.MaxRuns = 1
 	}
 	for {
-		if next, ok := c.mayRun(c.gate.cfg.Clock.Now()); !ok {
+		if next, ok := c.mayRun(ctx, c.gate.cfg.Clock.Now()); !ok {
 			c.finishQuarantined(ctx, next)
 			return
 		}
--- a/internal/process/gate/suspect.go
+++ b/internal/process/gate/suspect.go
@@ -14,17 +14,16 @@
 // those of control, which has the reports of all gates, and those that follow from the
 // crashes that this gate saw. The latter hold while control cannot be reached.
 type suspects struct {
-	gate   string
 	fleet  poison.VerdictSet
 	local  poison.VerdictSet
-	trials poison.Trials
+	trials trialAsker
 
 	mu      sync.Mutex
 	tracker *poison.Tracker
 }
 
-func newSuspects(gate string) *suspects {
-	return &suspects{gate: gate, tracker: poison.NewTracker(poison.Config{MaxFingerprints: maxLocalFingerprints})}
+func newSuspects() *suspects {
+	return &suspects{tracker: poison.NewTracker(poison.Config{MaxFingerprints: maxLocalFingerprints})}
 }
 
 // recordCrash records a crash that this gate saw.
@@ -52,16 +51,15 @@
 	return max(s.fleet.Verdict(fingerprint), s.local.Verdict(fingerprint)) >= poison.VerdictSuspect
 }
 
-// quarantineEnd returns when this gate may send a request to a target again, and false
-// if it may do so now.
+// quarantineEnd returns when the quarantine of a request ends, and false if the request
+// is not quarantined at the given time.
 func (s *suspects) quarantineEnd(now time.Time, fingerprint ident.Fingerprint) (time.Time, bool) {
-	releaseDelay := poison.ReleaseDelay(s.gate, fingerprint)
-	end, quarantined := s.fleet.QuarantineEnd(now.Add(-releaseDelay), fingerprint)
-	localEnd, quarantinedHere := s.local.QuarantineEnd(now.Add(-releaseDelay), fingerprint)
+	end, quarantined := s.fleet.QuarantineEnd(now, fingerprint)
+	localEnd, quarantinedHere := s.local.QuarantineEnd(now, fingerprint)
 	if quarantinedHere && (!quarantined || localEnd.After(end)) {
 		end = localEnd
 	}
-	return end.Add(releaseDelay), quarantined || quarantinedHere
+	return end, quarantined || quarantinedHere
 }
 
 // wasQuarantined reports whether a request is or was quarantined and has not completed
@@ -75,23 +73,6 @@
 	return !c.gate.suspects.empty() && c.gate.suspects.contains(c.fingerprint())
 }
 
-// mayRun reports whether the request may be sent to a target. If it may not, because it
-// is quarantined or another trial of it has just begun, it returns when it may.
-func (c *call) mayRun(now time.Time) (next time.Time, ok bool) {
-	suspects := c.gate.suspects
-	if suspects.empty() {
-		return time.Time{}, true
-	}
-	if end, quarantined := suspects.quarantineEnd(now, c.fingerprint()); quarantined {
-		return end, false
-	}
-	if c.onTrial || !suspects.wasQuarantined(c.fingerprint()) {
-		return time.Time{}, true
-	}
-	next, c.onTrial = suspects.trials.Begin(now, c.fingerprint())
-	return next, c.onTrial
-}
-
 // recordOutcome records what the result of an attempt shows of the request: whether
 // its target may have crashed, or that the request completed and so is harmless.
 func (c *call) recordOutcome(now time.Time, target *place.Target, result carry.Result) {
--- a/internal/request/poison/direct.go
+++ b/internal/request/poison/direct.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"cactusline.dev/cactusline/internal/version/ident"
 )
 
@@ -91,43 +89,19 @@
 	if len(times) < MaxDirectCrashes {
 		return t.expiry(entry)
 	}
-	length := t.directQuarantine(entry.Fingerprint)
-	end := times[MaxDirectCrashes-1].Add(length)
+	end := times[MaxDirectCrashes-1].Add(t.cfg.DirectQuarantine)
 	for _, at := range times[MaxDirectCrashes:] {
 		if !at.Before(end) {
 			return t.expiry(entry)
 		}
-		end = at.Add(length)
+		end = at.Add(t.cfg.DirectQuarantine)
 	}
 	return end
 }
 
-// directQuarantine returns a length between DirectQuarantine and twice that. It differs
-// between requests, so that a poison request does not run again together with those
-// that were in flight beside it.
-func (t *Tracker) directQuarantine(fingerprint ident.Fingerprint) time.Duration {
-	return t.cfg.DirectQuarantine + spread(fingerprint, "", t.cfg.DirectQuarantine)
-}
-
-// releaseSpread is the time over which the gates let a request run again after its
-// quarantine has ended.
-const releaseSpread = 30 * time.Second
-
-// ReleaseDelay returns how much longer than others a gate rejects a request after its
-// quarantine has ended. Gates differ, so that a poison request runs again at one gate
-// alone, whose report then reaches the others.
-func ReleaseDelay(gate string, fingerprint ident.Fingerprint) time.Duration {
-	return spread(fingerprint, gate, releaseSpread)
-}
-
-// spread maps a request and a name to a time in [0, limit), uniformly by hash.
-func spread(fingerprint ident.Fingerprint, name string, limit time.Duration) time.Duration {
-	hash := xxhash.Sum64String(fingerprint.String() + name)
-	return time.Duration(hash % uint64(limit))
-}
-
-// change returns the verdict on an entry, with its expiry if there is one. A quarantine
-// that has ended stays in force at each gate until its ReleaseDelay is over.
+// change returns the verdict on an entry, with its expiry if there is one. A request
+// whose quarantine has ended stays in the list of verdicts, so that gates ask for a
+// trial before they run it.
 func (t *Tracker) change(entry *Entry) VerdictChange {
 	change := VerdictChange{Fingerprint: entry.Fingerprint, Verdict: entry.Verdict()}
 	switch change.Verdict {
--- a/internal/request/poison/direct_test.go
+++ b/internal/request/poison/direct_test.go
@@ -55,29 +55,29 @@
 	assert.Equal(t, tracker.Verdict(at(5), 7), poison.VerdictNone)
 }
 
+func quarantineDirectly(tracker *poison.Tracker, fingerprints ...ident.Fingerprint) (end time.Time) {
+	for i, target := range []ident.TargetName{"a", "b", "c"} {
+		tracker.RecordDirectCrash(at(i), directCrash(target, i, fingerprints...))
+	}
+	return tracker.ActiveVerdicts(at(3))[0].Expires
+}
+
 // A request that only ran beside a poison request may run again after the first
 // quarantine; the poison request then crashes one more target.
 func TestDirectQuarantineEndsOnce(t *testing.T) {
 	tracker := poison.NewTracker(poison.Config{})
-	for i, target := range []ident.TargetName{"a", "b", "c"} {
-		tracker.RecordDirectCrash(at(i), directCrash(target, i, 7, 8))
-	}
+	end := quarantineDirectly(tracker, 7, 8)
+	assert.Equal(t, end, at(2).Add(poison.DefaultDirectQuarantine))
 	var set poison.VerdictSet
 	set.Replace(tracker.ActiveVerdicts(at(3)))
-	var ends []time.Time
 	for _, fingerprint := range []ident.Fingerprint{7, 8} {
-		end, quarantined := set.QuarantineEnd(at(3), fingerprint)
-		length := end.Sub(at(2))
-		assert.Assert(t, quarantined && length >= poison.DefaultDirectQuarantine && length < 2*poison.DefaultDirectQuarantine, "%s", length)
+		got, quarantined := set.QuarantineEnd(end.Add(-1), fingerprint)
+		assert.Assert(t, quarantined && got.Equal(end))
 		_, quarantined = set.QuarantineEnd(end, fingerprint)
 		assert.Assert(t, !quarantined)
-		ends = append(ends, end)
 	}
-	assert.Assert(t, ends[0].Sub(ends[1]).Abs() > time.Second, "both may run again at the same time")
 	assert.Equal(t, len(tracker.RecordCompletion(at(4), 8)), 0, "a quarantined request was cleared")
-	assert.DeepEqual(t, tracker.RecordCompletion(ends[1], 8), []poison.VerdictChange{{Fingerprint: 8}})
-
-	end := ends[0]
+	assert.DeepEqual(t, tracker.RecordCompletion(end, 8), []poison.VerdictChange{{Fingerprint: 8}})
 
 	crashedAgain := poison.DirectCrash{Target: "d", At: end, InFlight: []ident.Fingerprint{7}}
 	changes := tracker.RecordDirectCrash(end, crashedAgain)
@@ -86,13 +86,36 @@
 	}})
 }
 
+func TestOneTrialAtATime(t *testing.T) {
+	tracker := poison.NewTracker(poison.Config{})
+	end := quarantineDirectly(tracker, 7, 8, 9)
+	assert.Assert(t, tracker.BeginTrial(at(4), 1000), "not quarantined")
+	assert.Assert(t, !tracker.BeginTrial(end.Add(-1), 7), "still quarantined")
+	assert.Assert(t, tracker.BeginTrial(end, 7))
+	restored := poison.NewTracker(poison.Config{})
+	restored.Merge(tracker.Entries())
+	for _, tracker := range []*poison.Tracker{tracker, restored} {
+		for _, fingerprint := range []ident.Fingerprint{7, 8} {
+			assert.Assert(t, !tracker.BeginTrial(end.Add(poison.TrialInterval-1), fingerprint), "beside another trial")
+		}
+	}
+
+	tracker.RecordDirectCrash(end.Add(time.Second), poison.DirectCrash{Target: "d", At: end.Add(time.Second), InFlight: []ident.Fingerprint{7}})
+	now := end.Add(2 * time.Second)
+	assert.Assert(t, !tracker.BeginTrial(now, 7), "quarantined again")
+	assert.Assert(t, tracker.BeginTrial(now, 8), "after a crash")
+	tracker.RecordCompletion(now.Add(time.Second), 8)
+	now = now.Add(2 * time.Second)
+	assert.Assert(t, tracker.BeginTrial(now, 9), "after a completion")
+	assert.Assert(t, !tracker.BeginTrial(now.Add(time.Second), 9))
+	assert.Assert(t, tracker.BeginTrial(now.Add(poison.TrialInterval), 9), "without a result")
+}
+
 // gateModel is a fleet of gates that send requests to targets without sidecars. Its
 // reports and verdicts take up to maxReportDelay, as during an election.
 type gateModel struct {
-	rng *rand.Rand
-	now time.Time
-	// gates are named by seed, so that each seed has other release delays.
-	gates   [7]modelGate
+	rng     *rand.Rand
+	now     time.Time
 	tracker *poison.Tracker
 	set     poison.VerdictSet
 	pending []delayedReport
@@ -106,11 +129,6 @@
 	poisonEvery int
 }
 
-type modelGate struct {
-	name   string
-	trials poison.Trials
-}
-
 type delayedReport struct {
 	due   time.Time
 	apply func()
@@ -136,22 +154,28 @@
 	m.pending = append(m.pending, delayedReport{due: m.now.Add(delay), apply: apply})
 }
 
-// rejects reports whether a gate drawn at random rejects a request.
-func (m *gateModel) rejects(fingerprint ident.Fingerprint) bool {
-	gate := &m.gates[m.rng.IntN(len(m.gates))]
-	_, quarantined := m.set.QuarantineEnd(m.now.Add(-poison.ReleaseDelay(gate.name, fingerprint)), fingerprint)
-	if quarantined || !m.set.Quarantined(fingerprint) {
-		return quarantined
+// send runs a request unless a gate rejects it. If the quarantine of the request has
+// ended, the gate asks for a trial first, and runs it when it has the answer.
+func (m *gateModel) send(fingerprint ident.Fingerprint, run func()) {
+	if _, quarantined := m.set.QuarantineEnd(m.now, fingerprint); quarantined {
+		return
 	}
-	_, begun := gate.trials.Begin(m.now, fingerprint)
-	return !begun
+	if !m.set.Quarantined(fingerprint) {
+		run()
+		return
+	}
+	m.report(func() {
+		if m.tracker.BeginTrial(m.now, fingerprint) {
+			m.report(run)
+		}
+	})
 }
 
-// sendPoison sends the poison request to a target that is up, which crashes with all
+// runPoison runs the poison request on a target that is up, which crashes with all
 // that it runs. Each request in flight is reported by another gate.
-func (m *gateModel) sendPoison() {
+func (m *gateModel) runPoison() {
 	target := m.rng.IntN(len(m.upAt))
-	if m.now.Before(m.upAt[target]) || m.rejects(modelPoison) {
+	if m.now.Before(m.upAt[target]) {
 		return
 	}
 	m.poisonRuns = append(m.poisonRuns, m.now)
@@ -169,44 +193,49 @@
 	}
 }
 
-// sendBystander sends a harmless request, or ends it.
-func (m *gateModel) sendBystander(fingerprint ident.Fingerprint) {
+// runBystander runs a harmless request on a target that is up.
+func (m *gateModel) runBystander(fingerprint ident.Fingerprint) {
+	target := m.rng.IntN(len(m.upAt))
+	if _, inFlight := m.running[fingerprint]; inFlight || m.now.Before(m.upAt[target]) {
+		return
+	}
+	m.running[fingerprint] = run{target: target, until: m.now.Add(time.Duration(20+m.rng.IntN(500)) * time.Millisecond)}
+}
+
+// stepBystander ends a harmless request that is due, or sends it again.
+func (m *gateModel) stepBystander(fingerprint ident.Fingerprint) {
 	running, inFlight := m.running[fingerprint]
-	if inFlight {
-		if m.now.Before(running.until) {
-			return
-		}
-		delete(m.running, fingerprint)
-		m.completed[fingerprint]++
-		if m.set.Verdict(fingerprint) != poison.VerdictNone {
-			m.report(func() { m.tracker.RecordCompletion(m.now, fingerprint) })
-		}
+	if !inFlight {
+		m.send(fingerprint, func() { m.runBystander(fingerprint) })
 		return
 	}
-	target := m.rng.IntN(len(m.upAt))
-	if m.now.Before(m.upAt[target]) || m.rejects(fingerprint) {
+	if m.now.Before(running.until) {
 		return
 	}
-	m.running[fingerprint] = run{target: target, until: m.now.Add(time.Duration(20+m.rng.IntN(500)) * time.Millisecond)}
+	delete(m.running, fingerprint)
+	m.completed[fingerprint]++
+	if m.set.Verdict(fingerprint) != poison.VerdictNone {
+		m.report(func() { m.tracker.RecordCompletion(m.now, fingerprint) })
+	}
 }
 
 func (m *gateModel) step() {
 	m.now = m.now.Add(modelStep)
-	kept := m.pending[:0]
-	for _, report := range m.pending {
+	pending := m.pending
+	m.pending = nil
+	for _, report := range pending {
 		if m.now.Before(report.due) {
-			kept = append(kept, report)
+			m.pending = append(m.pending, report)
 			continue
 		}
 		report.apply()
 		m.set.Replace(m.tracker.ActiveVerdicts(m.now))
 	}
-	m.pending = kept
 	if m.rng.IntN(m.poisonEvery) == 0 {
-		m.sendPoison()
+		m.send(modelPoison, m.runPoison)
 	}
 	for fingerprint := range ident.Fingerprint(bystanders) {
-		m.sendBystander(fingerprint)
+		m.stepBystander(fingerprint)
 	}
 }
 
@@ -221,9 +250,6 @@
 			upAt:        make([]time.Time, 4+seed%3*4),
 			running:     make(map[ident.Fingerprint]run), completed: make(map[ident.Fingerprint]int),
 		}
-		for i := range m.gates {
-			m.gates[i].name = fmt.Sprintf("gate-%d-%d", seed, i)
-		}
 		halfway := make(map[ident.Fingerprint]int)
 		const steps = int(5 * time.Minute / modelStep)
 		for step := range steps {
--- a/internal/request/poison/tracker.go
+++ b/internal/request/poison/tracker.go
@@ -26,9 +26,8 @@
 	// Quarantine is how long a quarantined request is blocked after its last
 	// crash.
 	Quarantine time.Duration
-	// DirectQuarantine is how long at least, and half of how long at most, a request
-	// is blocked after MaxDirectCrashes. If it then crashes one more target, it is
-	// blocked for Quarantine.
+	// DirectQuarantine is how long a request is blocked after MaxDirectCrashes. If it
+	// then crashes one more target, it is blocked for Quarantine.
 	DirectQuarantine time.Duration
 	// MaxFingerprints is the maximum number of entries. The least severe ones
 	// are dropped first, the oldest among equally severe ones.
--- a/internal/request/poison/trial.go
+++ b/internal/request/poison/trial.go
@@ -1,37 +1,39 @@
 package poison
 
 import (
-	"maps"
-	"sync"
 	"time"
 
 	"cactusline.dev/cactusline/internal/version/ident"
 )
 
-// TrialInterval is the time from the start of a trial at a gate to that of the next
-// trial of the same request there. A crash in a trial reaches control meanwhile.
+// TrialInterval is how long a trial that has no result keeps others from beginning. A
+// crash is reported within it, or its report is given up.
 const TrialInterval = 10 * time.Second
 
-// Trials limits the runs of requests whose quarantine has ended, so that a poison
-// request crashes no more targets until its new quarantine reaches the gate. The zero
-// value has no trials. It is safe for concurrent use.
-type Trials struct {
-	mu    sync.Mutex
-	begun map[ident.Fingerprint]time.Time
-}
-
-// Begin begins a trial of a request. If another one began less than TrialInterval
-// ago, it returns false and when the next trial may begin.
-func (t *Trials) Begin(now time.Time, fingerprint ident.Fingerprint) (next time.Time, ok bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if begun, found := t.begun[fingerprint]; found && now.Sub(begun) < TrialInterval {
-		return begun.Add(TrialInterval), false
+// BeginTrial reports whether a request may run whose quarantine has ended. All gates
+// together have one trial at a time, so that a poison request crashes one target and
+// no other request on trial. The next may begin when the last one has completed or
+// crashed its target, and after TrialInterval. A request that was not quarantined
+// needs no trial.
+func (t *Tracker) BeginTrial(now time.Time, fingerprint ident.Fingerprint) bool {
+	t.Expire(now)
+	entry, ok := t.entries[fingerprint]
+	if !ok || entry.Verdict() != VerdictQuarantined {
+		return true
+	}
+	if t.verdict(now, entry) == VerdictQuarantined {
+		return false
 	}
-	maps.DeleteFunc(t.begun, func(_ ident.Fingerprint, begun time.Time) bool { return now.Sub(begun) >= TrialInterval })
-	if t.begun == nil {
-		t.begun = make(map[ident.Fingerprint]time.Time)
+	for _, other := range t.entries {
+		if other.onTrial(now) {
+			return false
+		}
 	}
-	t.begun[fingerprint] = now
-	return time.Time{}, true
+	entry.TrialBegan = now
+	return true
+}
+
+// onTrial reports whether a trial of the request has begun and has no result yet.
+func (e *Entry) onTrial(now time.Time) bool {
+	return now.Sub(e.TrialBegan) < TrialInterval && e.LastCrash().Before(e.TrialBegan) && e.Cleared.Before(e.TrialBegan)
 }
--- a/internal/request/poison/verdict.go
+++ b/internal/request/poison/verdict.go
@@ -56,6 +56,8 @@
 	// Cleared is when the request last completed while running alone; zero if
 	// it never did.
 	Cleared time.Time
+	// TrialBegan is when the last trial of the request began; zero if there was none.
+	TrialBegan time.Time
 }
 
 // MaxCrashes is the maximum number of crashes kept per fingerprint.
@@ -120,6 +122,9 @@
 	if other.Cleared.After(e.Cleared) {
 		e.Cleared = other.Cleared
 	}
+	if other.TrialBegan.After(e.TrialBegan) {
+		e.TrialBegan = other.TrialBegan
+	}
 	for _, crash := range other.Crashes {
 		e.addCrash(crash)
 	}
--- a/internal/version/store/crash.go
+++ b/internal/version/store/crash.go
@@ -39,8 +39,8 @@
 	return s.verdictResult(c, changes, audit.Event{Kind: audit.KindCrash, Subject: body.GetTarget(), Detail: detail})
 }
 
-// handleGateReport records crashes that a gate saw, and clears the requests that it
-// saw complete.
+// handleGateReport records crashes that a gate saw, clears the requests that it saw
+// complete, and grants trials.
 func (s *Store) handleGateReport(c *cmdpb.Command, body *cmdpb.GateReport) *cmdpb.Result {
 	for _, crash := range body.GetCrashes() {
 		if crash.GetTarget() == "" || crash.GetAge() < 0 {
@@ -62,6 +62,15 @@
 			Kind: audit.KindQuarantine, Subject: fingerprintSubject(fingerprint), Detail: "completed",
 		})
 	}
+	for _, fingerprint := range body.GetTrials() {
+		if !s.crashes.BeginTrial(s.now, ident.Fingerprint(fingerprint)) {
+			continue
+		}
+		result.GrantedTrials = append(result.GrantedTrials, fingerprint)
+		s.appendAudit(result, c, audit.Event{
+			Kind: audit.KindQuarantine, Subject: fingerprintSubject(fingerprint), Detail: "trial granted",
+		})
+	}
 	return result
 }
 
@@ -164,7 +173,7 @@
 func crashesToProto(state []poison.Entry) []*cmdpb.CrashEntry {
 	out := make([]*cmdpb.CrashEntry, 0, len(state))
 	for _, entry := range state {
-		encoded := &cmdpb.CrashEntry{Fingerprint: uint64(entry.Fingerprint), Cleared: unixNanos(entry.Cleared)}
+		encoded := &cmdpb.CrashEntry{Fingerprint: uint64(entry.Fingerprint), Cleared: unixNanos(entry.Cleared), TrialBegan: unixNanos(entry.TrialBegan)}
 		for _, site := range entry.Crashes {
 			encoded.Sites = append(encoded.Sites, &cmdpb.CrashSite{
 				Target: string(site.Target), Incarnation: uint64(site.Incarnation),
@@ -180,7 +189,10 @@
 func crashesFromProto(in []*cmdpb.CrashEntry) []poison.Entry {
 	out := make([]poison.Entry, 0, len(in))
 	for _, encoded := range in {
-		entry := poison.Entry{Fingerprint: ident.Fingerprint(encoded.GetFingerprint()), Cleared: timeFromUnixNanos(encoded.GetCleared())}
+		entry := poison.Entry{
+			Fingerprint: ident.Fingerprint(encoded.GetFingerprint()),
+			Cleared:     timeFromUnixNanos(encoded.GetCleared()), TrialBegan: timeFromUnixNanos(encoded.GetTrialBegan()),
+		}
 		for _, site := range encoded.GetSites() {
 			entry.Crashes = append(entry.Crashes, poison.Crash{
 				Target: ident.TargetName(site.GetTarget()), Incarnation: ident.Incarnation(site.GetIncarnation()),
--- a/internal/version/store/random_test.go
+++ b/internal/version/store/random_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"cactusline.dev/cactusline/internal/process/seeds"
+	"cactusline.dev/cactusline/internal/request/poison"
 	"cactusline.dev/cactusline/internal/version/cmdpb"
 	"cactusline.dev/cactusline/internal/version/ident"
 	"cactusline.dev/cactusline/internal/version/record"
@@ -48,6 +49,7 @@
 	case 11:
 		report := gateReport([]string{fmt.Sprint("t", rng.IntN(3))}, time.Duration(rng.IntN(3))*time.Second, 100+rng.Uint64N(5))
 		report.GetGateReport().Completed = []uint64{100 + rng.Uint64N(5)}
+		report.GetGateReport().Trials = []uint64{100 + rng.Uint64N(5)}
 		return report
 	}
 	return &cmdpb.Command{Body: &cmdpb.Command_Register{Register: &cmdpb.RegisterProcess{
@@ -62,7 +64,7 @@
 // the full set, no revision or version may decrease, and each change ID must
 // get one answer.
 func TestRandomisedReplicasAgree(t *testing.T) {
-	cfg := store.Config{HistoryRevisions: 8}
+	cfg := store.Config{HistoryRevisions: 8, Poison: poison.Config{DirectQuarantine: 10 * time.Millisecond}}
 	seeds.Run(t, seeds.Range{First: 1, Last: 10}, func(t *testing.T, seed uint64) {
 		rng := rand.New(rand.NewPCG(seed, 2))
 		reference := newReplica(t, cfg)
--- a/internal/version/store/store_test.go
+++ b/internal/version/store/store_test.go
@@ -293,6 +293,25 @@
 	}
 }
 
+// A trial is granted once, also by a replica that starts from a snapshot.
+func TestGateReportsBeginTrials(t *testing.T) {
+	r := newReplica(t, store.Config{Poison: poison.Config{DirectQuarantine: time.Millisecond}})
+	r.apply(gateReport([]string{"t1", "t2", "t3"}, time.Second, 7))
+	r.apply(gateReport([]string{"t1", "t2", "t3"}, time.Second, 8))
+	trial := &cmdpb.Command{Body: &cmdpb.Command_GateReport{GateReport: &cmdpb.GateReport{Trials: []uint64{7, 8}}}}
+	result := r.apply(trial)
+	assert.Equal(t, result.GetStatus(), cmdpb.Status_STATUS_OK)
+	assert.DeepEqual(t, result.GetGrantedTrials(), []uint64{7})
+	assert.Assert(t, result.GetAudit() > 0)
+
+	restored := newReplica(t, store.Config{Poison: poison.Config{DirectQuarantine: time.Millisecond}})
+	restored.now = r.now
+	assert.NilError(t, restored.store.Restore(r.snapshot()))
+	for _, replica := range []*replica{r, restored} {
+		assert.Equal(t, len(replica.apply(trial).GetGrantedTrials()), 0)
+	}
+}
+
 func snapshotFormat(t *testing.T, data []byte) uint32 {
 	t.Helper()
 	snapshot := new(cmdpb.Snapshot)
