Eject no target that a short deadline left no time to connect to

Cause: an attempt whose deadline passed before there was a connection counted as unreachable, as did the dial's own timeout, which may fire a moment before. Each request with a few milliseconds left ejected a healthy target for 400 ms or more, and each retry another one.

Evidence: TestShortDeadlineEjectsNoTarget, a deadline of 20 ms at an address whose accept queue is full: TargetEjected before, no such line now.

Change: a timeout within 100 ms of the start of the attempt shows nothing of the target; connecting takes one round trip, up to 25 ms. A refused connection and a longer wait (300 ms in the test) eject it as before.

Conclusion: only what a target had time to do may count against it.

--- a/internal/process/gate/attempt.go
+++ b/internal/process/gate/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"time"
 
@@ -17,6 +18,10 @@
 	// multiple of the route's latency objective. After it the request may be retried
 	// at another target.
 	firstByteTimeoutFactor = 2
+	// unreachableAfter is how long a connection must have been attempted for the target
+	// to count as unreachable, if the deadline ends the attempt. Connecting takes one
+	// round trip, up to 25 ms.
+	unreachableAfter = 100 * time.Millisecond
 )
 
 // attemptTarget makes one attempt at a target.
@@ -33,7 +38,7 @@
 		defer timer.Stop()
 		c.stopTimer = func() { timer.Stop() }
 	}
-	e := &exchange{call: c, choice: choice}
+	e := &exchange{call: c, choice: choice, startedAt: start}
 	result, signal := e.run(ctx)
 	now := c.gate.cfg.Clock.Now()
 	ejected := c.gate.balancer.Finish(now, choice.Target, signal)
@@ -87,10 +92,12 @@
 type exchange struct {
 	call   *call
 	choice place.Choice
-	conn   *pool.Conn
-	status int
-	reused bool
-	err    error
+	// startedAt is when the attempt began.
+	startedAt time.Time
+	conn      *pool.Conn
+	status    int
+	reused    bool
+	err       error
 }
 
 // run sends the request to the target and forwards the response to the caller.
@@ -100,7 +107,7 @@
 		if ctx.Err() != nil {
 			return e.contextEnded(ctx)
 		}
-		return carry.NotSent, place.Unreachable
+		return carry.NotSent, e.connectSignal()
 	}
 	e.reused = e.conn.Reused
 	stopWatch := e.conn.CloseOnCancel(ctx)
@@ -183,13 +190,24 @@
 		// Without a connection the request was not sent, so the caller can be told
 		// that it was not run.
 		if e.conn == nil {
-			return carry.NotSent, place.Unreachable
+			return carry.NotSent, e.connectSignal()
 		}
 		return carry.DeadlineExceeded, place.Inconclusive
 	}
 	return carry.CallerGone, place.Inconclusive
 }
 
+// connectSignal returns what a failure to connect shows of the target. A timeout shows
+// nothing if the deadline left too little time.
+func (e *exchange) connectSignal() place.HealthSignal {
+	var netErr net.Error
+	timedOut := errors.Is(e.err, errDeadlineExceeded) || errors.As(e.err, &netErr) && netErr.Timeout()
+	if timedOut && e.call.gate.cfg.Clock.Now().Sub(e.startedAt) < unreachableAfter {
+		return place.Inconclusive
+	}
+	return place.Unreachable
+}
+
 // forwardResponse forwards a response to the caller, unless the target says that it
 // did not run the request.
 func (e *exchange) forwardResponse(ctx context.Context, response *http.Response) (carry.Result, place.HealthSignal) {
