Log the status that the caller got

What operators saw: RequestEnded with Status 200 for requests that were answered 404 or another status below 500; only the attempt had the right one.

Cause: a finished request was logged as 200 whatever its target had answered. Evidence: TestLogHasForwardedStatus: 200 for a forwarded 404 before, 404 now. Change: the line has the status of the last attempt, which was forwarded. Conclusion: a log search by status finds these requests.

--- a/internal/process/gate/attempt_test.go
+++ b/internal/process/gate/attempt_test.go
@@ -1,6 +1,7 @@
 package gate_test
 
 import (
+	"encoding/json"
 	"net"
 	"net/http"
 	"testing"
@@ -54,3 +55,19 @@
 		})
 	}
 }
+
+func TestLogHasForwardedStatus(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusNotFound} {
+		var lines logBuffer
+		target := newFakeTarget(t, "t1", func(r *receivedRequest) { r.respond(status, "answer") })
+		h := newHarness(t, gate.Config{Logger: log.NewJSONLogger(log.NewSyncWriter(&lines))}, target)
+		h.putDocument(testDocument())
+		got, _, err := h.sendAndRead("/safe/", "q")
+		assert.NilError(t, err)
+		assert.Equal(t, got, status)
+		waitFor(t, "line", func() bool { return len(lines.lines("RequestEnded")) == 1 })
+		var ended struct{ Status int }
+		assert.NilError(t, json.Unmarshal([]byte(lines.lines("RequestEnded")[0]), &ended))
+		assert.Equal(t, ended.Status, status)
+	}
+}
--- a/internal/process/gate/response.go
+++ b/internal/process/gate/response.go
@@ -110,8 +110,8 @@
 func (c *call) finish(ctx context.Context, action carry.Action) {
 	switch action {
 	case carry.Finish:
-		// The actual status, which may be another below 500, is logged with the attempt.
-		c.gate.logRequestEnded(c, http.StatusOK, action.String())
+		lastAttempt := c.attempts[len(c.attempts)-1]
+		c.gate.logRequestEnded(c, lastAttempt.Status, action.String())
 	case carry.ForwardFailure:
 		c.writeResponse(c.keptFailure)
 		c.gate.logRequestEnded(c, c.keptFailure.status, action.String())
