Let a sidecar listen only once it can answer

Cause: a sidecar listened before it registered with control. The system accepted the router's connections meanwhile, and the calls on them waited for the router's timeout; whether they had been read could not be told.

Listener moves from Config to Run.

Conclusion: a process that can't answer yet must not have a listening socket.

--- a/cmd/cactusline/config_test.go
+++ b/cmd/cactusline/config_test.go
@@ -23,6 +23,9 @@
 	// target stays unready. It must be longer than the router needs to reach a
 	// quorum (below 1 s) and shorter than its limited wait for a target.
 	noTargetTime = 2 * time.Second
+	// noTargetRefusalLimit is how soon a request that no target can run must be
+	// refused.
+	noTargetRefusalLimit = time.Second
 )
 
 // TestChangeReachesEveryRouter adds a model with its route while one control
@@ -175,4 +178,8 @@
 	_, address, _ := restartWithSidecarsCutOff(t)
 	checkStaysUnready(t, address)
 	await(t, recoveryLimit, "the router is ready", func() bool { return ready(address) })
+	began := time.Now()
+	r := newCaller(address).chat(t.Context(), newChat("no target", 5, false), nil)
+	assert.Check(t, r.status == http.StatusServiceUnavailable && r.outcome == outcomeNotRun, "%v", r)
+	assert.Check(t, time.Since(began) < noTargetRefusalLimit, "refused after %v", time.Since(began))
 }
--- a/cmd/cactusline/scale_test.go
+++ b/cmd/cactusline/scale_test.go
@@ -202,7 +202,7 @@
 	assert.NilError(s.t, err)
 	links := s.newLinkClient(string(name))
 	sidecar, err := side.New(side.Config{
-		TargetName: name, TargetURL: &url.URL{Scheme: "http", Host: "127.0.0.1:1"}, Listener: listener,
+		TargetName: name, TargetURL: &url.URL{Scheme: "http", Host: "127.0.0.1:1"},
 		Clock: clock.System{}, Logger: log.NewNopLogger(), Tracer: trace.NewNoop(),
 		Control:          remote.NewClient(remote.Config{Addresses: s.controlAddresses, Link: links, Clock: clock.System{}}),
 		ControlAddresses: s.controlAddresses, Link: links, Incarnation: 1, Seed: uint64(i),
@@ -214,7 +214,7 @@
 	})
 	sidecar.SetFollower(follower)
 	go follower.Run(s.ctx)
-	go func() { _ = sidecar.Run(s.ctx) }()
+	go func() { _ = sidecar.Run(s.ctx, listener) }()
 	return follower
 }
 
--- a/internal/process/cmds/dev.go
+++ b/internal/process/cmds/dev.go
@@ -216,7 +216,7 @@
 			Target:  &url.URL{Scheme: "http", Host: targetListener.Addr().String()},
 			Control: []flags.Address{flags.Address(controlAddress)},
 		}
-		return command.serve(f.ctx, log.With(f.logger, "part", "sidecar "+string(name)), f.tracer, linkTLS{}, sidecarListener)
+		return command.serve(f.ctx, log.With(f.logger, "part", "sidecar "+string(name)), f.tracer, linkTLS{}, func() (net.Listener, error) { return sidecarListener, nil })
 	})
 	return nil
 }
--- a/internal/process/cmds/sidecar.go
+++ b/internal/process/cmds/sidecar.go
@@ -41,10 +41,6 @@
 	if err != nil {
 		return err
 	}
-	listener, err := listen("listen", string(c.Listen))
-	if err != nil {
-		return err
-	}
 	tracer, err := env.tracer(string(c.Name), "sidecar")
 	if err != nil {
 		return err
@@ -54,11 +50,12 @@
 	if err != nil {
 		return err
 	}
-	return c.serve(env.ctx, logger, tracer, tlsCfg, listener)
+	return c.serve(env.ctx, logger, tracer, tlsCfg, func() (net.Listener, error) { return listen("listen", string(c.Listen)) })
 }
 
-// serve runs the sidecar until ctx ends.
-func (c *SidecarCommand) serve(ctx context.Context, logger log.Logger, tracer *trace.Tracer, tlsCfg linkTLS, listener net.Listener) error {
+// serve runs the sidecar until ctx ends. It listens only once it has what it needs from
+// control, so that routers do not connect to a sidecar that cannot answer yet.
+func (c *SidecarCommand) serve(ctx context.Context, logger log.Logger, tracer *trace.Tracer, tlsCfg linkTLS, listen func() (net.Listener, error)) error {
 	links, control := newLinks(string(c.Name), addressStrings(c.Control), tlsCfg)
 	defer func() { _ = links.Close() }()
 	incarnation, err := registerProcess(ctx, control, "sidecar/"+string(c.Name))
@@ -68,7 +65,6 @@
 	sidecar, err := side.New(side.Config{
 		TargetName: c.Name,
 		TargetURL:  c.Target,
-		Listener:   tlsCfg.wrapListener(listener),
 		Clock:      clock.System{},
 		Logger:     logger,
 		Tracer:     tracer,
@@ -99,8 +95,12 @@
 		OnUpdate:  sidecar.ApplyUpdate,
 	})
 	sidecar.SetFollower(follower)
+	listener, err := listen()
+	if err != nil {
+		return err
+	}
 	go follower.Run(sidecar.Context())
-	return sidecar.Run(ctx)
+	return sidecar.Run(ctx, tlsCfg.wrapListener(listener))
 }
 
 // registerProcess registers a starting process with control and returns its
--- a/internal/process/side/fleet_test.go
+++ b/internal/process/side/fleet_test.go
@@ -166,7 +166,7 @@
 	f.t.Cleanup(func() { _ = links.Close() })
 	addresses := []string{f.controlAddress}
 	sidecar, err := side.New(side.Config{
-		TargetName: name, TargetURL: target, Listener: listener, Clock: f.clock, Logger: f.logger,
+		TargetName: name, TargetURL: target, Clock: f.clock, Logger: f.logger,
 		Tracer: trace.NewNoop(), Link: links, ControlAddresses: addresses, Incarnation: f.register(name),
 		TransferRate: f.transferRate, TransferTimeout: f.transferTimeout,
 		Control: remote.NewClient(remote.Config{Addresses: addresses, Link: links, Clock: clock.System{}}),
@@ -179,7 +179,7 @@
 	sidecar.SetFollower(follower)
 	ctx, cancel := context.WithCancel(f.ctx)
 	go follower.Run(sidecar.Context())
-	go func() { _ = sidecar.Run(ctx) }()
+	go func() { _ = sidecar.Run(ctx, listener) }()
 	f.t.Cleanup(cancel)
 	return &runningSidecar{Sidecar: sidecar, follower: follower, address: listener.Addr().String(), stop: cancel}
 }
--- a/internal/process/side/side.go
+++ b/internal/process/side/side.go
@@ -43,9 +43,6 @@
 	TargetName ident.TargetName
 	// TargetURL is the base URL at which the target takes requests.
 	TargetURL *url.URL
-	// Listener accepts calls from routers, control processes and other
-	// sidecars.
-	Listener net.Listener
 	// Clock is required.
 	Clock Clock
 	// Logger is required.
@@ -154,19 +151,20 @@
 // work and stops.
 func (s *Sidecar) Context() context.Context { return s.ctx }
 
-// Run serves calls until ctx ends. It then refuses new attempts, waits for the
-// running ones to finish, at most for DrainTimeout if that is set, and returns.
-func (s *Sidecar) Run(ctx context.Context) error {
+// Run serves calls of routers, control processes and other sidecars until ctx ends.
+// It then refuses new attempts, waits for the running ones to finish, at most for
+// DrainTimeout if that is set, closes the listener and returns.
+func (s *Sidecar) Run(ctx context.Context, listener net.Listener) error {
 	defer s.cancel()
-	stop := context.AfterFunc(ctx, s.shutDown)
+	stop := context.AfterFunc(ctx, func() { s.shutDown(listener) })
 	defer stop()
 	s.registerMetrics()
 	go s.runPeriodicTasks(s.ctx)
 	go s.reportLoad(s.ctx)
 	go s.reconcileEngine(s.ctx)
 	go s.pollCacheEvents(s.ctx)
-	_ = level.Info(s.cfg.Logger).Log("msg", "sidecar is serving", "target", s.cfg.TargetName, "address", s.cfg.Listener.Addr())
-	if err := s.server.Serve(s.ctx, s.cfg.Listener); err != nil {
+	_ = level.Info(s.cfg.Logger).Log("msg", "sidecar is serving", "target", s.cfg.TargetName, "address", listener.Addr())
+	if err := s.server.Serve(s.ctx, listener); err != nil {
 		return fmt.Errorf("serve calls: %w", err)
 	}
 	if err := s.server.Close(); err != nil {
@@ -179,7 +177,7 @@
 // finished and their answers have been read. It then waits for lingerTime, in
 // which a router may come back for an answer, closes the listener and cancels
 // s.ctx. DrainTimeout limits the wait.
-func (s *Sidecar) shutDown() {
+func (s *Sidecar) shutDown(listener net.Listener) {
 	s.stopping.Store(true)
 	s.setLeaving(s.cfg.Clock.Now(), true)
 	_ = level.Info(s.cfg.Logger).Log("msg", "sidecar is stopping and waits for running attempts", "runs", s.runs.slotsHeld())
@@ -196,7 +194,7 @@
 			idleTime = 0
 		}
 	}
-	_ = s.cfg.Listener.Close()
+	_ = listener.Close()
 	s.cancel()
 }
 
