Tell callers to come back after an unanswered trial

A request for whose trial control had not answered within 1 s was rejected with a Retry-After of -0.00 s, so that its caller came back at once.

Cause: the time to come back was counted from the question, not from the answer. Change: the delay counts from the answer, and the wait until a quarantine ends is never below zero. Conclusion: a time to come back is computed when it is sent.

--- a/internal/process/gate/crash_test.go
+++ b/internal/process/gate/crash_test.go
@@ -83,15 +83,21 @@
 type fakeControl struct {
 	mu      sync.Mutex
 	failing bool
+	// silent makes it not answer until the caller gives up.
+	silent bool
 	// granting makes it grant the next trial.
 	granting bool
 	reports  []*cmdpb.GateReport
 }
 
 // Propose implements gate.Control.
-func (c *fakeControl) Propose(_ context.Context, command *cmdpb.Command) (*cmdpb.Result, error) {
+func (c *fakeControl) Propose(ctx context.Context, command *cmdpb.Command) (*cmdpb.Result, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.silent {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	if c.failing {
 		return nil, errors.New("no leader")
 	}
@@ -201,14 +207,11 @@
 	target := newCrashingTarget(t, "t1")
 	h := newHarness(t, gate.Config{Control: control}, target)
 	h.putDocument(testDocument())
-	_, _, err := h.sendAndRead("/once/a", "poison")
-	assert.NilError(t, err)
-	waitFor(t, "report", func() bool { crashes, _ := control.reported(); return len(crashes) > 0 })
-	crashes, _ := control.reported()
+	fingerprint := h.sendPoison(control)
 
 	other := newFakeTarget(t, "t2", respondOK)
 	h.setTargets(other)
-	h.setVerdict(crashes[0].GetFingerprints()[0], poison.VerdictQuarantined, time.Now().Add(time.Minute))
+	h.setVerdict(fingerprint, poison.VerdictQuarantined, time.Now().Add(time.Minute))
 	response, err := h.send(context.Background(), "/once/a", "poison")
 	assert.NilError(t, err)
 	defer func() { _ = response.Body.Close() }()
@@ -231,13 +234,10 @@
 	control := new(fakeControl)
 	h := newHarness(t, gate.Config{Control: control}, newCrashingTarget(t, "t1"))
 	h.putDocument(testDocument())
-	_, _, err := h.sendAndRead("/once/a", "poison")
-	assert.NilError(t, err)
-	waitFor(t, "report", func() bool { crashes, _ := control.reported(); return len(crashes) > 0 })
-	crashes, _ := control.reported()
+	fingerprint := h.sendPoison(control)
 	targets := []*fakeTarget{newCrashingTarget(t, "t2"), newCrashingTarget(t, "t3"), newCrashingTarget(t, "t4")}
 	h.setTargets(targets...)
-	h.setVerdict(crashes[0].GetFingerprints()[0], poison.VerdictQuarantined, time.Now().Add(-time.Second))
+	h.setVerdict(fingerprint, poison.VerdictQuarantined, time.Now().Add(-time.Second))
 	runs := func() int { return targets[0].count() + targets[1].count() + targets[2].count() }
 	expectRejections := func(count int) {
 		t.Helper()
@@ -273,12 +273,9 @@
 	control := new(fakeControl)
 	h := newHarness(t, gate.Config{Control: control}, newCrashingTarget(t, "t0"))
 	h.putDocument(testDocument())
-	_, _, err := h.sendAndRead("/once/a", "poison")
-	assert.NilError(t, err)
-	waitFor(t, "report", func() bool { crashes, _ := control.reported(); return len(crashes) > 0 })
-	crashes, _ := control.reported()
+	fingerprint := h.sendPoison(control)
 	h.setTargets(newFakeTarget(t, "t1", respondOK))
-	h.setVerdict(crashes[0].GetFingerprints()[0], poison.VerdictQuarantined, time.Now().Add(-time.Second))
+	h.setVerdict(fingerprint, poison.VerdictQuarantined, time.Now().Add(-time.Second))
 	control.grantTrial()
 	for range 3 {
 		status, _, err := h.sendAndRead("/once/a", "poison")
@@ -289,6 +286,25 @@
 	waitFor(t, "completion", func() bool { _, completed := control.reported(); return len(completed) == 1 })
 }
 
+// Guards against a Retry-After in the past, when control has answered late.
+func TestRetryAfterOfUnansweredTrial(t *testing.T) {
+	control := new(fakeControl)
+	h := newHarness(t, gate.Config{Control: control}, newCrashingTarget(t, "t0"))
+	h.putDocument(testDocument())
+	fingerprint := h.sendPoison(control)
+	h.setVerdict(fingerprint, poison.VerdictQuarantined, time.Now().Add(-time.Second))
+	control.mu.Lock()
+	control.silent = true
+	control.mu.Unlock()
+	response, err := h.send(context.Background(), "/once/a", "poison")
+	assert.NilError(t, err)
+	_ = response.Body.Close()
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	wait, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, wait > 0.5, "Retry-After: %v s", wait)
+}
+
 // Guards against a poison request that a gate without contact to control sends on.
 func TestGateQuarantinesByItsOwnCrashes(t *testing.T) {
 	targets := []*fakeTarget{newCrashingTarget(t, "t1"), newCrashingTarget(t, "t2"), newCrashingTarget(t, "t3"), newCrashingTarget(t, "t4")}
@@ -335,6 +351,17 @@
 	assert.DeepEqual(t, completed, []uint64{fingerprint})
 }
 
+// sendPoison sends the poison request, which crashes a target, and returns the
+// fingerprint in the report of the crash.
+func (h *harness) sendPoison(control *fakeControl) (fingerprint uint64) {
+	h.t.Helper()
+	_, _, err := h.sendAndRead("/once/a", "poison")
+	assert.NilError(h.t, err)
+	waitFor(h.t, "report", func() bool { crashes, _ := control.reported(); return len(crashes) > 0 })
+	crashes, _ := control.reported()
+	return crashes[0].GetFingerprints()[0]
+}
+
 // setVerdict delivers a list with one verdict.
 func (h *harness) setVerdict(fingerprint uint64, verdict poison.Verdict, expires time.Time) {
 	active := &wire.CrashVerdict{Fingerprint: fingerprint, Verdict: uint32(verdict), Expires: expires.UnixNano()}
--- a/internal/process/gate/response.go
+++ b/internal/process/gate/response.go
@@ -87,7 +87,8 @@
 		c.finish(ctx, action)
 		return
 	}
-	c.respondErrorRetryAfter(http.StatusServiceUnavailable, "Quarantined", until.Sub(c.gate.cfg.Clock.Now()))
+	wait := max(0, until.Sub(c.gate.cfg.Clock.Now()))
+	c.respondErrorRetryAfter(http.StatusServiceUnavailable, "Quarantined", wait)
 }
 
 // respondErrorRetryAfter is respondError with the time after which the caller of a
--- a/internal/process/gate/trial.go
+++ b/internal/process/gate/trial.go
@@ -29,8 +29,8 @@
 	askedAt map[ident.Fingerprint]time.Time
 }
 
-// mayAsk records a question, unless the last one was less than trialRetryDelay ago. It
-// returns when the next question may be asked.
+// mayAsk records a question and returns true. If the last one was less than
+// trialRetryDelay ago, it returns when the next may be asked, and false.
 func (a *trialAsker) mayAsk(now time.Time, fingerprint ident.Fingerprint) (next time.Time, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -42,7 +42,7 @@
 		a.askedAt = make(map[ident.Fingerprint]time.Time)
 	}
 	a.askedAt[fingerprint] = now
-	return now.Add(trialRetryDelay), true
+	return time.Time{}, true
 }
 
 // mayRun reports whether the request may be sent to a target. If it may not, because it
@@ -64,7 +64,7 @@
 		return next, false
 	}
 	c.onTrial = c.gate.beginTrial(ctx, c.fingerprint())
-	return next, c.onTrial
+	return c.gate.cfg.Clock.Now().Add(trialRetryDelay), c.onTrial
 }
 
 // beginTrial asks control whether a request may run after its quarantine. Without an
