Check that the model of the gates repeats its runs by seed

Nothing would notice if it did so again. Change: TestGateModelRepeatsBySeed runs 10 seeds three times and compares what they did; the model has a constructor. Conclusion: the other randomised models range over no map with their random source; their test files were searched for it, not run twice.

--- a/internal/request/poison/direct_test.go
+++ b/internal/request/poison/direct_test.go
@@ -129,6 +129,16 @@
 	poisonEvery int
 }
 
+// newGateModel returns a fleet of 4 to 12 targets that gets 10 to 100 poison requests a
+// second, by seed.
+func newGateModel(seed uint64) *gateModel {
+	return &gateModel{
+		rng: rand.New(rand.NewPCG(seed, 0)), now: baseTime, tracker: poison.NewTracker(poison.Config{}),
+		poisonEvery: int(1 + seed%10), upAt: make([]time.Time, 4+seed%3*4),
+		running: make(map[ident.Fingerprint]run), completed: make(map[ident.Fingerprint]int),
+	}
+}
+
 type delayedReport struct {
 	due   time.Time
 	apply func()
@@ -239,17 +249,33 @@
 	}
 }
 
+// Guards against a model whose runs differ for the same seed, so that a failure could
+// not be repeated.
+func TestGateModelRepeatsBySeed(t *testing.T) {
+	const steps = int(20 * time.Second / modelStep)
+	for seed := range uint64(10) {
+		var first *gateModel
+		for range 3 {
+			m := newGateModel(seed)
+			for range steps {
+				m.step()
+			}
+			if first == nil {
+				first = m
+			}
+			assert.DeepEqual(t, m.poisonRuns, first.poisonRuns)
+			assert.DeepEqual(t, m.completed, first.completed)
+			assert.DeepEqual(t, m.tracker.Entries(), first.tracker.Entries())
+		}
+	}
+}
+
 // Five minutes of a poison request that is sent 10 to 100 times a second. It may reach a
 // target three times more than maxReportDelay after its third crash, and every
 // bystander goes on to complete.
 func TestRandomisedPoisonRequestStopsAtGates(t *testing.T) {
 	seeds.Run(t, seeds.Range{First: 1, Last: 24}, func(t *testing.T, seed uint64) {
-		m := &gateModel{
-			rng: rand.New(rand.NewPCG(seed, 0)), now: baseTime, tracker: poison.NewTracker(poison.Config{}),
-			poisonEvery: int(1 + seed%10),
-			upAt:        make([]time.Time, 4+seed%3*4),
-			running:     make(map[ident.Fingerprint]run), completed: make(map[ident.Fingerprint]int),
-		}
+		m := newGateModel(seed)
 		halfway := make(map[ident.Fingerprint]int)
 		const steps = int(5 * time.Minute / modelStep)
 		for step := range steps {
