Let the test of crash reports send refused attempts again

Cause: the test submitted 300 attempts at once and awaited that all run. The missing ones had been refused, as the replies say: TargetDown, since a connection to the target had taken more than 500 ms, or Overloaded, since the sidecar had no capacity known yet. Both are allowed; a router sends a refused attempt elsewhere.

Ruled out: a broken session (no ping failed, no session was closed by its client before; "connection reset" came 10 s later, when refused streams were dropped).

Change: an attempt that is refused is submitted again, until all 300 run at one time; what is asked of the report is as before.

Conclusion: the test, not the report, was at fault.

--- a/internal/process/side/faults_test.go
+++ b/internal/process/side/faults_test.go
@@ -70,6 +70,43 @@
 	return stream
 }
 
+// submitUntilRunning submits a request until an attempt of it runs, which running
+// counts, and returns the result of that attempt. A sidecar may refuse an attempt, for
+// instance while its target takes long to accept connections.
+func (p *plainTarget) submitUntilRunning(fingerprint ident.Fingerprint, running *atomic.Int32) <-chan attemptResult {
+	p.t.Helper()
+	before := running.Load()
+	for began := time.Now(); ; {
+		result := make(chan attemptResult, 1)
+		stream := p.submitAttempt(&wire.Submit{Attempt: fmt.Sprintf("a%d-%d", fingerprint, time.Since(began)), Fingerprint: uint64(fingerprint)})
+		go func() { result <- receiveResult(stream) }()
+		refused := false
+		waitFor(p.t, waitTimeout, "the attempt runs or is refused", func() bool {
+			refused = len(result) > 0
+			return refused || running.Load() > before
+		})
+		if !refused {
+			return result
+		}
+		assert.Assert(p.t, (<-result).refusal != nil, "neither running nor refused")
+		assert.Assert(p.t, time.Since(began) < waitTimeout, "refused for %v", waitTimeout)
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// receiveResult returns the refusal or the end of an attempt, and neither if its stream
+// breaks.
+func receiveResult(stream *link.Stream) (result attemptResult) {
+	for result.refusal == nil && result.end == nil {
+		reply := new(wire.Reply)
+		if stream.Receive(reply) != nil {
+			return result
+		}
+		result.refusal, result.end = reply.GetRefusal(), reply.GetEnd()
+	}
+	return result
+}
+
 // readAnswer reads the whole answer of an attempt.
 func (p *plainTarget) readAnswer(stream *link.Stream) (result attemptResult, status int32) {
 	p.t.Helper()
@@ -96,21 +133,21 @@
 				running.Add(1)
 				<-r.Context().Done()
 			})
-			var streams []*link.Stream
+			var answers []<-chan attemptResult
 			var want []ident.Fingerprint
 			for i := range count {
 				fingerprint := ident.Fingerprint(i + 1)
-				streams = append(streams, p.submitAttempt(&wire.Submit{Attempt: fmt.Sprintf("a%d", i), Fingerprint: uint64(fingerprint)}))
+				answers = append(answers, p.submitUntilRunning(fingerprint, &running))
 				want = append(want, fingerprint)
 			}
-			waitFor(t, waitTimeout, "all attempts run", func() bool { return running.Load() == count })
+			assert.Equal(t, running.Load(), int32(count))
 			assert.NilError(t, p.server.Listener.Close())
 			if refusedFirst {
 				p.readAnswer(p.submitAttempt(&wire.Submit{Attempt: "late", Fingerprint: count + 1}))
 			}
 			p.server.CloseClientConnections()
-			for _, stream := range streams {
-				result, _ := p.readAnswer(stream)
+			for _, answer := range answers {
+				result := <-answer
 				assert.Assert(t, result.end.GetTargetCrashed(), "%v", result)
 			}
 			waitFor(t, waitTimeout, "control knows all requests that were in flight", func() bool {
