Send longer chunks in the test of endless responses

Cause: the target sent 8 MB, the gate's limit, in chunks of 4 bytes. The limit counts bytes, so that the length of the chunks does not change what is checked.

--- a/internal/process/gate/endless_test.go
+++ b/internal/process/gate/endless_test.go
@@ -40,6 +40,7 @@
 
 // Guards against a gate that reads a response without end until the deadline.
 func TestEndlessResponseEndsTheAttempt(t *testing.T) {
+	chunk := "100\r\n" + strings.Repeat("x", 0x100) + "\r\n"
 	unmatched := "HTTP/1.1 200 OK\r\nId: another\r\nTransfer-Encoding: chunked\r\n\r\n"
 	for name, c := range map[string]struct {
 		path, head, endless string
@@ -50,8 +51,8 @@
 		"header lines":               {"/once/a", "HTTP/1.1 200 OK\r\n", "Name: value\r\n"},
 		"header of a stream":         {"/stream/a", "HTTP/1.1 200 OK\r\n", "Name: value\r\n"},
 		"interim responses":          {"/once/a", "", "HTTP/1.1 102 Processing\r\n\r\n"},
-		"body of another response":   {"/once/a", unmatched, "4\r\nbody\r\n"},
-		"body in chunks":             {"/once/a", "HTTP/1.1 200 OK\r\nId: r/once/a\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n"},
+		"body of another response":   {"/once/a", unmatched, chunk},
+		"body in chunks":             {"/once/a", "HTTP/1.1 200 OK\r\nId: r/once/a\r\nTransfer-Encoding: chunked\r\n\r\n", chunk},
 		"body without length":        {"/once/a", "HTTP/1.1 200 OK\r\nId: r/once/a\r\n\r\n", "body"},
 		"body of a rejection":        {"/once/a", "HTTP/1.1 503 X\r\nId: r/once/a\r\nNot-Run: yes\r\n\r\n", "body"},
 		"event of a stream":          {"/stream/a", "HTTP/1.1 200 OK\r\nId: r/stream/a\r\n\r\n", "data: "},
