Test trials with their mechanisms switched off

Cause: two mechanisms of trials could be switched off without a failing test. In TestGateReportsBeginTrials the restored replica began its log at the first entry, so that it skipped the command; nothing tested that a trial goes on at another target. Change: the restored replica goes on at the index of the other, and TestTrialGoesOnAtAnotherTarget is new. Conclusion: left without a test is the lower bound of 0 for the wait in a rejection, which needs a quarantine to end between two lines.

--- a/internal/process/gate/crash_test.go
+++ b/internal/process/gate/crash_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -286,6 +287,24 @@
 	waitFor(t, "completion", func() bool { _, completed := control.reported(); return len(completed) == 1 })
 }
 
+// Guards against a trial that ends at a target that can't be reached, with another one
+// left. Which of the two is chosen first depends on their names.
+func TestTrialGoesOnAtAnotherTarget(t *testing.T) {
+	for i := range 8 {
+		control := new(fakeControl)
+		h := newHarness(t, gate.Config{Control: control}, newCrashingTarget(t, "t0"))
+		h.putDocument(testDocument())
+		fingerprint := h.sendPoison(control)
+		names := []string{fmt.Sprint("a", i), fmt.Sprint("b", i)}
+		h.setTargets(&fakeTarget{name: names[i%2], address: "127.0.0.1:1"}, newFakeTarget(t, names[1-i%2], respondOK))
+		h.setVerdict(fingerprint, poison.VerdictQuarantined, time.Now().Add(-time.Second))
+		control.grantTrial()
+		status, _, err := h.sendAndRead("/once/a", "poison")
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusOK)
+	}
+}
+
 // Guards against a Retry-After in the past, when control has answered late.
 func TestRetryAfterOfUnansweredTrial(t *testing.T) {
 	control := new(fakeControl)
--- a/internal/version/store/store_test.go
+++ b/internal/version/store/store_test.go
@@ -305,7 +305,7 @@
 	assert.Assert(t, result.GetAudit() > 0)
 
 	restored := newReplica(t, store.Config{Poison: poison.Config{DirectQuarantine: time.Millisecond}})
-	restored.now = r.now
+	restored.now, restored.index = r.now, r.index
 	assert.NilError(t, restored.store.Restore(r.snapshot()))
 	for _, replica := range []*replica{r, restored} {
 		assert.Equal(t, len(replica.apply(trial).GetGrantedTrials()), 0)
