Log which responses end with their connection

Cause: to tell whether a crash hides behind a response that ends with its connection, a log has to say how the end of the response was found. No field did.

Change: attempts in RequestEnded have UntilClose, with the fingerprint of the request, and cactusline_responses_until_close_total counts them. No logic is changed.

Measured: TestLogTellsResponseThatEndsWithItsConnection passes; without the field it fails.

--- a/internal/process/gate/attempt.go
+++ b/internal/process/gate/attempt.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"cactusline.dev/cactusline/internal/conn/pool"
 	"cactusline.dev/cactusline/internal/request/carry"
 	"cactusline.dev/cactusline/internal/request/place"
@@ -44,7 +46,7 @@
 	ejected := c.gate.balancer.Finish(now, choice.Target, signal)
 	attempt := attemptLog{
 		Target: choice.Target.Name, Reason: choice.Reason, Load: choice.Load, Mean: choice.MeanLoad, Fetch: choice.FetchFrom,
-		Result: result.String(), Status: e.status, Reused: e.reused, Took: now.Sub(start).String(),
+		Result: result.String(), Status: e.status, Reused: e.reused, UntilClose: e.untilClose, Took: now.Sub(start).String(),
 	}
 	if e.err != nil {
 		attempt.Error = e.err.Error()
@@ -97,7 +99,10 @@
 	conn      *pool.Conn
 	status    int
 	reused    bool
-	err       error
+	// untilClose is set if the response has neither a length nor chunks, and so ends
+	// with its connection.
+	untilClose bool
+	err        error
 }
 
 // run sends the request to the target and forwards the response to the caller.
@@ -123,6 +128,7 @@
 	e.call.stopFirstByteTimer()
 	e.call.gate.balancer.RecordActivity(e.call.gate.cfg.Clock.Now(), e.choice.Target)
 	e.status = response.StatusCode
+	e.recordFraming(response)
 	result, signal := e.forwardResponse(ctx, response)
 	if !stopWatch() || e.err != nil {
 		e.conn.Discard()
@@ -132,6 +138,16 @@
 	return result, signal
 }
 
+// recordFraming records whether the end of the response is that of its connection.
+func (e *exchange) recordFraming(response *http.Response) {
+	if response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody {
+		return
+	}
+	e.untilClose = true
+	e.call.untilClose = true
+	metrics.GetOrCreateCounter("cactusline_responses_until_close_total").Inc()
+}
+
 // matchesRequest reports whether a response is to this request.
 func (e *exchange) matchesRequest(header http.Header) bool {
 	return e.call.gate.cfg.Dialect.ParseResponse(header).RequestID == e.call.meta.ID
--- a/internal/process/gate/crash_test.go
+++ b/internal/process/gate/crash_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -386,3 +388,37 @@
 	active := &wire.CrashVerdict{Fingerprint: fingerprint, Verdict: uint32(verdict), Expires: expires.UnixNano()}
 	assert.NilError(h.t, h.follower.ApplyUpdate(&wire.Update{Verdicts: []*wire.CrashVerdict{active}, VerdictsSet: true}))
 }
+
+// writeUntilClose writes a response without a length or chunks, whose end is that of
+// the connection.
+func (r *receivedRequest) writeUntilClose(body string, fields ...string) {
+	text := fmt.Sprintf("HTTP/1.1 200 X\r\nId: %s\r\n", r.id())
+	for _, field := range fields {
+		text += field + "\r\n"
+	}
+	_, _ = io.WriteString(r.conn, text+"\r\n"+body)
+	_ = r.conn.(*net.TCPConn).CloseWrite()
+}
+
+func TestLogTellsResponseThatEndsWithItsConnection(t *testing.T) {
+	var lines logBuffer
+	target := newFakeTarget(t, "t1", func(r *receivedRequest) {
+		if r.body == "until close" {
+			r.writeUntilClose("whole")
+			return
+		}
+		respondOK(r)
+	})
+	h := newHarness(t, gate.Config{Logger: log.NewJSONLogger(log.NewSyncWriter(&lines))}, target)
+	h.putDocument(testDocument())
+	for _, body := range []string{"until close", "with a length"} {
+		status, _, err := h.sendAndRead("/once/a", body)
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusOK)
+	}
+	waitFor(t, "both ends", func() bool { return len(lines.lines("RequestEnded")) == 2 })
+	ends := lines.lines("RequestEnded")
+	assert.Equal(t, strings.Contains(ends[0], `"UntilClose":true`), true, ends[0])
+	assert.Equal(t, strings.Contains(ends[0], `"Fingerprint"`), true, ends[0])
+	assert.Equal(t, strings.Contains(ends[1], `"UntilClose"`), false, ends[1])
+}
--- a/internal/process/gate/log.go
+++ b/internal/process/gate/log.go
@@ -31,7 +31,7 @@
 	if c.route != nil {
 		fields = append(fields, "Route", c.route.Name, "Customer", string(c.customerName()), "Attempts", c.attempts)
 	}
-	if c.responseLost {
+	if c.responseLost || c.untilClose {
 		fields = append(fields, logs.FieldFingerprint, c.fingerprint().String())
 	}
 	logger := level.Info(g.cfg.Logger)
--- a/internal/process/gate/serve.go
+++ b/internal/process/gate/serve.go
@@ -78,6 +78,8 @@
 	attempts     []attemptLog
 	// responseLost is set once an attempt ended without a complete response.
 	responseLost bool
+	// untilClose is set once a response ended with its connection.
+	untilClose bool
 	// onTrial is set once a trial of the request has begun, after its quarantine.
 	onTrial bool
 	// cachedFingerprint is 0 until fingerprint is called.
@@ -94,10 +96,12 @@
 	Mean   float64
 	Fetch  string `json:",omitempty"`
 	Result string
-	Status int    `json:",omitempty"`
-	Reused bool   `json:",omitempty"`
-	Took   string `json:",omitempty"`
-	Error  string `json:",omitempty"`
+	Status int  `json:",omitempty"`
+	Reused bool `json:",omitempty"`
+	// UntilClose is set if the response ended with its connection.
+	UntilClose bool   `json:",omitempty"`
+	Took       string `json:",omitempty"`
+	Error      string `json:",omitempty"`
 }
 
 // admit finds the route, customer and service of the request, checks that it has an
