Failing tests of crashes within responses that end with their connection

What callers see: a request that crashes each target after a head without a length is sent on without end, and its caller gets an empty 200.

A gate alone: all four kinds of response end as complete, and no crash is reported.

--- a/internal/process/gate/crash_test.go
+++ b/internal/process/gate/crash_test.go
@@ -422,3 +422,62 @@
 	assert.Equal(t, strings.Contains(ends[0], `"Fingerprint"`), true, ends[0])
 	assert.Equal(t, strings.Contains(ends[1], `"UntilClose"`), false, ends[1])
 }
+
+// newTargetCrashingUntilClose returns a target that crashes on the request "poison"
+// within a response that ends with its connection.
+func newTargetCrashingUntilClose(t *testing.T, body string, fields ...string) *fakeTarget {
+	target := newFakeTarget(t, "t1", nil)
+	target.handler = func(r *receivedRequest) {
+		if r.body != "poison" {
+			r.writeUntilClose(body, fields...)
+			return
+		}
+		_ = target.listener.Close()
+		r.writeUntilClose(body, fields...)
+		_ = r.conn.Close()
+	}
+	return target
+}
+
+// Guards against a crash that is taken for a whole response, because the response ends
+// with its connection.
+func TestCrashWithinResponseUntilCloseIsReported(t *testing.T) {
+	for _, c := range []struct{ name, path, body, contentType string }{
+		{"buffered", "/once/a", "half of", "text/plain"},
+		{"empty", "/once/a", "", "text/plain"},
+		{"stream", "/stream/a", "id: 1\ndata: event 1\n\n", "text/event-stream"},
+		{"empty stream", "/stream/a", "", "text/event-stream"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			control := new(fakeControl)
+			h := newHarness(t, gate.Config{Control: control}, newTargetCrashingUntilClose(t, c.body, "Content-Type: "+c.contentType))
+			h.putDocument(testDocument())
+			status, body, err := h.sendAndRead(c.path, "harmless")
+			assert.NilError(t, err)
+			assert.Equal(t, status, http.StatusOK)
+			assert.Equal(t, body, c.body)
+			status, _, err = h.sendAndRead(c.path, "poison")
+			assert.Check(t, status != http.StatusOK || err != nil, "a response of a crashed target ends as complete")
+			waitFor(t, "report", func() bool { crashes, _ := control.reported(); return len(crashes) > 0 })
+			crashes, completed := control.reported()
+			assert.Equal(t, len(crashes[0].GetFingerprints()), 1)
+			assert.Equal(t, len(completed), 0)
+		})
+	}
+}
+
+// Guards against a request that stays suspect, because its responses end with their
+// connections.
+func TestResponseUntilCloseOfLiveTargetClearsRequest(t *testing.T) {
+	control := new(fakeControl)
+	h := newHarness(t, gate.Config{Control: control}, newCrashingTarget(t, "t0"))
+	h.putDocument(testDocument())
+	fingerprint := h.sendPoison(control)
+	h.setTargets(newFakeTarget(t, "t1", func(r *receivedRequest) { r.writeUntilClose("whole") }))
+	h.setVerdict(fingerprint, poison.VerdictSuspect, time.Time{})
+	status, body, err := h.sendAndRead("/once/a", "poison")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, "whole")
+	waitFor(t, "completion", func() bool { _, completed := control.reported(); return len(completed) == 1 })
+}
