Take a response that ends with its connection for complete only if its target lives on

What callers saw: a request that crashes its targets after a head without a length got an empty 200 and was sent on to targets without end.

Cause: a gate took the end of the connection for the end of the response, so it reported a completion where there was a crash, which also cleared the request. Class: evidence of success that a crash can forge.

Change: when such a response has ended, the gate connects to the target again (the connection is kept for the next request). If it can't, the response was lost: what was buffered is not forwarded, a stream is broken off. The completion is reported only after the probe 50 ms later.

The test of the gate waits for the probe of the harmless request before the crash, as one that ended within 50 ms of it counts as in flight. Only responses without a length and chunks pay the extra connection.

--- a/internal/process/gate/attempt.go
+++ b/internal/process/gate/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -52,7 +53,7 @@
 		attempt.Error = e.err.Error()
 	}
 	c.attempts = append(c.attempts, attempt)
-	c.recordOutcome(now, choice.Target, result)
+	c.recordOutcome(now, choice.Target, result, e.untilClose)
 	if ejected {
 		c.gate.logTargetEjected(c, attempt)
 	}
@@ -148,6 +149,19 @@
 	metrics.GetOrCreateCounter("cactusline_responses_until_close_total").Inc()
 }
 
+// checkEnd returns nil if a response that was read to its end is complete. One that
+// ended with its connection may have been cut off by a crash of the target, and so is
+// taken for complete only if the target accepts another connection.
+func (e *exchange) checkEnd(ctx context.Context) error {
+	if !e.untilClose {
+		return nil
+	}
+	if err := e.call.gate.pool.Probe(ctx, e.choice.Target.Address); err != nil {
+		return fmt.Errorf("response ended with its connection: %w", err)
+	}
+	return nil
+}
+
 // matchesRequest reports whether a response is to this request.
 func (e *exchange) matchesRequest(header http.Header) bool {
 	return e.call.gate.cfg.Dialect.ParseResponse(header).RequestID == e.call.meta.ID
--- a/internal/process/gate/crash.go
+++ b/internal/process/gate/crash.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"errors"
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -33,76 +34,87 @@
 // value is ready for use.
 type crashDetector struct {
 	mu sync.Mutex
-	// unchecked holds the lost requests of each target that has not been probed yet.
-	unchecked map[ident.TargetName]*lostRequests
+	// unchecked holds the requests of each target that has not been probed yet.
+	unchecked map[ident.TargetName]*uncheckedRequests
 }
 
-// lostRequests are requests that were sent to a target and got no complete response.
-type lostRequests struct {
-	address      string
-	fingerprints map[ident.Fingerprint]struct{}
-	// lostAt is when the first response was lost.
-	lostAt time.Time
+// uncheckedRequests are requests that were sent to a target and got no complete
+// response, or one that is complete only if the target lives on.
+type uncheckedRequests struct {
+	address string
+	// requests are the requests; the value is set for a response that may be complete.
+	requests map[ident.Fingerprint]bool
+	// endedAt is when the first response ended.
+	endedAt time.Time
 }
 
-// add records a request whose response was lost. It reports whether the target has
-// to be probed, which is the case if no probe is pending.
-func (d *crashDetector) add(now time.Time, target *place.Target, fingerprint ident.Fingerprint) bool {
+// add records a request whose response was lost or may be complete. It reports whether
+// the target has to be probed, which is the case if no probe is pending.
+func (d *crashDetector) add(now time.Time, target *place.Target, fingerprint ident.Fingerprint, maybeComplete bool) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	lost := d.unchecked[target.Name]
-	pending := lost != nil
+	unchecked := d.unchecked[target.Name]
+	pending := unchecked != nil
 	if !pending {
 		if d.unchecked == nil {
-			d.unchecked = make(map[ident.TargetName]*lostRequests)
+			d.unchecked = make(map[ident.TargetName]*uncheckedRequests)
 		}
-		lost = &lostRequests{address: target.Address, lostAt: now, fingerprints: make(map[ident.Fingerprint]struct{})}
-		d.unchecked[target.Name] = lost
+		unchecked = &uncheckedRequests{address: target.Address, endedAt: now, requests: make(map[ident.Fingerprint]bool)}
+		d.unchecked[target.Name] = unchecked
 	}
-	lost.fingerprints[fingerprint] = struct{}{}
+	unchecked.requests[fingerprint] = maybeComplete
 	return !pending
 }
 
-// take removes and returns the lost requests of a target.
-func (d *crashDetector) take(target ident.TargetName) *lostRequests {
+// take removes and returns the requests of a target.
+func (d *crashDetector) take(target ident.TargetName) *uncheckedRequests {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	lost := d.unchecked[target]
+	unchecked := d.unchecked[target]
 	delete(d.unchecked, target)
-	return lost
+	return unchecked
 }
 
 // sortedFingerprints returns the fingerprints in ascending order.
-func (l *lostRequests) sortedFingerprints() []ident.Fingerprint {
-	fingerprints := make([]ident.Fingerprint, 0, len(l.fingerprints))
-	for fingerprint := range l.fingerprints {
-		fingerprints = append(fingerprints, fingerprint)
-	}
-	slices.Sort(fingerprints)
-	return fingerprints
+func (u *uncheckedRequests) sortedFingerprints() []ident.Fingerprint {
+	return slices.Sorted(maps.Keys(u.requests))
 }
 
 // recordLost records an attempt that ended without a complete response, and probes
 // the target unless a probe is pending.
 func (c *call) recordLost(now time.Time, target *place.Target) {
 	c.responseLost = true
-	if c.gate.crashes.add(now, target, c.fingerprint()) {
+	if c.gate.crashes.add(now, target, c.fingerprint(), false) {
+		go c.gate.checkCrash(target.Name)
+	}
+}
+
+// recordMaybeComplete records an attempt whose response ended with its connection, and
+// probes the target unless a probe is pending. The request completed only if the target
+// lives on.
+func (c *call) recordMaybeComplete(now time.Time, target *place.Target) {
+	if c.gate.crashes.add(now, target, c.fingerprint(), true) {
 		go c.gate.checkCrash(target.Name)
 	}
 }
 
-// checkCrash probes a target that lost responses. A target that accepts no connection
-// is taken for crashed.
+// checkCrash probes a target whose responses were lost or may be complete. A target
+// that accepts no connection is taken for crashed.
 func (g *Gate) checkCrash(target ident.TargetName) {
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
 	_ = g.cfg.Clock.Sleep(ctx, crashCheckDelay)
-	lost := g.crashes.take(target)
-	err := g.pool.Probe(ctx, lost.address)
+	unchecked := g.crashes.take(target)
+	err := g.pool.Probe(ctx, unchecked.address)
 	if !isUnreachable(err) {
+		for fingerprint, complete := range unchecked.requests {
+			if complete {
+				g.recordCompletion(fingerprint)
+			}
+		}
 		return
 	}
-	crash := poison.DirectCrash{Target: target, At: lost.lostAt, InFlight: lost.sortedFingerprints()}
+	crash := poison.DirectCrash{Target: target, At: unchecked.endedAt, InFlight: unchecked.sortedFingerprints()}
 	g.logTargetCrashed(crash, err)
 	g.suspects.recordCrash(g.cfg.Clock.Now(), crash)
 	g.reporter.addCrashes(crash)
--- a/internal/process/gate/crash_test.go
+++ b/internal/process/gate/crash_test.go
@@ -456,6 +456,7 @@
 			assert.NilError(t, err)
 			assert.Equal(t, status, http.StatusOK)
 			assert.Equal(t, body, c.body)
+			time.Sleep(200 * time.Millisecond) // until the target is probed
 			status, _, err = h.sendAndRead(c.path, "poison")
 			assert.Check(t, status != http.StatusOK || err != nil, "a response of a crashed target ends as complete")
 			waitFor(t, "report", func() bool { crashes, _ := control.reported(); return len(crashes) > 0 })
--- a/internal/process/gate/events.go
+++ b/internal/process/gate/events.go
@@ -46,6 +46,10 @@
 			err = errTruncatedEvent
 		}
 		if errors.Is(err, io.EOF) {
+			if err := e.checkEnd(ctx); err != nil {
+				e.err = err
+				return e.streamFailed(ctx)
+			}
 			if !c.streamStarted {
 				e.startStream(response)
 			}
--- a/internal/process/gate/response.go
+++ b/internal/process/gate/response.go
@@ -24,7 +24,10 @@
 // complete. A failure response is kept instead, since a retry may get a better one.
 func (e *exchange) forwardBuffered(ctx context.Context, response *http.Response) (carry.Result, place.HealthSignal) {
 	var body []byte
-	if body, e.err = e.call.readBody(response); e.err != nil {
+	if body, e.err = e.call.readBody(response); e.err == nil {
+		e.err = e.checkEnd(ctx)
+	}
+	if e.err != nil {
 		if ctx.Err() != nil {
 			return e.contextEnded(ctx)
 		}
--- a/internal/process/gate/suspect.go
+++ b/internal/process/gate/suspect.go
@@ -73,9 +73,17 @@
 	return !c.gate.suspects.empty() && c.gate.suspects.contains(c.fingerprint())
 }
 
+// recordCompletion clears a request that completed, if it is suspect.
+func (g *Gate) recordCompletion(fingerprint ident.Fingerprint) {
+	if g.suspects.contains(fingerprint) {
+		g.suspects.recordCompletion(g.cfg.Clock.Now(), fingerprint)
+		g.reporter.addCompleted(fingerprint)
+	}
+}
+
 // recordOutcome records what the result of an attempt shows of the request: whether
 // its target may have crashed, or that the request completed and so is harmless.
-func (c *call) recordOutcome(now time.Time, target *place.Target, result carry.Result) {
+func (c *call) recordOutcome(now time.Time, target *place.Target, result carry.Result, untilClose bool) {
 	switch result {
 	case carry.ResponseLost, carry.Truncated:
 		c.recordLost(now, target)
@@ -85,9 +93,11 @@
 			c.recordLost(now, target)
 		}
 	case carry.Completed, carry.TargetFailed:
-		if c.isSuspect() {
-			c.gate.suspects.recordCompletion(now, c.fingerprint())
-			c.gate.reporter.addCompleted(c.fingerprint())
+		switch {
+		case untilClose:
+			c.recordMaybeComplete(now, target)
+		case !c.gate.suspects.empty():
+			c.gate.recordCompletion(c.fingerprint())
 		}
 	}
 }
