Report a target's crash within an answer that ends with its connection

What callers saw: through sidecars, a whole-looking answer of a target that had crashed, with the outcome ran; a suspect request was cleared by it.

The sidecar took the end of the connection for the end of the answer.

Change: it asks its target whether it responds, as after a failure, and reports the crash if not. One function says which responses end so, for both paths and the pool.

Evidence: TestCrashWithinAnswerUntilCloseIsReported failed before (ran, no crash), and passes.

--- a/internal/conn/pool/conn.go
+++ b/internal/conn/pool/conn.go
@@ -156,7 +156,7 @@
 			return response, nil
 		}
 		c.unusable.Store(true)
-		if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		if response.Close || EndsWithConnection(response) {
 			break
 		}
 		if _, err := io.CopyN(io.Discard, response.Body, maxUnmatchedBodyBytes); !errors.Is(err, io.EOF) {
@@ -166,6 +166,12 @@
 	return nil, &UnmatchedResponseError{Address: c.Address}
 }
 
+// EndsWithConnection reports whether a response has neither a length nor chunks, so that
+// its end is that of the connection.
+func EndsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
+}
+
 // HeadTooLongError reports that a target sent a status line and header of more than
 // maxHeadBytes.
 type HeadTooLongError struct {
--- a/internal/process/gate/attempt.go
+++ b/internal/process/gate/attempt.go
@@ -141,7 +141,7 @@
 
 // recordFraming records whether the end of the response is that of its connection.
 func (e *exchange) recordFraming(response *http.Response) {
-	if response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody {
+	if !pool.EndsWithConnection(response) {
 		return
 	}
 	e.untilClose = true
--- a/internal/process/side/faults_test.go
+++ b/internal/process/side/faults_test.go
@@ -245,3 +245,33 @@
 	waitFor(t, waitTimeout, "its slot is free", func() bool { return running.Load() == 0 && p.Load().GetRequests() == 0 })
 	assert.Assert(t, time.Since(started) >= timeout)
 }
+
+// Guards against a crash that is taken for a whole answer, because the answer ends with
+// its connection.
+func TestCrashWithinAnswerUntilCloseIsReported(t *testing.T) {
+	for name, crashes := range map[string]bool{"target crashes": true, "target lives on": false} {
+		t.Run(name, func(t *testing.T) {
+			var p *plainTarget
+			p = startPlainTarget(t, func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				assert.Check(t, err)
+				if crashes {
+					assert.Check(t, p.server.Listener.Close())
+				}
+				_, _ = fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nhalf of")
+				_ = conn.Close()
+				if crashes {
+					p.server.CloseClientConnections()
+				}
+			})
+			result := receiveResult(p.submitAttempt(&wire.Submit{Attempt: "a", Fingerprint: 7}))
+			assert.Equal(t, result.end.GetTargetCrashed(), crashes, "%v", result)
+			assert.Equal(t, result.end.GetOutcome() == wire.Outcome_OUTCOME_RAN, !crashes, "%v", result)
+			if crashes {
+				waitFor(t, waitTimeout, "control knows the request", func() bool {
+					return slices.Equal(p.state.InFlightAtCrash("t"), []ident.Fingerprint{7})
+				})
+			}
+		})
+	}
+}
--- a/internal/process/side/run.go
+++ b/internal/process/side/run.go
@@ -10,6 +10,7 @@
 
 	"go.opentelemetry.io/otel/attribute"
 
+	"cactusline.dev/cactusline/internal/conn/pool"
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/process/trace"
 	"cactusline.dev/cactusline/internal/request/poison"
@@ -147,22 +148,29 @@
 	defer func() { _ = resp.Body.Close() }()
 	r.cachedTokens, r.cachedTokensKnown = parseCachedTokens(resp)
 	s.attempts.SetHead(r.id, s.answerHead(resp))
-	return s.storeAnswer(ctx, resp.Body, r)
+	return s.storeAnswer(ctx, resp, r)
 }
 
+// errConnectionEnded is the failure of an answer that ended with its connection, whose
+// target no longer responds.
+var errConnectionEnded = errors.New("answer ended with its connection and the target does not respond")
+
 // storeAnswer copies the answer's body into the table of attempts.
-func (s *Sidecar) storeAnswer(ctx context.Context, body io.Reader, r *run) *wire.End {
+func (s *Sidecar) storeAnswer(ctx context.Context, resp *http.Response, r *run) *wire.End {
 	chunk := chunkPool.Get().(*[answerChunkBytes]byte)
 	defer chunkPool.Put(chunk)
 	buffer := chunk[:]
 	var length uint64
 	for {
-		n, err := body.Read(buffer)
+		n, err := resp.Body.Read(buffer)
 		if n > 0 {
 			s.attempts.Append(r.id, buffer[:n])
 			length += uint64(n)
 			r.waitForReader(ctx, length)
 		}
+		if errors.Is(err, io.EOF) && pool.EndsWithConnection(resp) && !s.target.responds() {
+			err = errConnectionEnded
+		}
 		if errors.Is(err, io.EOF) {
 			return &wire.End{Outcome: wire.Outcome_OUTCOME_RAN, Length: length}
 		}
