Log the parts of prompts whose responses were lost

Cause: whether lost requests share a part of their prompts could not be read from a log.

Change: RequestEnded has Parts, all but the last, if a response was lost. No logic is changed.

Measured: TestLogTellsPromptPartsOfLostResponse passes, and fails without the field.

--- a/internal/process/gate/crash_test.go
+++ b/internal/process/gate/crash_test.go
@@ -82,6 +82,18 @@
 	assert.Assert(t, strings.Contains(lines.lines("TargetCrashed")[0], fingerprint))
 }
 
+func TestLogTellsPromptPartsOfLostResponse(t *testing.T) {
+	var lines logBuffer
+	target := newFakeTarget(t, "t1", func(r *receivedRequest) { r.reset() })
+	h := newHarness(t, gate.Config{Logger: log.NewJSONLogger(log.NewSyncWriter(&lines))}, target)
+	h.putDocument(testDocument())
+	_, _, err := h.sendAndRead("/once/a", "", "Part", "26")
+	assert.NilError(t, err)
+	waitFor(t, "end", func() bool { return len(lines.lines("RequestEnded")) == 1 })
+	end := lines.lines("RequestEnded")[0]
+	assert.Assert(t, strings.Contains(end, `"Parts":["000000000000001a"]`), end)
+}
+
 // fakeControl keeps the reports of crashes, and grants trials if it is told to.
 type fakeControl struct {
 	mu      sync.Mutex
--- a/internal/process/gate/log.go
+++ b/internal/process/gate/log.go
@@ -34,6 +34,9 @@
 	if c.responseLost || c.untilClose {
 		fields = append(fields, logs.FieldFingerprint, c.fingerprint().String())
 	}
+	if c.responseLost && len(c.meta.PromptParts) > 0 {
+		fields = append(fields, "Parts", c.sharedPartNames())
+	}
 	logger := level.Info(g.cfg.Logger)
 	if outcome != "Finish" {
 		logger = level.Warn(g.cfg.Logger)
@@ -41,6 +44,19 @@
 	_ = log.With(logger, fields...).Log()
 }
 
+// sharedPartNames returns the parts of the prompt but the last one, as they are logged.
+func (c *call) sharedPartNames() []string {
+	shared := c.meta.PromptParts[:len(c.meta.PromptParts)-1]
+	names := make([]string, 0, min(len(shared), maxLoggedParts))
+	for _, part := range shared[:cap(names)] {
+		names = append(names, part.String())
+	}
+	return names
+}
+
+// maxLoggedParts bounds the length of a line about a request.
+const maxLoggedParts = 16
+
 // logTargetEjected logs that a target was ejected after an attempt.
 func (g *Gate) logTargetEjected(c *call, attempt attemptLog) {
 	metrics.GetOrCreateCounter("cactusline_target_ejections_total").Inc()
--- a/internal/request/place/choose.go
+++ b/internal/request/place/choose.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"fmt"
 	"math"
 	"time"
 
@@ -30,6 +31,9 @@
 // share a prefix.
 type PartID uint64
 
+// String returns the ID in hexadecimal.
+func (p PartID) String() string { return fmt.Sprintf("%016x", uint64(p)) }
+
 // Request describes a request that needs a target.
 type Request struct {
 	Service ident.ServiceName
