Move PartID to the package of ids

Cause: crashes are to be known by part of the prompt, in packages that choose no target. Change: place.PartID is ident.PartID, with a method that prints it.

--- a/internal/process/gate/dialect.go
+++ b/internal/process/gate/dialect.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"time"
 
-	"cactusline.dev/cactusline/internal/request/place"
 	"cactusline.dev/cactusline/internal/version/ident"
 )
 
@@ -17,7 +16,7 @@
 	APIKey string
 	// Model and PromptParts describe the prompt, if there is one.
 	Model       string
-	PromptParts []place.PartID
+	PromptParts []ident.PartID
 	// LastEventID is the ID of the last event of a stream that the caller has, empty
 	// if it has none.
 	LastEventID string
--- a/internal/process/gate/harness_test.go
+++ b/internal/process/gate/harness_test.go
@@ -22,7 +22,6 @@
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/process/clock"
 	"cactusline.dev/cactusline/internal/process/gate"
-	"cactusline.dev/cactusline/internal/request/place"
 	"cactusline.dev/cactusline/internal/version/ident"
 	"cactusline.dev/cactusline/internal/version/patch"
 	"cactusline.dev/cactusline/internal/version/record"
@@ -38,7 +37,7 @@
 		meta.Timeout = timeout
 	}
 	if part, err := strconv.ParseUint(h.Get("Part"), 10, 64); err == nil {
-		meta.PromptParts = []place.PartID{place.PartID(part), place.PartID(part + 1)}
+		meta.PromptParts = []ident.PartID{ident.PartID(part), ident.PartID(part + 1)}
 	}
 	return meta
 }
--- a/internal/request/place/choose.go
+++ b/internal/request/place/choose.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"fmt"
 	"math"
 	"time"
 
@@ -27,19 +26,12 @@
 	remoteDomainCost = 0.35
 )
 
-// PartID identifies one part of a prompt. Prompts that start with the same parts
-// share a prefix.
-type PartID uint64
-
-// String returns the ID in hexadecimal.
-func (p PartID) String() string { return fmt.Sprintf("%016x", uint64(p)) }
-
 // Request describes a request that needs a target.
 type Request struct {
 	Service ident.ServiceName
 	// Parts are the parts of the prompt in order. The last one is taken to be
 	// unique to the request. Empty for requests without a prompt.
-	Parts []PartID
+	Parts []ident.PartID
 	// Model is hashed into the prefix, since models do not share cached prompts.
 	Model string
 	// Tried holds the targets of earlier attempts, which are not chosen again.
--- a/internal/request/place/place_test.go
+++ b/internal/request/place/place_test.go
@@ -37,7 +37,7 @@
 // promptRequest returns a request with a prompt of three parts. Prompts of one
 // subject are the same; subjects that are equal modulo 4 share the first part.
 func promptRequest(subject uint64) *place.Request {
-	return &place.Request{Service: "model", Model: "m", Parts: []place.PartID{place.PartID(subject % 4), place.PartID(100 + subject), place.PartID(1e6 + subject)}}
+	return &place.Request{Service: "model", Model: "m", Parts: []ident.PartID{ident.PartID(subject % 4), ident.PartID(100 + subject), ident.PartID(1e6 + subject)}}
 }
 
 func choose(t *testing.T, balancer *place.Balancer, now time.Time, req *place.Request) place.Choice {
--- a/internal/version/ident/ident.go
+++ b/internal/version/ident/ident.go
@@ -34,8 +34,12 @@
 	// ChatKey identifies a chat by a caller's header or by the hash of the
 	// chat's prefix.
 	ChatKey uint64
-	// Fingerprint identifies the content of a request across resends.
+	// Fingerprint identifies the content of a request across resends, or one part of
+	// the prompts for a model.
 	Fingerprint uint64
+	// PartID identifies one part of a prompt. Prompts that start with the same parts
+	// share a prefix.
+	PartID uint64
 )
 
 // Counters that never decrease.
@@ -61,3 +65,6 @@
 
 // String returns the fingerprint in hexadecimal, with leading zeros.
 func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
+
+// String returns the ID in hexadecimal, with leading zeros.
+func (p PartID) String() string { return fmt.Sprintf("%016x", uint64(p)) }
