--- a/internal/conn/watch/convert.go
+++ b/internal/conn/watch/convert.go
@@ -74,6 +74,7 @@
 			Fingerprint: ident.Fingerprint(v.GetFingerprint()),
 			Verdict:     poison.Verdict(v.GetVerdict()),
 			Expires:     time.Unix(0, v.GetExpires()),
+			Part:        poison.Part{ID: ident.PartID(v.GetPart()), Depth: int(v.GetDepth())},
 		})
 	}
 	return changes
--- a/internal/process/gate/attempt.go
+++ b/internal/process/gate/attempt.go
@@ -53,7 +53,7 @@
 		attempt.Error = e.err.Error()
 	}
 	c.attempts = append(c.attempts, attempt)
-	c.recordOutcome(now, choice.Target, result, e.untilClose)
+	e.recordOutcome(now, result)
 	if ejected {
 		c.gate.logTargetEjected(c, attempt)
 	}
@@ -103,7 +103,11 @@
 	// untilClose is set if the response has neither a length nor chunks, and so ends
 	// with its connection.
 	untilClose bool
-	err        error
+	// firstEventAt is when the first event of a stream arrived, and survived is set once
+	// the target has gone on for survivalPeriod after it.
+	firstEventAt time.Time
+	survived     bool
+	err          error
 }
 
 // run sends the request to the target and forwards the response to the caller.
--- a/internal/process/gate/crash.go
+++ b/internal/process/gate/crash.go
@@ -41,16 +41,24 @@
 // uncheckedRequests are requests that were sent to a target and got no complete
 // response, or one that is complete only if the target lives on.
 type uncheckedRequests struct {
-	address string
-	// requests are the requests; the value is set for a response that may be complete.
-	requests map[ident.Fingerprint]bool
+	address  string
+	requests map[ident.Fingerprint]uncheckedRequest
 	// endedAt is when the first response ended.
 	endedAt time.Time
 }
 
+// uncheckedRequest is a request of which nothing is known until its target is probed.
+type uncheckedRequest struct {
+	// maybeComplete is set for a response that is complete if the target lives on.
+	maybeComplete bool
+	// parts are the parts of the prompt that may have crashed the target, or that it
+	// survived if the response is complete.
+	parts []poison.PartInFlight
+}
+
 // add records a request whose response was lost or may be complete. It reports whether
 // the target has to be probed, which is the case if no probe is pending.
-func (d *crashDetector) add(now time.Time, target *place.Target, fingerprint ident.Fingerprint, maybeComplete bool) bool {
+func (d *crashDetector) add(now time.Time, target *place.Target, fingerprint ident.Fingerprint, request uncheckedRequest) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	unchecked := d.unchecked[target.Name]
@@ -59,10 +67,10 @@
 		if d.unchecked == nil {
 			d.unchecked = make(map[ident.TargetName]*uncheckedRequests)
 		}
-		unchecked = &uncheckedRequests{address: target.Address, endedAt: now, requests: make(map[ident.Fingerprint]bool)}
+		unchecked = &uncheckedRequests{address: target.Address, endedAt: now, requests: make(map[ident.Fingerprint]uncheckedRequest)}
 		d.unchecked[target.Name] = unchecked
 	}
-	unchecked.requests[fingerprint] = maybeComplete
+	unchecked.requests[fingerprint] = request
 	return !pending
 }
 
@@ -80,20 +88,11 @@
 	return slices.Sorted(maps.Keys(u.requests))
 }
 
-// recordLost records an attempt that ended without a complete response, and probes
-// the target unless a probe is pending.
-func (c *call) recordLost(now time.Time, target *place.Target) {
-	c.responseLost = true
-	if c.gate.crashes.add(now, target, c.fingerprint(), false) {
-		go c.gate.checkCrash(target.Name)
-	}
-}
-
-// recordMaybeComplete records an attempt whose response ended with its connection, and
-// probes the target unless a probe is pending. The request completed only if the target
-// lives on.
-func (c *call) recordMaybeComplete(now time.Time, target *place.Target) {
-	if c.gate.crashes.add(now, target, c.fingerprint(), true) {
+// recordUnchecked records an attempt whose response was lost, or ended with its
+// connection, and probes the target unless a probe is pending.
+func (c *call) recordUnchecked(now time.Time, target *place.Target, request uncheckedRequest) {
+	c.responseLost = c.responseLost || !request.maybeComplete
+	if c.gate.crashes.add(now, target, c.fingerprint(), request) {
 		go c.gate.checkCrash(target.Name)
 	}
 }
@@ -107,19 +106,31 @@
 	unchecked := g.crashes.take(target)
 	err := g.pool.Probe(ctx, unchecked.address)
 	if !isUnreachable(err) {
-		for fingerprint, complete := range unchecked.requests {
-			if complete {
-				g.recordCompletion(fingerprint)
-			}
-		}
+		g.recordLiveTarget(unchecked)
 		return
 	}
-	crash := poison.DirectCrash{Target: target, At: unchecked.endedAt, InFlight: unchecked.sortedFingerprints()}
+	crash := poison.DirectCrash{
+		Target: target, At: unchecked.endedAt, InFlight: unchecked.sortedFingerprints(), Parts: unchecked.newestParts(maxReportedParts),
+	}
+	for i := range crash.Parts {
+		crash.Parts[i].Survived = g.survivals.last(crash.Parts[i].Fingerprint)
+	}
 	g.logTargetCrashed(crash, err)
 	g.suspects.recordCrash(g.cfg.Clock.Now(), crash)
 	g.reporter.addCrashes(crash)
 }
 
+// recordLiveTarget records the responses of a target that lives on as complete, if they
+// ended with their connections.
+func (g *Gate) recordLiveTarget(unchecked *uncheckedRequests) {
+	for fingerprint, request := range unchecked.requests {
+		if request.maybeComplete {
+			g.recordCompletion(fingerprint)
+			g.recordSurvival(unchecked.endedAt, request.parts)
+		}
+	}
+}
+
 // isUnreachable reports whether a connection failed because the peer refused it or did
 // not respond.
 func isUnreachable(err error) bool {
--- a/internal/process/gate/events.go
+++ b/internal/process/gate/events.go
@@ -33,6 +33,7 @@
 		n, err := response.Body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
 		if length := completeEventsLen(buffer); length > 0 {
+			e.recordProgress(c.gate.cfg.Clock.Now())
 			if err := e.forwardEvents(response, buffer[:length]); err != nil {
 				e.err = err
 				return e.forwardingFailed(ctx, err)
--- a/internal/process/gate/export_test.go
+++ b/internal/process/gate/export_test.go
@@ -1,6 +1,35 @@
 package gate
 
-import "context"
+import (
+	"context"
+	"time"
+
+	"cactusline.dev/cactusline/internal/version/ident"
+)
 
 // AwaitTimelyWakeups exports awaitTimelyWakeups for tests.
 func AwaitTimelyWakeups(ctx context.Context, clock Clock) { awaitTimelyWakeups(ctx, clock) }
+
+// MaxSurvivals is the maximum number of parts in a SurvivalLog.
+const MaxSurvivals = 2 * survivalShards * survivalGeneration
+
+// SurvivalLog exports survivalLog for tests.
+type SurvivalLog struct{ log survivalLog }
+
+// NewSurvivalLog returns an empty log.
+func NewSurvivalLog() *SurvivalLog { return new(SurvivalLog) }
+
+// Record exports record.
+func (l *SurvivalLog) Record(part ident.Fingerprint, at time.Time) { l.log.record(part, at) }
+
+// Last exports last.
+func (l *SurvivalLog) Last(part ident.Fingerprint) time.Time { return l.log.last(part) }
+
+// Len returns the number of parts held.
+func (l *SurvivalLog) Len() int {
+	count := 0
+	for i := range l.log.shards {
+		count += len(l.log.shards[i].current) + len(l.log.shards[i].previous)
+	}
+	return count
+}
--- a/internal/process/gate/gate.go
+++ b/internal/process/gate/gate.go
@@ -24,6 +24,7 @@
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/request/budget"
 	"cactusline.dev/cactusline/internal/request/place"
+	"cactusline.dev/cactusline/internal/request/poison"
 	"cactusline.dev/cactusline/internal/version/ident"
 	"cactusline.dev/cactusline/internal/version/route"
 )
@@ -105,6 +106,8 @@
 	crashes  crashDetector
 	reporter *crashReporter
 	suspects *suspects
+	// survivals is what this gate saw of targets that survive parts of prompts.
+	survivals survivalLog
 
 	routeTable atomic.Pointer[route.Table]
 	// firstDocumentAt is when the first document was received.
@@ -171,7 +174,7 @@
 		g.pool.CloseIdleExcept(g.balancer.Addresses())
 	}
 	if update.GetVerdictsSet() {
-		g.suspects.fleet.Replace(watch.DecodeVerdicts(update.GetVerdicts()))
+		g.updateVerdicts(watch.DecodeVerdicts(update.GetVerdicts()))
 	}
 	if gates := update.GetRouters(); gates > 0 {
 		g.budget.SetPoolRate(g.cfg.UnearnedRetriesPerSecond / float64(gates))
@@ -181,6 +184,17 @@
 	}
 }
 
+// updateVerdicts applies control's list of verdicts, and reports what this gate saw of
+// the parts of prompts in it.
+func (g *Gate) updateVerdicts(verdicts []poison.VerdictChange) {
+	g.suspects.fleet.Replace(verdicts)
+	for _, verdict := range verdicts {
+		if verdict.Part.Depth > 0 {
+			g.reportSurvival(verdict.Fingerprint)
+		}
+	}
+}
+
 // updateDocument compiles the follower's document and serves by it if it is newer
 // than the current one.
 func (g *Gate) updateDocument(now time.Time) {
--- a/internal/process/gate/log.go
+++ b/internal/process/gate/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
@@ -31,12 +32,15 @@
 	if c.route != nil {
 		fields = append(fields, "Route", c.route.Name, "Customer", string(c.customerName()), "Attempts", c.attempts)
 	}
-	if c.responseLost || c.untilClose {
+	if c.responseLost || c.untilClose || c.quarantinedBy != 0 {
 		fields = append(fields, logs.FieldFingerprint, c.fingerprint().String())
 	}
 	if c.responseLost && len(c.meta.PromptParts) > 0 {
 		fields = append(fields, "Parts", c.sharedPartNames())
 	}
+	if c.quarantinedBy != 0 {
+		fields = append(fields, c.quarantineFields()...)
+	}
 	logger := level.Info(g.cfg.Logger)
 	if outcome != "Finish" {
 		logger = level.Warn(g.cfg.Logger)
@@ -44,6 +48,17 @@
 	_ = log.With(logger, fields...).Log()
 }
 
+// quarantineFields counts a rejection and returns the fields that say what the request
+// was rejected for.
+func (c *call) quarantineFields() []any {
+	by, fields := "request", []any{"Quarantine", c.quarantinedBy.String()}
+	if i := slices.Index(c.partFingerprints, c.quarantinedBy); i >= 0 {
+		by, fields = "part", append(fields, "QuarantinedPart", c.meta.PromptParts[i].String())
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf("cactusline_quarantined_requests_total{by=%q}", by)).Inc()
+	return fields
+}
+
 // sharedPartNames returns the parts of the prompt but the last one, as they are logged.
 func (c *call) sharedPartNames() []string {
 	shared := c.meta.PromptParts[:len(c.meta.PromptParts)-1]
@@ -75,9 +90,20 @@
 		texts = append(texts, fingerprint.String())
 	}
 	_ = level.Error(g.cfg.Logger).Log(
-		logs.FieldEvent, "TargetCrashed", "Target", crash.Target, "InFlight", len(crash.InFlight), "Fingerprints", texts, logs.FieldError, err,
+		logs.FieldEvent, "TargetCrashed", "Target", crash.Target, "InFlight", len(crash.InFlight), "Fingerprints", texts,
+		"Parts", newestPartNames(crash.Parts), logs.FieldError, err,
 	)
 }
 
+// newestPartNames returns the parts of the newest requests in flight at a crash, as they
+// are logged.
+func newestPartNames(parts []poison.PartInFlight) []string {
+	names := make([]string, 0, min(len(parts), maxLoggedParts))
+	for _, part := range parts[:cap(names)] {
+		names = append(names, part.ID.String())
+	}
+	return names
+}
+
 // maxLoggedFingerprints bounds the length of a line about a crash.
 const maxLoggedFingerprints = 16
--- a/internal/process/gate/serve.go
+++ b/internal/process/gate/serve.go
@@ -84,6 +84,10 @@
 	onTrial bool
 	// cachedFingerprint is 0 until fingerprint is called.
 	cachedFingerprint ident.Fingerprint
+	// partFingerprints is nil until sharedParts or subjects is called.
+	partFingerprints []ident.Fingerprint
+	// quarantinedBy is what the request was rejected for, 0 if it was not.
+	quarantinedBy ident.Fingerprint
 	// chargedBytes is what the buffers of the request were charged.
 	chargedBytes int
 }
--- a/internal/process/gate/trial.go
+++ b/internal/process/gate/trial.go
@@ -46,30 +46,49 @@
 }
 
 // mayRun reports whether the request may be sent to a target. If it may not, because it
-// is quarantined or control grants no trial, it returns when its caller may send it
-// again.
+// or a part of its prompt is quarantined or control grants no trial, it returns when its
+// caller may send it again.
 func (c *call) mayRun(ctx context.Context, now time.Time) (next time.Time, ok bool) {
 	suspects := c.gate.suspects
 	if suspects.empty() {
 		return time.Time{}, true
 	}
-	if end, quarantined := suspects.quarantineEnd(now, c.fingerprint()); quarantined {
-		return end, false
+	subjects := c.subjects()
+	for _, subject := range subjects {
+		if end, quarantined := suspects.quarantineEnd(now, subject); quarantined && end.After(next) {
+			next, c.quarantinedBy = end, subject
+		}
 	}
-	if c.onTrial || !suspects.wasQuarantined(c.fingerprint()) {
+	if c.quarantinedBy != 0 {
+		return next, false
+	}
+	released := slices.IndexFunc(subjects, suspects.wasQuarantined)
+	if c.onTrial || released < 0 {
 		return time.Time{}, true
 	}
-	next, ok = suspects.trials.mayAsk(now, c.fingerprint())
-	if !ok {
+	return c.beginTrial(ctx, now, subjects[released])
+}
+
+// beginTrial asks for a trial of the request after the quarantine of itself or of a part
+// of its prompt. Its results are those of mayRun. No trial begins while there is no
+// target for it, since the next one would have to wait for its result.
+func (c *call) beginTrial(ctx context.Context, now time.Time, subject ident.Fingerprint) (next time.Time, ok bool) {
+	c.quarantinedBy = subject
+	if !c.gate.balancer.HasUsable(now, c.placement.Service) {
+		return now.Add(trialRetryDelay), false
+	}
+	if next, ok = c.gate.suspects.trials.mayAsk(now, subject); !ok {
 		return next, false
 	}
-	c.onTrial = c.gate.beginTrial(ctx, c.fingerprint())
+	if c.onTrial = c.gate.askTrial(ctx, subject); c.onTrial {
+		c.quarantinedBy = 0
+	}
 	return c.gate.cfg.Clock.Now().Add(trialRetryDelay), c.onTrial
 }
 
-// beginTrial asks control whether a request may run after its quarantine. Without an
-// answer it may not.
-func (g *Gate) beginTrial(ctx context.Context, fingerprint ident.Fingerprint) bool {
+// askTrial asks control whether a request may run after a quarantine. Without an answer
+// it may not.
+func (g *Gate) askTrial(ctx context.Context, fingerprint ident.Fingerprint) bool {
 	if g.cfg.Control == nil {
 		return true
 	}
--- a/internal/request/place/choose.go
+++ b/internal/request/place/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"cactusline.dev/cactusline/internal/version/ident"
@@ -342,6 +343,18 @@
 	})
 }
 
+// HasUsable reports whether a service has a target that is neither leaving, ejected nor
+// being probed.
+func (b *Balancer) HasUsable(now time.Time, name ident.ServiceName) bool {
+	s := b.service(name)
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.targets, func(t *Target) bool { return !t.Leaving && t.health.usable(now) })
+}
+
 // UsableCount returns the number of targets that are neither leaving, ejected nor
 // being probed.
 func (b *Balancer) UsableCount(now time.Time) int {
--- a/internal/request/poison/direct.go
+++ b/internal/request/poison/direct.go
@@ -24,36 +24,68 @@
 	// InFlight are those requests of the gate that got no complete response. What
 	// other gates had in flight is in their reports.
 	InFlight []ident.Fingerprint
+	// Parts are the parts of the prompts of these requests, but for the last of each
+	// prompt and for requests that the target had begun to answer.
+	Parts []PartInFlight
 }
 
 // RecordDirectCrash records a direct crash and returns the verdicts that it changed,
 // ordered by fingerprint.
 func (t *Tracker) RecordDirectCrash(now time.Time, crash DirectCrash) []VerdictChange {
 	t.Expire(now)
-	var changes []VerdictChange
+	diff := make(verdictDiff)
+	report := Crash{Target: crash.Target, Direct: true, At: crash.At}
 	for _, fingerprint := range sortedUnique(crash.InFlight) {
 		entry := t.entry(fingerprint)
-		before := t.change(entry)
-		if crash.At.After(entry.Cleared) {
-			entry.addDirectCrash(crash.Target, crash.At)
+		diff.note(t, entry)
+		if crash.At.After(entry.Cleared) && !t.isExplained(report) {
+			entry.addDirectCrash(report)
 		}
-		if after := t.change(entry); after != before {
+	}
+	t.recordPartCrashes(now, report, crash.Parts, diff)
+	changes := diff.changes(t)
+	t.evictExcess()
+	return changes
+}
+
+// verdictDiff holds the verdicts on entries before a change.
+type verdictDiff map[ident.Fingerprint]VerdictChange
+
+// note keeps the verdict on an entry that is about to change.
+func (d verdictDiff) note(t *Tracker, entry *Entry) {
+	if _, found := d[entry.Fingerprint]; !found {
+		d[entry.Fingerprint] = t.change(entry)
+	}
+}
+
+// changes returns the verdicts that differ from those noted, ordered by fingerprint.
+func (d verdictDiff) changes(t *Tracker) []VerdictChange {
+	var changes []VerdictChange
+	for fingerprint, before := range d {
+		if after := t.change(t.entry(fingerprint)); after != before {
 			changes = append(changes, after)
 		}
 	}
-	t.evictExcess()
+	slices.SortFunc(changes, compareChanges)
 	return changes
 }
 
 // addDirectCrash adds a direct crash, unless another gate has reported the same one.
-func (e *Entry) addDirectCrash(target ident.TargetName, at time.Time) {
-	for _, crash := range e.Crashes {
-		if crash.Direct && crash.Target == target && crash.At.Sub(at).Abs() < minRestartTime {
+func (e *Entry) addDirectCrash(crash Crash) {
+	for i := range e.Crashes {
+		if e.Crashes[i].isSameDirect(crash) {
+			e.Crashes[i].Sent = later(e.Crashes[i].Sent, crash.Sent)
 			return
 		}
 	}
 	// A crash is identified by its number, and no target counts its crashes here.
-	e.addCrash(Crash{Target: target, Number: uint64(at.UnixNano()), Direct: true, At: at})
+	crash.Number = uint64(crash.At.UnixNano())
+	e.addCrash(crash)
+}
+
+// isSameDirect reports whether two direct crashes are one, as seen by two gates.
+func (c Crash) isSameDirect(other Crash) bool {
+	return c.Direct && other.Direct && c.Target == other.Target && c.At.Sub(other.At).Abs() < minRestartTime
 }
 
 // directCrashTimes returns the times of the direct crashes in ascending order. All of
@@ -85,6 +117,9 @@
 // direct crashes starts anew with each crash before its end, since the request may have
 // been in flight already. A crash after its end extends it until the entry expires.
 func (t *Tracker) quarantineEnd(entry *Entry) time.Time {
+	if entry.isPart() {
+		return t.partQuarantineEnd(entry)
+	}
 	times := entry.directCrashTimes()
 	if len(times) < MaxDirectCrashes {
 		return t.expiry(entry)
@@ -103,7 +138,7 @@
 // whose quarantine has ended stays in the list of verdicts, so that gates ask for a
 // trial before they run it.
 func (t *Tracker) change(entry *Entry) VerdictChange {
-	change := VerdictChange{Fingerprint: entry.Fingerprint, Verdict: entry.Verdict()}
+	change := VerdictChange{Fingerprint: entry.Fingerprint, Verdict: entry.Verdict(), Part: entry.Part}
 	switch change.Verdict {
 	case VerdictNone:
 	case VerdictQuarantined:
--- /dev/null
+++ b/internal/request/poison/part_test.go
@@ -0,0 +1,447 @@
+package poison_test
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cactusline.dev/cactusline/internal/process/seeds"
+	"cactusline.dev/cactusline/internal/request/poison"
+	"cactusline.dev/cactusline/internal/version/ident"
+)
+
+// inFlight returns parts of one prompt, the first of them at depth 1, that were sent at
+// the given second.
+func inFlight(second int, fingerprints ...ident.Fingerprint) []poison.PartInFlight {
+	var parts []poison.PartInFlight
+	for i, fingerprint := range fingerprints {
+		parts = append(parts, poison.PartInFlight{
+			Part: poison.Part{ID: ident.PartID(fingerprint), Depth: i + 1}, Fingerprint: fingerprint, Sent: at(second),
+		})
+	}
+	return parts
+}
+
+// crashParts records a crash of the target named after the second, at which a request
+// with the parts was in flight that had been sent in that second.
+func crashParts(tracker *poison.Tracker, second int, fingerprints ...ident.Fingerprint) []poison.VerdictChange {
+	return tracker.RecordDirectCrash(at(second), poison.DirectCrash{
+		Target: ident.TargetName(fmt.Sprint("t", second)), At: at(second), Parts: inFlight(second, fingerprints...),
+	})
+}
+
+const (
+	sharedPart ident.Fingerprint = 1
+	badPart    ident.Fingerprint = 2
+)
+
+func TestDeadlyPartIsQuarantinedAndNotWhatItSharesPromptsWith(t *testing.T) {
+	tracker := poison.NewTracker(poison.Config{})
+	for second := range poison.MaxPartCrashes - 1 {
+		crashParts(tracker, second, sharedPart, badPart)
+		assert.Assert(t, tracker.Verdict(at(second), badPart) < poison.VerdictQuarantined)
+	}
+	last := poison.MaxPartCrashes - 1
+	crashParts(tracker, last, sharedPart, badPart)
+	assert.Equal(t, tracker.Verdict(at(last), badPart), poison.VerdictQuarantined)
+	assert.Equal(t, tracker.Verdict(at(last), sharedPart), poison.VerdictNone)
+}
+
+func TestSurvivedPartIsNotQuarantined(t *testing.T) {
+	tracker := poison.NewTracker(poison.Config{})
+	for second := range 20 {
+		crashParts(tracker, second, sharedPart)
+		tracker.RecordSurvival(at(second), sharedPart, at(second).Add(time.Millisecond))
+		assert.Equal(t, tracker.Verdict(at(second), sharedPart), poison.VerdictNone)
+	}
+}
+
+// Guards against a part that is held for crashes of requests that were sent before the
+// part was last survived, as when all targets crash at once.
+func TestCrashOfOlderRequestDoesNotCountAgainstPart(t *testing.T) {
+	tracker := poison.NewTracker(poison.Config{})
+	crashParts(tracker, 1, sharedPart)
+	tracker.RecordSurvival(at(3), sharedPart, at(2))
+	for target := range 9 {
+		tracker.RecordDirectCrash(at(3), poison.DirectCrash{
+			Target: ident.TargetName(fmt.Sprint("t", target)), At: at(3), Parts: inFlight(2, sharedPart),
+		})
+	}
+	assert.Equal(t, tracker.Verdict(at(3), sharedPart), poison.VerdictNone)
+}
+
+func TestSurvivalReleasesQuarantinedPart(t *testing.T) {
+	tracker := poison.NewTracker(poison.Config{})
+	for second := range poison.MaxPartCrashes {
+		crashParts(tracker, second, badPart)
+	}
+	assert.Equal(t, tracker.Verdict(at(4), badPart), poison.VerdictQuarantined)
+	changes := tracker.RecordSurvival(at(5), badPart, at(5))
+	assert.Equal(t, len(changes), 1)
+	assert.Equal(t, changes[0].Verdict, poison.VerdictNone)
+	assert.Equal(t, tracker.Verdict(at(5), badPart), poison.VerdictNone)
+}
+
+// Guards against trials of a deadly part that go on all day.
+func TestTrialsOfDeadlyPartAreFewInADay(t *testing.T) {
+	tracker := poison.NewTracker(poison.Config{})
+	for second := range poison.MaxPartCrashes {
+		crashParts(tracker, second, sharedPart, badPart)
+	}
+	trials := 0
+	for second := poison.MaxPartCrashes; second < 86_000; second++ {
+		if tracker.BeginTrial(at(second), badPart) {
+			trials++
+			crashParts(tracker, second, sharedPart, badPart)
+		}
+		assert.Equal(t, tracker.Verdict(at(second), sharedPart), poison.VerdictNone)
+	}
+	assert.Equal(t, trials, 2)
+}
+
+func TestTrackerRestoresParts(t *testing.T) {
+	tracker := poison.NewTracker(poison.Config{})
+	for second := range poison.MaxPartCrashes {
+		crashParts(tracker, second, sharedPart, badPart)
+	}
+	crashParts(tracker, 10, sharedPart, 3)
+	tracker.RecordSurvival(at(10), sharedPart, at(9))
+	restored := poison.NewTracker(poison.Config{})
+	restored.Merge(tracker.Entries())
+	assert.DeepEqual(t, restored.ActiveVerdicts(at(11)), tracker.ActiveVerdicts(at(11)))
+	assert.DeepEqual(t, restored.Entries(), tracker.Entries())
+}
+
+// Guards against a flood of distinct parts that pushes a quarantined one out.
+func TestFloodOfPartsKeepsQuarantinedPart(t *testing.T) {
+	tracker := poison.NewTracker(poison.Config{MaxFingerprints: 100})
+	for second := range poison.MaxPartCrashes {
+		crashParts(tracker, second, badPart)
+	}
+	for i := range 1000 {
+		crashParts(tracker, 10+i/100, ident.Fingerprint(1000+i))
+	}
+	held := slices.ContainsFunc(tracker.ActiveVerdicts(at(21)), func(change poison.VerdictChange) bool {
+		return change.Fingerprint == badPart && change.Verdict == poison.VerdictQuarantined
+	})
+	assert.Assert(t, held)
+	assert.Assert(t, len(tracker.Entries()) <= 100)
+}
+
+// partModel is a fleet of gates and targets. Requests have a part that all share, one
+// of several second parts or the deadly one, and one of their own.
+type partModel struct {
+	rng     *rand.Rand
+	now     time.Time
+	tracker *poison.Tracker
+	set     poison.VerdictSet
+	pending []delayedReport
+	upAt    []time.Time
+	running []*partRequest
+	// survivals are when each gate last saw a part survived, and reported what it told
+	// control.
+	survivals, reported [modelGates]map[ident.Fingerprint]time.Time
+	askedAt             time.Time
+
+	deadlyEvery, soundEvery int
+	deadlySends             []time.Time
+	crashes                 []time.Time
+	sound                   []soundOutcome
+	// delayLimit bounds the delay of reports.
+	delayLimit time.Duration
+}
+
+type partRequest struct {
+	gate    int
+	second  ident.Fingerprint
+	target  int
+	sent    time.Time
+	begins  time.Time
+	ends    time.Time
+	outcome int
+}
+
+type soundOutcome struct {
+	at     time.Time
+	began  bool
+	second ident.Fingerprint
+}
+
+const (
+	firstSecondPart   ident.Fingerprint = 100
+	modelSurvival                       = 250 * time.Millisecond
+	modelRestart                        = 3 * time.Second
+	modelContact                        = 3 * time.Second
+	modelLateRequests                   = 3
+	deadlyFrom                          = 10 * time.Second
+	modelGates                          = 8
+)
+
+func newPartModel(seed uint64, delayLimit time.Duration) *partModel {
+	m := &partModel{
+		rng: rand.New(rand.NewPCG(seed, 1)), now: baseTime, tracker: poison.NewTracker(poison.Config{}), upAt: make([]time.Time, 4+seed%3*4),
+		deadlyEvery: int(3 + seed%20), soundEvery: int(1 + seed%7), delayLimit: delayLimit,
+	}
+	for gate := range modelGates {
+		m.survivals[gate], m.reported[gate] = make(map[ident.Fingerprint]time.Time), make(map[ident.Fingerprint]time.Time)
+	}
+	return m
+}
+
+func (m *partModel) report(apply func()) {
+	delay := 70*time.Millisecond + time.Duration(m.rng.Int64N(int64(100*time.Millisecond)))
+	if m.delayLimit > 0 && m.rng.IntN(10) == 0 {
+		delay += time.Duration(m.rng.Int64N(int64(m.delayLimit)))
+	}
+	m.pending = append(m.pending, delayedReport{due: m.now.Add(delay), apply: apply})
+}
+
+// send sends a request unless a gate rejects it, and reports whether a target got it.
+func (m *partModel) send(second ident.Fingerprint) {
+	outcome := -1
+	if second != badPart {
+		m.sound = append(m.sound, soundOutcome{at: m.now, second: second})
+		outcome = len(m.sound) - 1
+	}
+	for _, part := range []ident.Fingerprint{sharedPart, second} {
+		if _, quarantined := m.set.QuarantineEnd(m.now, part); quarantined {
+			return
+		}
+	}
+	for _, part := range []ident.Fingerprint{sharedPart, second} {
+		if !m.set.Quarantined(part) {
+			continue
+		}
+		if m.now.Sub(m.askedAt) < time.Second/4 || !m.anyTargetUp() {
+			return
+		}
+		m.askedAt = m.now
+		m.report(func() {
+			if m.tracker.BeginTrial(m.now, part) {
+				m.run(second, outcome)
+			}
+		})
+		return
+	}
+	m.run(second, outcome)
+}
+
+func (m *partModel) anyTargetUp() bool {
+	return slices.ContainsFunc(m.upAt, func(upAt time.Time) bool { return !m.now.Before(upAt) })
+}
+
+func (m *partModel) run(second ident.Fingerprint, outcome int) {
+	target := m.rng.IntN(len(m.upAt))
+	for range m.upAt {
+		if !m.now.Before(m.upAt[target]) {
+			break
+		}
+		target = (target + 1) % len(m.upAt)
+	}
+	if m.now.Before(m.upAt[target]) {
+		return
+	}
+	if second == badPart {
+		m.deadlySends = append(m.deadlySends, m.now)
+	}
+	begins := m.now.Add(time.Duration(20+m.rng.IntN(200)) * time.Millisecond)
+	m.running = append(m.running, &partRequest{
+		gate: m.rng.IntN(modelGates), second: second, target: target, sent: m.now, begins: begins,
+		ends: begins.Add(time.Duration(50+m.rng.IntN(2000)) * time.Millisecond), outcome: outcome,
+	})
+}
+
+// crash crashes a target. Each request in flight is reported by another gate.
+func (m *partModel) crash(target int) {
+	m.crashes = append(m.crashes, m.now)
+	m.upAt[target] = m.now.Add(modelRestart + time.Duration(m.rng.IntN(500))*time.Millisecond)
+	at := m.now
+	kept := m.running[:0]
+	for _, r := range m.running {
+		if r.target != target {
+			kept = append(kept, r)
+			continue
+		}
+		if !r.begins.After(m.now.Add(-modelSurvival)) {
+			continue // The target had begun to answer long before.
+		}
+		crash := poison.DirectCrash{Target: ident.TargetName(fmt.Sprint(target)), At: at, Parts: []poison.PartInFlight{
+			{Part: poison.Part{ID: 1, Depth: 1}, Fingerprint: sharedPart, Sent: r.sent, Survived: m.survivals[r.gate][sharedPart]},
+			{Part: poison.Part{ID: ident.PartID(r.second), Depth: 2}, Fingerprint: r.second, Sent: r.sent, Survived: m.survivals[r.gate][r.second]},
+		}}
+		m.report(func() { m.tracker.RecordDirectCrash(m.now, crash) })
+	}
+	m.running = kept
+}
+
+// survive records that a target went on after it had begun to answer.
+func (m *partModel) survive(r *partRequest) {
+	for _, part := range []ident.Fingerprint{sharedPart, r.second} {
+		m.survivals[r.gate][part] = m.now
+	}
+}
+
+// reportSurvivals reports what is known of the parts in the list of verdicts.
+func (m *partModel) reportSurvivals() {
+	for _, verdict := range m.tracker.ActiveVerdicts(m.now) {
+		for gate := range modelGates {
+			part := verdict.Fingerprint
+			at := m.survivals[gate][part]
+			if !at.After(m.reported[gate][part]) {
+				continue
+			}
+			m.reported[gate][part] = at
+			m.report(func() { m.tracker.RecordSurvival(m.now, part, at) })
+		}
+	}
+}
+
+func (m *partModel) step() {
+	m.now = m.now.Add(modelStep)
+	m.applyReports()
+	for _, r := range slices.Clone(m.running) {
+		if r.second == badPart && !m.now.Before(r.begins) && slices.Contains(m.running, r) {
+			m.crash(r.target)
+		}
+	}
+	kept := m.running[:0]
+	for _, r := range m.running {
+		if r.outcome >= 0 && !m.now.Before(r.begins) {
+			m.sound[r.outcome].began = true
+		}
+		if !m.now.Before(r.begins.Add(modelSurvival)) || !m.now.Before(r.ends) {
+			m.survive(r)
+		}
+		if m.now.Before(r.ends) {
+			kept = append(kept, r)
+		}
+	}
+	m.running = kept
+	m.reportSurvivals()
+	if m.rng.IntN(m.soundEvery) == 0 {
+		// Low numbers are used often, high ones seldom.
+		m.send(firstSecondPart + ident.Fingerprint(m.rng.IntN(1+m.rng.IntN(30))))
+	}
+	if m.now.Sub(baseTime) > deadlyFrom && m.rng.IntN(m.deadlyEvery) == 0 {
+		m.send(badPart)
+	}
+}
+
+func (m *partModel) applyReports() {
+	pending := m.pending
+	m.pending = nil
+	applied := false
+	for _, report := range pending {
+		if m.now.Before(report.due) {
+			m.pending = append(m.pending, report)
+			continue
+		}
+		report.apply()
+		applied = true
+	}
+	if applied {
+		m.set.Replace(m.tracker.ActiveVerdicts(m.now))
+	}
+}
+
+// crashTargets crashes all targets that are up, or each with the given probability.
+func (m *partModel) crashTargets(share float64) {
+	for target, upAt := range m.upAt {
+		if !m.now.Before(upAt) && m.rng.Float64() < share {
+			m.crash(target)
+		}
+	}
+}
+
+// begunShare returns the share of the sound requests in a span that began, and their
+// number.
+func (m *partModel) begunShare(from, to time.Time) (share float64, count int) {
+	began := 0
+	for _, outcome := range m.sound {
+		if outcome.at.Before(from) || outcome.at.After(to) {
+			continue
+		}
+		count++
+		if outcome.began {
+			began++
+		}
+	}
+	return float64(began) / float64(max(1, count)), count
+}
+
+// Two minutes of requests with a deadly part, 4 to 33 a second, beside sound ones that
+// share their first part. Three of them may be sent later than the contact time after
+// the fifth crash, and sound ones begin half as often as before from twice that time on.
+func TestRandomisedDeadlyPartIsStoppedAndSoundRequestsBegin(t *testing.T) {
+	for name, delayLimit := range map[string]time.Duration{"prompt reports": 0, "reports up to 1 s late": time.Second} {
+		t.Run(name, func(t *testing.T) {
+			seeds.Run(t, seeds.Range{First: 1, Last: 8}, func(t *testing.T, seed uint64) {
+				m := newPartModel(seed, delayLimit)
+				for range int(2 * time.Minute / modelStep) {
+					m.step()
+				}
+				fifth := m.crashes[min(len(m.crashes), 5)-1]
+				late := 0
+				for _, at := range m.deadlySends {
+					if at.Sub(fifth) > modelContact {
+						late++
+					}
+				}
+				assert.Check(t, late <= modelLateRequests, "%d sent late, %d crashes", late, len(m.crashes))
+				before, _ := m.begunShare(baseTime, baseTime.Add(deadlyFrom))
+				after, count := m.begunShare(fifth.Add(2*modelContact), m.now)
+				assert.Check(t, after >= before/2, "%.2f of %d sound requests begin, %.2f before", after, count, before)
+				assert.Equal(t, m.tracker.Verdict(m.now, badPart), poison.VerdictQuarantined)
+			})
+		})
+	}
+}
+
+// Half of the targets or all of them crash at one time, again and again, for another
+// reason than a request. A part that is quarantined for it is released within twice the
+// contact time and the delay of a report.
+func TestRandomisedCrashesQuarantineNoSoundPartForLong(t *testing.T) {
+	seeds.Run(t, seeds.Range{First: 1, Last: 8}, func(t *testing.T, seed uint64) {
+		m := newPartModel(seed, time.Second)
+		m.deadlyEvery = 1 << 40
+		since := make(map[ident.Fingerprint]time.Time)
+		rejected := make(map[ident.Fingerprint]time.Duration)
+		for i := range int(2 * time.Minute / modelStep) {
+			m.step()
+			if i%700 == 699 {
+				m.crashTargets(0.5 + 0.5*float64(seed%2))
+			}
+			quarantined := make(map[ident.Fingerprint]bool)
+			for _, verdict := range m.tracker.ActiveVerdicts(m.now) {
+				quarantined[verdict.Fingerprint] = verdict.Verdict == poison.VerdictQuarantined
+			}
+			for part := range firstSecondPart + 30 {
+				if !quarantined[part] || since[part].IsZero() {
+					since[part] = m.now
+				}
+				rejected[part] = max(rejected[part], m.now.Sub(since[part]))
+			}
+		}
+		for part, longest := range rejected {
+			assert.Check(t, longest <= 2*modelContact+m.delayLimit, "part %v is quarantined for %v", part, longest)
+		}
+	})
+}
+
+func TestPartModelRepeatsBySeed(t *testing.T) {
+	for seed := range uint64(5) {
+		first, second := newPartModel(seed, time.Second), newPartModel(seed, time.Second)
+		for range int(30 * time.Second / modelStep) {
+			first.step()
+			second.step()
+		}
+		assert.DeepEqual(t, first.tracker.Entries(), second.tracker.Entries())
+		assert.DeepEqual(t, first.crashes, second.crashes)
+		assert.Assert(t, maps.Equal(first.survivals[0], second.survivals[0]))
+	}
+}
--- a/internal/request/poison/tracker.go
+++ b/internal/request/poison/tracker.go
@@ -15,6 +15,7 @@
 	// DefaultDirectQuarantine is short, since it may hit a request that only ran
 	// beside the poison request.
 	DefaultDirectQuarantine = time.Minute
+	DefaultPartQuarantine   = 24 * time.Hour
 	DefaultMaxFingerprints  = 1 << 14
 )
 
@@ -29,6 +30,9 @@
 	// DirectQuarantine is how long a request is blocked after MaxDirectCrashes. If it
 	// then crashes one more target, it is blocked for Quarantine.
 	DirectQuarantine time.Duration
+	// PartQuarantine is how long a part of prompts is blocked after its last crash, once
+	// its trials have crashed targets too.
+	PartQuarantine time.Duration
 	// MaxFingerprints is the maximum number of entries. The least severe ones
 	// are dropped first, the oldest among equally severe ones.
 	MaxFingerprints int
@@ -47,6 +51,7 @@
 	cfg.Window = cmp.Or(cfg.Window, DefaultWindow)
 	cfg.Quarantine = cmp.Or(cfg.Quarantine, DefaultQuarantine)
 	cfg.DirectQuarantine = cmp.Or(cfg.DirectQuarantine, DefaultDirectQuarantine)
+	cfg.PartQuarantine = cmp.Or(cfg.PartQuarantine, DefaultPartQuarantine)
 	cfg.MaxFingerprints = cmp.Or(cfg.MaxFingerprints, DefaultMaxFingerprints)
 	return &Tracker{cfg: cfg, entries: make(map[ident.Fingerprint]*Entry)}
 }
@@ -72,6 +77,8 @@
 	Fingerprint ident.Fingerprint
 	Verdict     Verdict
 	Expires     time.Time
+	// Part is zero if the fingerprint is that of a request.
+	Part Part
 }
 
 // RecordCrash records a crash and returns the verdicts that it changed, ordered
@@ -203,10 +210,13 @@
 	if entry.Cleared.After(last) {
 		last = entry.Cleared
 	}
-	if entry.Verdict() == VerdictQuarantined {
-		return last.Add(t.cfg.Quarantine)
+	switch {
+	case entry.Verdict() != VerdictQuarantined:
+		return last.Add(t.cfg.Window)
+	case entry.isPart():
+		return last.Add(t.cfg.PartQuarantine)
 	}
-	return last.Add(t.cfg.Window)
+	return last.Add(t.cfg.Quarantine)
 }
 
 // appendChange appends the entry's verdict if it differs from before.
--- a/internal/request/poison/verdict.go
+++ b/internal/request/poison/verdict.go
@@ -45,19 +45,26 @@
 	// Direct is set if a gate reported the crash.
 	Direct bool
 	At     time.Time
+	// Sent is when the newest request in flight was sent that has the part of an entry
+	// for a part; zero in other entries.
+	Sent time.Time
 }
 
 // Entry is the record of one fingerprint.
 type Entry struct {
 	Fingerprint ident.Fingerprint
+	// Part is zero if the fingerprint is that of a request.
+	Part Part
 	// Crashes are the crashes after Cleared. Those with Alone set come first,
 	// since they are the strongest evidence.
 	Crashes []Crash
-	// Cleared is when the request last completed while running alone; zero if
-	// it never did.
+	// Cleared is when the request last completed while running alone, or a target last
+	// survived the part; zero if it never did.
 	Cleared time.Time
 	// TrialBegan is when the last trial of the request began; zero if there was none.
 	TrialBegan time.Time
+	// QuarantinedAt is when a part was quarantined; zero if it is not.
+	QuarantinedAt time.Time
 }
 
 // MaxCrashes is the maximum number of crashes kept per fingerprint.
@@ -67,6 +74,9 @@
 // quarantined when two targets crashed while running it alone, when one did so
 // after the request had become suspect, or when there were MaxDirectCrashes.
 func (e *Entry) Verdict() Verdict {
+	if e.isPart() {
+		return e.partVerdict()
+	}
 	targets := e.countTargets(isReportedBySidecar)
 	direct := len(e.directCrashTimes())
 	switch {
@@ -125,10 +135,21 @@
 	if other.TrialBegan.After(e.TrialBegan) {
 		e.TrialBegan = other.TrialBegan
 	}
+	if other.isPart() {
+		e.Part, e.QuarantinedAt = other.Part, other.QuarantinedAt
+	}
 	for _, crash := range other.Crashes {
 		e.addCrash(crash)
 	}
-	e.Crashes = slices.DeleteFunc(e.Crashes, func(c Crash) bool { return !c.At.After(e.Cleared) })
+	e.Crashes = slices.DeleteFunc(e.Crashes, func(c Crash) bool { return !e.counts(c) })
+}
+
+// counts reports whether a crash counts after the last clearance of the entry.
+func (e *Entry) counts(c Crash) bool {
+	if e.isPart() {
+		return c.Sent.After(e.Cleared)
+	}
+	return c.At.After(e.Cleared)
 }
 
 // addCrash adds one crash. Equal reports of the same crash are stored once, with
@@ -137,8 +158,9 @@
 	i := slices.IndexFunc(e.Crashes, func(c Crash) bool { return compareCrashes(c, crash) == 0 })
 	if i < 0 {
 		e.Crashes = append(e.Crashes, crash)
-	} else if crash.At.After(e.Crashes[i].At) {
-		e.Crashes[i].At = crash.At
+	} else {
+		e.Crashes[i].At = later(e.Crashes[i].At, crash.At)
+		e.Crashes[i].Sent = later(e.Crashes[i].Sent, crash.Sent)
 	}
 	slices.SortFunc(e.Crashes, compareCrashes)
 	if len(e.Crashes) > MaxCrashes {
@@ -146,6 +168,13 @@
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // dropCrash drops the oldest direct crash, since the end of a quarantine follows from
 // the newest ones. Without direct crashes it drops the last one by identity.
 func (e *Entry) dropCrash() {
--- a/internal/version/store/codec.go
+++ b/internal/version/store/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -12,12 +13,13 @@
 // The rules of a format never change; new rules need a new format, which may
 // be proposed only once every replica supports it.
 const (
-	Format = formatGateReport
+	Format = formatPartReport
 
-	// formatBase is the format of all commands but GateReport. Older programs apply it
-	// too.
+	// formatBase is the format of all commands but GateReport, and formatGateReport that
+	// of a GateReport without parts of prompts. Older programs apply them too.
 	formatBase       = 2
 	formatGateReport = 3
+	formatPartReport = 4
 )
 
 // maxCommandBytes limits the size of one encoded command.
@@ -72,8 +74,8 @@
 // encodes it.
 func EncodeCommand(command *cmdpb.Command) ([]byte, error) {
 	command.Format = formatBase
-	if command.GetGateReport() != nil {
-		command.Format = formatGateReport
+	if report := command.GetGateReport(); report != nil {
+		command.Format = gateReportFormat(report)
 	}
 	data, err := proto.Marshal(command)
 	if err != nil {
@@ -82,6 +84,15 @@
 	return data, nil
 }
 
+// gateReportFormat returns the oldest format that has a report.
+func gateReportFormat(report *cmdpb.GateReport) uint32 {
+	hasParts := func(crash *cmdpb.TargetCrash) bool { return len(crash.GetParts()) > 0 }
+	if len(report.GetSurvivals()) > 0 || slices.ContainsFunc(report.GetCrashes(), hasParts) {
+		return formatPartReport
+	}
+	return formatGateReport
+}
+
 // DecodeResult decodes the result of a command.
 func DecodeResult(data []byte) (*cmdpb.Result, error) {
 	result := &cmdpb.Result{}
--- a/internal/version/store/crash.go
+++ b/internal/version/store/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"cactusline.dev/cactusline/internal/conn/wire"
@@ -46,6 +47,14 @@
 		if crash.GetTarget() == "" || crash.GetAge() < 0 {
 			return invalidResult("target must be set and age must not be negative")
 		}
+		if slices.ContainsFunc(crash.GetParts(), isInvalidPart) {
+			return invalidResult("depth of a part must be from 1 to 1,000,000 and its ages must not be negative")
+		}
+	}
+	for _, survival := range body.GetSurvivals() {
+		if survival.GetAge() < 0 {
+			return invalidResult("age of a survival must not be negative")
+		}
 	}
 	result := &cmdpb.Result{Status: cmdpb.Status_STATUS_OK}
 	for _, crash := range body.GetCrashes() {
@@ -53,6 +62,9 @@
 		for _, fingerprint := range crash.GetFingerprints() {
 			report.InFlight = append(report.InFlight, ident.Fingerprint(fingerprint))
 		}
+		for _, part := range crash.GetParts() {
+			report.Parts = append(report.Parts, s.decodePart(part))
+		}
 		s.recordVerdicts(result, c, s.crashes.RecordDirectCrash(s.now, report), audit.Event{
 			Kind: audit.KindCrash, Subject: crash.GetTarget(), Detail: fmt.Sprintf("seen by a gate, %d in flight", len(report.InFlight)),
 		})
@@ -62,6 +74,7 @@
 			Kind: audit.KindQuarantine, Subject: fingerprintSubject(fingerprint), Detail: "completed",
 		})
 	}
+	s.recordSurvivals(result, c, body.GetSurvivals())
 	for _, fingerprint := range body.GetTrials() {
 		if !s.crashes.BeginTrial(s.now, ident.Fingerprint(fingerprint)) {
 			continue
@@ -74,6 +87,45 @@
 	return result
 }
 
+// maxPartDepth bounds the position of a part in its prompt.
+const maxPartDepth = 1_000_000
+
+func isInvalidPart(part *cmdpb.PartInFlight) bool {
+	return part.GetDepth() < 1 || part.GetDepth() > maxPartDepth || part.GetSentAge() < 0 || part.GetSurvivedAge() < 0
+}
+
+// decodePart returns a part of prompts that was in flight at a crash.
+func (s *Store) decodePart(part *cmdpb.PartInFlight) poison.PartInFlight {
+	decoded := poison.PartInFlight{
+		Part:        poison.Part{ID: ident.PartID(part.GetPart()), Depth: int(part.GetDepth())},
+		Fingerprint: ident.Fingerprint(part.GetFingerprint()), Sent: s.now.Add(-time.Duration(part.GetSentAge())),
+	}
+	if age := part.GetSurvivedAge(); age > 0 {
+		decoded.Survived = s.now.Add(-time.Duration(age))
+	}
+	return decoded
+}
+
+// recordSurvivals records that targets answered requests with parts that are held for
+// crashes. Only the end of a quarantine is audited.
+func (s *Store) recordSurvivals(result *cmdpb.Result, c *cmdpb.Command, survivals []*cmdpb.PartSurvival) {
+	changed := false
+	for _, survival := range survivals {
+		fingerprint := ident.Fingerprint(survival.GetFingerprint())
+		quarantined := s.crashes.Verdict(s.now, fingerprint) == poison.VerdictQuarantined
+		changes := s.crashes.RecordSurvival(s.now, fingerprint, s.now.Add(-time.Duration(survival.GetAge())))
+		changed = changed || len(changes) > 0
+		if quarantined && len(changes) > 0 {
+			s.appendAudit(result, c, audit.Event{
+				Kind: audit.KindQuarantine, Subject: fingerprintSubject(survival.GetFingerprint()), Detail: "part of prompts answered by a target",
+			})
+		}
+	}
+	if changed {
+		s.updateVerdicts()
+	}
+}
+
 // handleRanAlone clears a request of the crashes recorded against it, because
 // it completed while it ran alone on its target.
 func (s *Store) handleRanAlone(c *cmdpb.Command, body *cmdpb.RanAlone) *cmdpb.Result {
@@ -118,12 +170,16 @@
 func (s *Store) recordVerdicts(result *cmdpb.Result, c *cmdpb.Command, changes []poison.VerdictChange, event audit.Event) {
 	s.appendAudit(result, c, event)
 	for _, change := range changes {
+		if change.Part.Depth > 0 && change.Verdict != poison.VerdictQuarantined {
+			// Most parts in flight at a crash are soon cleared; only gates follow that.
+			continue
+		}
 		verdict := &cmdpb.Verdict{Fingerprint: uint64(change.Fingerprint), Verdict: uint32(change.Verdict)}
 		verdict.Expires = unixNanos(change.Expires)
 		result.Verdicts = append(result.Verdicts, verdict)
 		s.appendAudit(result, c, audit.Event{
 			Kind: audit.KindQuarantine, Subject: fingerprintSubject(uint64(change.Fingerprint)),
-			Detail: fmt.Sprintf("verdict %d", change.Verdict),
+			Detail: verdictDetail(change),
 		})
 	}
 	if len(changes) > 0 {
@@ -131,13 +187,24 @@
 	}
 }
 
+// verdictDetail returns the audit detail of a changed verdict.
+func verdictDetail(change poison.VerdictChange) string {
+	if change.Part.Depth > 0 {
+		return fmt.Sprintf("verdict %d on part %v of prompts", change.Verdict, change.Part.ID)
+	}
+	return fmt.Sprintf("verdict %d", change.Verdict)
+}
+
 // updateVerdicts rebuilds the list of verdicts in force and notifies the
 // watchers.
 func (s *Store) updateVerdicts() {
 	active := s.crashes.ActiveVerdicts(s.now)
 	list := make([]*wire.CrashVerdict, 0, len(active))
 	for _, change := range active {
-		verdict := &wire.CrashVerdict{Fingerprint: uint64(change.Fingerprint), Verdict: uint32(change.Verdict)}
+		verdict := &wire.CrashVerdict{
+			Fingerprint: uint64(change.Fingerprint), Verdict: uint32(change.Verdict),
+			Part: uint64(change.Part.ID), Depth: uint32(change.Part.Depth),
+		}
 		if change.Verdict == poison.VerdictQuarantined {
 			verdict.Expires = unixNanos(change.Expires)
 		}
@@ -173,11 +240,14 @@
 func crashesToProto(state []poison.Entry) []*cmdpb.CrashEntry {
 	out := make([]*cmdpb.CrashEntry, 0, len(state))
 	for _, entry := range state {
-		encoded := &cmdpb.CrashEntry{Fingerprint: uint64(entry.Fingerprint), Cleared: unixNanos(entry.Cleared), TrialBegan: unixNanos(entry.TrialBegan)}
+		encoded := &cmdpb.CrashEntry{
+			Fingerprint: uint64(entry.Fingerprint), Cleared: unixNanos(entry.Cleared), TrialBegan: unixNanos(entry.TrialBegan),
+			Part: uint64(entry.Part.ID), Depth: uint32(entry.Part.Depth), Quarantined: unixNanos(entry.QuarantinedAt),
+		}
 		for _, site := range entry.Crashes {
 			encoded.Sites = append(encoded.Sites, &cmdpb.CrashSite{
 				Target: string(site.Target), Incarnation: uint64(site.Incarnation),
-				Number: site.Number, Alone: site.Alone, At: unixNanos(site.At), Direct: site.Direct,
+				Number: site.Number, Alone: site.Alone, At: unixNanos(site.At), Direct: site.Direct, Sent: unixNanos(site.Sent),
 			})
 		}
 		out = append(out, encoded)
@@ -192,11 +262,14 @@
 		entry := poison.Entry{
 			Fingerprint: ident.Fingerprint(encoded.GetFingerprint()),
 			Cleared:     timeFromUnixNanos(encoded.GetCleared()), TrialBegan: timeFromUnixNanos(encoded.GetTrialBegan()),
+			Part:          poison.Part{ID: ident.PartID(encoded.GetPart()), Depth: int(encoded.GetDepth())},
+			QuarantinedAt: timeFromUnixNanos(encoded.GetQuarantined()),
 		}
 		for _, site := range encoded.GetSites() {
 			entry.Crashes = append(entry.Crashes, poison.Crash{
 				Target: ident.TargetName(site.GetTarget()), Incarnation: ident.Incarnation(site.GetIncarnation()),
 				Number: site.GetNumber(), Alone: site.GetAlone(), At: timeFromUnixNanos(site.GetAt()), Direct: site.GetDirect(),
+				Sent: timeFromUnixNanos(site.GetSent()),
 			})
 		}
 		out = append(out, entry)
--- a/internal/version/store/random_test.go
+++ b/internal/version/store/random_test.go
@@ -49,7 +49,16 @@
 	case 11:
 		report := gateReport([]string{fmt.Sprint("t", rng.IntN(3))}, time.Duration(rng.IntN(3))*time.Second, 100+rng.Uint64N(5))
 		report.GetGateReport().Completed = []uint64{100 + rng.Uint64N(5)}
-		report.GetGateReport().Trials = []uint64{100 + rng.Uint64N(5)}
+		report.GetGateReport().Trials = []uint64{100 + rng.Uint64N(5), 200 + rng.Uint64N(4)}
+		for depth := range rng.Uint32N(3) {
+			part := 200 + 2*uint64(depth) + rng.Uint64N(2)
+			report.GetGateReport().GetCrashes()[0].Parts = append(report.GetGateReport().GetCrashes()[0].GetParts(), &cmdpb.PartInFlight{
+				Fingerprint: part, Part: part, Depth: depth + 1, SentAge: rng.Int64N(int64(time.Second)),
+			})
+		}
+		if rng.IntN(8) == 0 {
+			report.GetGateReport().Survivals = []*cmdpb.PartSurvival{{Fingerprint: 200 + rng.Uint64N(4), Age: rng.Int64N(int64(time.Second))}}
+		}
 		return report
 	}
 	return &cmdpb.Command{Body: &cmdpb.Command_Register{Register: &cmdpb.RegisterProcess{
--- a/internal/version/store/snapshot.go
+++ b/internal/version/store/snapshot.go
@@ -46,12 +46,16 @@
 
 // snapshotFormat returns the oldest format that can hold the crashes.
 func snapshotFormat(crashes *poison.Tracker) uint32 {
+	var format uint32 = formatBase
 	for _, entry := range crashes.Entries() {
-		if slices.ContainsFunc(entry.Crashes, func(c poison.Crash) bool { return c.Direct }) {
-			return formatGateReport
+		switch {
+		case entry.Part.Depth > 0:
+			return formatPartReport
+		case slices.ContainsFunc(entry.Crashes, func(c poison.Crash) bool { return c.Direct }):
+			format = formatGateReport
 		}
 	}
-	return formatBase
+	return format
 }
 
 // saveRecords adds the records, their history and the highest retired versions
--- a/internal/version/store/store_test.go
+++ b/internal/version/store/store_test.go
@@ -312,6 +312,60 @@
 	}
 }
 
+// partCrash returns the report of a crash with one part of prompts in flight.
+func partCrash(target string, part uint64) *cmdpb.Command {
+	return &cmdpb.Command{Body: &cmdpb.Command_GateReport{GateReport: &cmdpb.GateReport{Crashes: []*cmdpb.TargetCrash{{
+		Target: target, Parts: []*cmdpb.PartInFlight{{Fingerprint: part, Part: 0xabc, Depth: 2}},
+	}}}}}
+}
+
+// A part of prompts is quarantined at all replicas, also those that start from a
+// snapshot, until a gate reports that a target survived it.
+func TestGateReportsQuarantinePart(t *testing.T) {
+	r := newReplica(t, store.Config{})
+	for i := range poison.MaxPartCrashes {
+		r.apply(partCrash(fmt.Sprint("t", i), 7))
+	}
+	verdicts, _ := r.store.Verdicts()
+	assert.Equal(t, len(verdicts), 1)
+	assert.Equal(t, poison.Verdict(verdicts[0].GetVerdict()), poison.VerdictQuarantined)
+	assert.Equal(t, verdicts[0].GetPart(), uint64(0xabc))
+	assert.Equal(t, verdicts[0].GetDepth(), uint32(2))
+
+	restored := newReplica(t, store.Config{})
+	snapshot := r.snapshot()
+	assert.Equal(t, snapshotFormat(t, snapshot), uint32(4))
+	assert.NilError(t, restored.store.Restore(snapshot))
+	got, _ := restored.store.Verdicts()
+	assert.DeepEqual(t, got, verdicts, protocmp.Transform())
+
+	survival := &cmdpb.GateReport{Survivals: []*cmdpb.PartSurvival{{Fingerprint: 7}}}
+	result := r.apply(&cmdpb.Command{Body: &cmdpb.Command_GateReport{GateReport: survival}})
+	assert.Assert(t, result.GetAudit() > 0)
+	verdicts, _ = r.store.Verdicts()
+	assert.Equal(t, len(verdicts), 0)
+
+	invalid := partCrash("t9", 7)
+	invalid.GetGateReport().GetCrashes()[0].GetParts()[0].Depth = 0
+	assert.Equal(t, r.apply(invalid).GetStatus(), cmdpb.Status_STATUS_INVALID)
+	survival.Survivals[0].Age = -1
+	assert.Equal(t, r.apply(&cmdpb.Command{Body: &cmdpb.Command_GateReport{GateReport: survival}}).GetStatus(), cmdpb.Status_STATUS_INVALID)
+}
+
+// Commands that older programs apply too keep their format.
+func TestGateReportHasOldestFormat(t *testing.T) {
+	withPart := partCrash("t", 7)
+	withSurvival := &cmdpb.Command{Body: &cmdpb.Command_GateReport{GateReport: &cmdpb.GateReport{Survivals: []*cmdpb.PartSurvival{{}}}}}
+	for want, command := range map[uint32]*cmdpb.Command{3: gateReport([]string{"t"}, 0, 7), 4: withPart} {
+		_, err := store.EncodeCommand(command)
+		assert.NilError(t, err)
+		assert.Equal(t, command.GetFormat(), want)
+	}
+	_, err := store.EncodeCommand(withSurvival)
+	assert.NilError(t, err)
+	assert.Equal(t, withSurvival.GetFormat(), uint32(4))
+}
+
 func snapshotFormat(t *testing.T, data []byte) uint32 {
 	t.Helper()
 	snapshot := new(cmdpb.Snapshot)
