Let operators see and lift verdicts on requests and parts of prompts

Change: GET /v1/verdicts and DELETE /v1/verdicts/FINGERPRINT in the administration API, and on the platform at every core with a disk; the commands verdicts and lift; a line of status says which part it is. What control releases is released at each gate too, whatever it saw itself.

A lift that is resent after its answer was lost is answered as not found.

--- a/internal/process/admin/status.go
+++ b/internal/process/admin/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 
 	"cactusline.dev/cactusline/internal/process/audit"
@@ -28,7 +27,7 @@
 	Unreachable []ident.VMName
 	Processes   []ctrl.Process
 	Targets     []Target
-	Quarantine  []Quarantined
+	Quarantine  []CrashVerdict
 	Ledger      Ledger
 	Audit       audit.Head
 }
@@ -74,13 +73,6 @@
 	Load      *ctrl.TargetLoad `json:",omitempty"`
 }
 
-// Quarantined is a request with a crash verdict.
-type Quarantined struct {
-	// Fingerprint identifies the request, in hexadecimal.
-	Fingerprint string
-	Verdict     string
-}
-
 // Ledger has the numbers of ledger keys, which are those of requests that are
 // not repeatable.
 type Ledger struct {
@@ -96,7 +88,7 @@
 		Newcomers:   []Newcomer{},
 		Unreachable: append([]ident.VMName{}, fleet.Unreachable...),
 		Processes:   append([]ctrl.Process{}, fleet.Processes...),
-		Quarantine:  []Quarantined{},
+		Quarantine:  []CrashVerdict{},
 	}
 	answer.Quorum = a.quorumConfirms(req.Context())
 	set := a.cfg.Control.Set()
@@ -157,10 +149,7 @@
 	s.Audit = state.AuditHead()
 	verdicts, _ := state.Verdicts()
 	for _, v := range verdicts {
-		s.Quarantine = append(s.Quarantine, Quarantined{
-			Fingerprint: fmt.Sprintf("%016x", v.GetFingerprint()),
-			Verdict:     verdictName(v.GetVerdict()),
-		})
+		s.Quarantine = append(s.Quarantine, newCrashVerdict(v))
 	}
 }
 
--- /dev/null
+++ b/internal/process/admin/verdicts.go
@@ -0,0 +1,89 @@
+package admin
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/request/poison"
+	"cactusline.dev/cactusline/internal/version/cmdpb"
+	"cactusline.dev/cactusline/internal/version/ident"
+)
+
+// Verdicts is the answer to a list request for crash verdicts.
+type Verdicts struct {
+	Verdicts []CrashVerdict
+}
+
+// CrashVerdict is what is held of a request, or of a part of prompts, for crashes of
+// targets.
+type CrashVerdict struct {
+	// Fingerprint identifies the request or the part, in hexadecimal.
+	Fingerprint string
+	// Part is the ID of the part in hexadecimal, empty for a request, and Depth its
+	// position in prompts, from 1.
+	Part    string `json:",omitempty"`
+	Depth   int    `json:",omitempty"`
+	Verdict string
+	// Expires is when a quarantine ends; after that, one request at a time may run on
+	// trial.
+	Expires *time.Time `json:",omitempty"`
+}
+
+func newCrashVerdict(v *wire.CrashVerdict) CrashVerdict {
+	verdict := CrashVerdict{
+		Fingerprint: ident.Fingerprint(v.GetFingerprint()).String(),
+		Verdict:     verdictName(v.GetVerdict()),
+		Depth:       int(v.GetDepth()),
+	}
+	if v.GetDepth() > 0 {
+		verdict.Part = ident.PartID(v.GetPart()).String()
+	}
+	if poison.Verdict(v.GetVerdict()) == poison.VerdictQuarantined {
+		expires := time.Unix(0, v.GetExpires()).UTC()
+		verdict.Expires = &expires
+	}
+	return verdict
+}
+
+// VerdictHandler returns the HTTP handler of the endpoints that show and lift crash
+// verdicts, for processes that serve no other part of the API.
+func (a *API) VerdictHandler() http.Handler {
+	mux := http.NewServeMux()
+	a.registerVerdicts(mux)
+	return mux
+}
+
+func (a *API) registerVerdicts(mux *http.ServeMux) {
+	mux.Handle("GET /v1/verdicts", a.authorize(RoleMonitor, a.listVerdicts))
+	mux.Handle("DELETE /v1/verdicts/{fingerprint}", a.authorize(RoleOperator, a.liftVerdict))
+}
+
+// listVerdicts answers with all crash verdicts in force.
+func (a *API) listVerdicts(w http.ResponseWriter, req *http.Request, _ Actor) *Error {
+	if a.cfg.State == nil {
+		return newError(http.StatusNotImplemented, CodeUnavailable, "this process has no replicated state")
+	}
+	if apiErr := a.awaitQuorum(req); apiErr != nil {
+		return apiErr
+	}
+	verdicts, _ := a.cfg.State.Verdicts()
+	answer := Verdicts{Verdicts: []CrashVerdict{}}
+	for _, v := range verdicts {
+		answer.Verdicts = append(answer.Verdicts, newCrashVerdict(v))
+	}
+	writeJSON(w, http.StatusOK, answer)
+	return nil
+}
+
+// liftVerdict forgets all crashes that are held against a request or part.
+func (a *API) liftVerdict(w http.ResponseWriter, req *http.Request, actor Actor) *Error {
+	text := req.PathValue("fingerprint")
+	fingerprint, err := strconv.ParseUint(text, 16, 64)
+	if err != nil {
+		return newError(http.StatusBadRequest, CodeInvalid, fmt.Sprintf("%q is no fingerprint in hexadecimal; nothing was changed", text))
+	}
+	return a.change(w, req, actor, &cmdpb.Command{Body: &cmdpb.Command_Clear{Clear: &cmdpb.ClearQuarantine{Fingerprint: fingerprint}}})
+}
--- a/internal/process/cmds/cmds.go
+++ b/internal/process/cmds/cmds.go
@@ -65,6 +65,9 @@
 	Audit   AuditCommand   `cmd:"" help:"Export the audit log, or verify an export offline."`
 	Member  MemberCommand  `cmd:"" help:"Change the control processes."`
 
+	Verdicts VerdictsCommand `cmd:"" help:"Show the requests and parts of prompts that are held for crashes of targets."`
+	Lift     LiftCommand     `cmd:"" help:"Forget the crashes held against a request or a part of prompts."`
+
 	Token TokenCommand `cmd:"" help:"Draw a bearer token of the administration API."`
 	Keys  KeysCommand  `cmd:"" help:"Make certificates for the fleet."`
 
--- a/internal/process/cmds/core.go
+++ b/internal/process/cmds/core.go
@@ -17,6 +17,7 @@
 	"cactusline.dev/cactusline/internal/conn/remote"
 	"cactusline.dev/cactusline/internal/conn/roster"
 	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/process/admin"
 	"cactusline.dev/cactusline/internal/process/audit"
 	"cactusline.dev/cactusline/internal/process/clock"
 	"cactusline.dev/cactusline/internal/process/ctrl"
@@ -198,7 +199,8 @@
 		Control: p.control,
 		Relay:   &ctrl.Relay{Link: p.links, ControlAddresses: p.discovery.ReplicaAddresses, Logger: p.logger},
 	}
-	if err := serveOperator(runCtx, p.logger, p.settings.OperatorAddress, documents); err != nil {
+	api := admin.New(admin.Config{Control: p.control, Group: p.storage.raftGroup, State: p.storage.state, NewChangeID: newChangeID})
+	if err := serveOperator(runCtx, p.logger, p.settings.OperatorAddress, documents, api.VerdictHandler()); err != nil {
 		return err
 	}
 	memberFailure := p.watchMember(runCtx, cancel)
@@ -259,14 +261,14 @@
 	go discovery.Run(ctx)
 	go followSettings(ctx, logger, c.Settings, func(newSettings *platform.Settings) { discovery.SetSeeds(newSettings.Seeds) })
 	relay := &ctrl.Relay{Link: links, ControlAddresses: discovery.ReplicaAddresses, Logger: logger}
-	if err := serveOperator(ctx, logger, settings.OperatorAddress, relay); err != nil {
+	if err := serveOperator(ctx, logger, settings.OperatorAddress, relay, http.NotFoundHandler()); err != nil {
 		return err
 	}
 	return serveDiscovery(ctx, linkListener, discovery)
 }
 
-// serveOperator serves the operator API until ctx ends.
-func serveOperator(ctx context.Context, logger log.Logger, address string, documents platform.DocumentStore) error {
+// serveOperator serves the operator API, and verdicts on requests, until ctx ends.
+func serveOperator(ctx context.Context, logger log.Logger, address string, documents platform.DocumentStore, verdicts http.Handler) error {
 	listener, err := listen("operators", address)
 	if err != nil {
 		return err
@@ -274,6 +276,8 @@
 	operator := &platform.OperatorAPI{Documents: documents, Logger: logger}
 	mux := http.NewServeMux()
 	mux.Handle("/", operator.Handler())
+	mux.Handle("/v1/verdicts", verdicts)
+	mux.Handle("/v1/verdicts/", verdicts)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: operatorHeaderTimeout}
 	context.AfterFunc(ctx, func() { _ = server.Close() })
--- a/internal/process/cmds/print.go
+++ b/internal/process/cmds/print.go
@@ -172,7 +172,7 @@
 	}
 	t.flush(env)
 	for _, q := range status.Quarantine {
-		_, _ = fmt.Fprintf(env.stdout, "request fingerprint %s: %s\n", q.Fingerprint, q.Verdict)
+		_, _ = fmt.Fprintf(env.stdout, "%s, fingerprint %s: %s\n", subjectName(q.Part), q.Fingerprint, q.Verdict)
 	}
 	return nil
 }
--- a/internal/process/gate/gate.go
+++ b/internal/process/gate/gate.go
@@ -187,7 +187,7 @@
 // updateVerdicts applies control's list of verdicts, and reports what this gate saw of
 // the parts of prompts in it.
 func (g *Gate) updateVerdicts(verdicts []poison.VerdictChange) {
-	g.suspects.fleet.Replace(verdicts)
+	g.suspects.replaceFleet(g.cfg.Clock.Now(), verdicts)
 	for _, verdict := range verdicts {
 		if verdict.Part.Depth > 0 {
 			g.reportSurvival(verdict.Fingerprint)
@@ -320,6 +320,7 @@
 	metrics.GetOrCreateGauge("cactusline_targets_usable", func() float64 {
 		return float64(g.balancer.UsableCount(g.cfg.Clock.Now()))
 	})
+	metrics.GetOrCreateGauge("cactusline_quarantines", func() float64 { return float64(g.suspects.fleet.CountQuarantined()) })
 	metrics.GetOrCreateGauge("cactusline_ready", func() float64 {
 		if g.Ready() {
 			return 1
--- a/internal/process/gate/parts_test.go
+++ b/internal/process/gate/parts_test.go
@@ -273,3 +273,27 @@
 	assert.Equal(t, survivals.Last(parts-1), at)
 	assert.Assert(t, survivals.Last(0).IsZero())
 }
+
+// Guards against a part that stays rejected at the gates that saw its crashes, after an
+// operator has lifted the verdict or another gate has reported a survival.
+func TestPartReleasedByControlRunsAtOnce(t *testing.T) {
+	control := new(fakeControl)
+	h := newHarness(t, gate.Config{Control: control})
+	h.putDocument(testDocument())
+	for i := range poison.MaxPartCrashes {
+		h.setTargets(newPartTarget(t, fmt.Sprint("t", i)))
+		_, _, err := h.sendAndRead("/once/a", fmt.Sprint("no two alike ", i), "Part", deadlyPart)
+		assert.NilError(t, err)
+		waitFor(t, "report", func() bool { return len(control.crashedParts()) > i })
+	}
+	h.setTargets(newFakeTarget(t, "sound", respondOK))
+	status, _, err := h.sendAndRead("/once/a", "", "Part", deadlyPart)
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+
+	h.setPartVerdict(control.crashedParts()[0].GetFingerprint(), poison.VerdictQuarantined, time.Now().Add(time.Minute))
+	assert.NilError(t, h.follower.ApplyUpdate(&wire.Update{VerdictsSet: true}))
+	status, _, err = h.sendAndRead("/once/a", "", "Part", deadlyPart)
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+}
--- a/internal/process/gate/suspect.go
+++ b/internal/process/gate/suspect.go
@@ -35,6 +35,18 @@
 	s.local.Replace(s.tracker.ActiveVerdicts(now))
 }
 
+// replaceFleet applies control's list. What control has released is released here too,
+// whatever this gate saw itself.
+func (s *suspects) replaceFleet(now time.Time, verdicts []poison.VerdictChange) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, released := range s.fleet.Missing(verdicts) {
+		s.tracker.Forget(released)
+	}
+	s.local.Replace(s.tracker.ActiveVerdicts(now))
+	s.fleet.Replace(verdicts)
+}
+
 // recordCompletion clears a request at this gate until control's next list.
 func (s *suspects) recordCompletion(now time.Time, fingerprint ident.Fingerprint) {
 	s.mu.Lock()
--- a/internal/request/poison/set.go
+++ b/internal/request/poison/set.go
@@ -61,6 +61,38 @@
 	return verdicts == nil || len(*verdicts) == 0
 }
 
+// Missing returns the fingerprints in the set that a list of verdicts does not name.
+func (s *VerdictSet) Missing(verdicts []VerdictChange) []ident.Fingerprint {
+	held := s.verdicts.Load()
+	if held == nil {
+		return nil
+	}
+	named := make(map[ident.Fingerprint]bool, len(verdicts))
+	for _, verdict := range verdicts {
+		named[verdict.Fingerprint] = true
+	}
+	var missing []ident.Fingerprint
+	for fingerprint := range *held {
+		if !named[fingerprint] {
+			missing = append(missing, fingerprint)
+		}
+	}
+	return missing
+}
+
+// CountQuarantined returns the number of quarantined requests and parts.
+func (s *VerdictSet) CountQuarantined() int {
+	count := 0
+	if held := s.verdicts.Load(); held != nil {
+		for _, active := range *held {
+			if active.verdict == VerdictQuarantined {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 // Replace replaces all verdicts. Fingerprints added by MarkWatched stay until
 // a call of Replace or Apply contains a verdict on them.
 func (s *VerdictSet) Replace(changes []VerdictChange) {
--- a/internal/request/poison/tracker.go
+++ b/internal/request/poison/tracker.go
@@ -162,6 +162,9 @@
 	return changes
 }
 
+// Forget removes all that is known of a fingerprint.
+func (t *Tracker) Forget(fingerprint ident.Fingerprint) { delete(t.entries, fingerprint) }
+
 // Entries returns copies of all entries, ordered by fingerprint.
 func (t *Tracker) Entries() []Entry {
 	entries := make([]Entry, 0, len(t.entries))
--- a/internal/request/recap/recap.go
+++ b/internal/request/recap/recap.go
@@ -135,7 +135,7 @@
 		if stringField(line.Fields, "Request") == stringField(end.Fields, "Request") {
 			continue
 		}
-		if isResend(&line, end) {
+		if isResend(&line, end) || crashedOnPart(&line, end) {
 			found = append(found, line)
 			continue
 		}
@@ -199,6 +199,8 @@
 		return fmt.Sprintf("refused: document %v has no route for it", end.Fields["Document"])
 	case "NoCustomer":
 		return fmt.Sprintf("refused: document %v has no customer with its key", end.Fields["Document"])
+	case "Quarantined":
+		return quarantineCause(end)
 	case "NotRun":
 		return "refused without running: " + targetErrors(list)
 	case "Pass":
@@ -215,6 +217,23 @@
 	return ""
 }
 
+// quarantineCause returns why a quarantined request was refused.
+func quarantineCause(end *Line) string {
+	subject := "the request"
+	if part := stringField(end.Fields, "QuarantinedPart"); part != "" {
+		subject = "part " + part + " of its prompt"
+	}
+	return fmt.Sprintf("refused without running: %s crashed targets; 'cactusline lift %s' ends the quarantine", subject, stringField(end.Fields, "Quarantine"))
+}
+
+// crashedOnPart reports whether a line is about a crash with a part of prompts in
+// flight for which a request was refused.
+func crashedOnPart(line, end *Line) bool {
+	part := stringField(end.Fields, "QuarantinedPart")
+	parts, _ := line.Fields["Parts"].([]any)
+	return part != "" && line.Event == "TargetCrashed" && slices.Contains(parts, any(part))
+}
+
 // targetErrors returns why each target did not run a request.
 func targetErrors(list []attempt) string {
 	if len(list) == 0 {
@@ -261,7 +280,7 @@
 func fieldText(fields map[string]any) string {
 	var text strings.Builder
 	for _, name := range []string{
-		"Fingerprint", "Outcome", "Status", "Route", "Customer", "Document", "version", "Target", "target", "Result", "Took",
+		"Fingerprint", "QuarantinedPart", "Parts", "Outcome", "Status", "Route", "Customer", "Document", "version", "Target", "target", "Result", "Took",
 		"address", "change", "old", "new", "leaving", "Error", "err",
 	} {
 		if value, found := fields[name]; found && value != nil && value != "" {
--- a/internal/request/recap/recap_test.go
+++ b/internal/request/recap/recap_test.go
@@ -75,3 +75,18 @@
 		}
 	})
 }
+
+func TestExplainNamesThePartThatARequestWasRejectedFor(t *testing.T) {
+	const rejected = `{"Event":"RequestEnded","Fingerprint":"0a","Outcome":"Quarantined","Quarantine":"0c","QuarantinedPart":"00ab","Request":"r1","Time":"2026-01-01T00:01:10Z","process":"edge-1","role":"gate"}
+`
+	const crashes = `{"Event":"TargetCrashed","Parts":["0001","00ab"],"Target":"t1","Time":"2026-01-01T00:00:10Z","process":"edge-2","role":"gate"}
+{"Event":"TargetCrashed","Parts":["0001"],"Target":"t2","Time":"2026-01-01T00:00:10Z","process":"edge-2","role":"gate"}
+`
+	report, err := recap.Explain("r1", read(t, rejected, crashes))
+	assert.NilError(t, err)
+	assert.Equal(t, len(report.Lines), 2)
+	assert.Equal(t, report.Cause, "refused without running: part 00ab of its prompt crashed targets; 'cactusline lift 0c' ends the quarantine")
+	var out bytes.Buffer
+	assert.NilError(t, report.Write(&out))
+	assert.Assert(t, strings.Contains(out.String(), "TargetCrashed Parts=[0001 00ab] Target=t1"), out.String())
+}
--- a/internal/version/store/crash.go
+++ b/internal/version/store/crash.go
@@ -142,14 +142,7 @@
 	if s.crashes.Verdict(s.now, fingerprint) == poison.VerdictNone {
 		return &cmdpb.Result{Status: cmdpb.Status_STATUS_NOT_FOUND, Detail: "nothing is held against the request"}
 	}
-	var kept []poison.Entry
-	for _, entry := range s.crashes.Entries() {
-		if entry.Fingerprint != fingerprint {
-			kept = append(kept, entry)
-		}
-	}
-	s.crashes = poison.NewTracker(s.cfg.Poison)
-	s.crashes.Merge(kept)
+	s.crashes.Forget(fingerprint)
 	// The zero Verdict is poison.VerdictNone.
 	changes := []poison.VerdictChange{{Fingerprint: fingerprint}}
 	return s.verdictResult(c, changes, audit.Event{
