Give no verdict on a part of prompts for one crash

Cause: each crash put all parts in flight on the list of verdicts that goes to every gate. Parts that are in use once only are never survived again, so that a flood of them would fill the list for ten minutes.

Whether a crash is explained is found once for each report, not once for each fingerprint.

--- a/internal/request/poison/direct.go
+++ b/internal/request/poison/direct.go
@@ -35,14 +35,15 @@
 	t.Expire(now)
 	diff := make(verdictDiff)
 	report := Crash{Target: crash.Target, Direct: true, At: crash.At}
+	explained := t.isExplained(report)
 	for _, fingerprint := range sortedUnique(crash.InFlight) {
 		entry := t.entry(fingerprint)
 		diff.note(t, entry)
-		if crash.At.After(entry.Cleared) && !t.isExplained(report) {
+		if crash.At.After(entry.Cleared) && !explained {
 			entry.addDirectCrash(report)
 		}
 	}
-	t.recordPartCrashes(now, report, crash.Parts, diff)
+	t.recordPartCrashes(now, report, crash.Parts, explained, diff)
 	changes := diff.changes(t)
 	t.evictExcess()
 	return changes
--- a/internal/request/poison/part.go
+++ b/internal/request/poison/part.go
@@ -69,8 +69,9 @@
 }
 
 // recordPartCrashes records a crash for the parts that were in flight, and quarantines
-// those that are its likeliest cause.
-func (t *Tracker) recordPartCrashes(now time.Time, crash Crash, parts []PartInFlight, diff verdictDiff) {
+// those that are its likeliest cause. A crash that a quarantined part explains counts
+// against that part alone.
+func (t *Tracker) recordPartCrashes(now time.Time, crash Crash, parts []PartInFlight, explained bool, diff verdictDiff) {
 	entries := make([]*Entry, 0, len(parts))
 	for _, part := range parts {
 		entry := t.entry(part.Fingerprint)
@@ -78,7 +79,7 @@
 		entry.Part = part.Part
 		entry.recordSurvival(part.Survived)
 		crash.Sent = part.Sent
-		if entry.counts(crash) && (entry.quarantined() || !t.isExplained(crash)) {
+		if entry.counts(crash) && (entry.quarantined() || !explained) {
 			entry.addDirectCrash(crash)
 		}
 		entries = append(entries, entry)
@@ -177,15 +178,14 @@
 // and that no target has survived since.
 func (e *Entry) quarantined() bool { return !e.QuarantinedAt.IsZero() }
 
-// partVerdict returns the verdict on a part.
+// partVerdict returns the verdict on a part. One crash is no verdict, since most parts in
+// flight at a crash never are at another.
 func (e *Entry) partVerdict() Verdict {
 	switch {
 	case e.quarantined():
 		return VerdictQuarantined
 	case len(e.Crashes) >= 2:
 		return VerdictSuspect
-	case len(e.Crashes) == 1:
-		return VerdictWatched
 	}
 	return VerdictNone
 }
