--- a/internal/request/poison/part_test.go
+++ b/internal/request/poison/part_test.go
@@ -52,6 +52,30 @@
 	assert.Equal(t, tracker.Verdict(at(last), sharedPart), poison.VerdictNone)
 }
 
+// Guards against a verdict on the part that all requests share, because another gate
+// reports the last crash before the gate that had sent the deadly part.
+func TestPartWaitsForReportOfLikelierCause(t *testing.T) {
+	tracker := poison.NewTracker(poison.Config{})
+	last := poison.MaxPartCrashes - 1
+	for second := range last {
+		crashParts(tracker, second, sharedPart, badPart)
+	}
+	crashParts(tracker, last, sharedPart, 3)
+	assert.Equal(t, tracker.Verdict(at(last), sharedPart), poison.VerdictSuspect)
+	crashParts(tracker, last, sharedPart, badPart)
+	assert.Equal(t, tracker.Verdict(at(last), badPart), poison.VerdictQuarantined)
+	assert.Equal(t, tracker.Verdict(at(last), sharedPart), poison.VerdictNone)
+}
+
+// A first part that is deadly itself is held, whatever follows it in prompts.
+func TestDeadlyFirstPartIsQuarantined(t *testing.T) {
+	tracker := poison.NewTracker(poison.Config{})
+	for second := range poison.MaxPartCrashes {
+		crashParts(tracker, second, badPart, ident.Fingerprint(100+second))
+	}
+	assert.Equal(t, tracker.Verdict(at(poison.MaxPartCrashes), badPart), poison.VerdictQuarantined)
+}
+
 func TestSurvivedPartIsNotQuarantined(t *testing.T) {
 	tracker := poison.NewTracker(poison.Config{})
 	for second := range 20 {
