Know a part of prompts across models

What callers would see: a part that crashes the targets of every model is sent on until it has crashed four of each.

Change: the fingerprint is that of the part alone. Also tests that late reports of explained crashes, and survivals in crash reports, count as meant: with either switched off no test failed before.

Measured: TestPartIsRejectedForAllModels fails with the model in the fingerprint and passes now.

--- a/internal/process/gate/harness_test.go
+++ b/internal/process/gate/harness_test.go
@@ -36,6 +36,7 @@
 	if timeout, err := time.ParseDuration(h.Get("Wait")); err == nil {
 		meta.Timeout = timeout
 	}
+	meta.Model = h.Get("Model")
 	if part, err := strconv.ParseUint(h.Get("Part"), 10, 64); err == nil {
 		meta.PromptParts = []ident.PartID{ident.PartID(part), ident.PartID(part + 1)}
 	}
--- a/internal/process/gate/parts.go
+++ b/internal/process/gate/parts.go
@@ -41,8 +41,8 @@
 	return parts
 }
 
-// hashParts returns the fingerprints of the parts of the prompt but the last. A part
-// has another one for each model.
+// hashParts returns the fingerprints of the parts of the prompt but the last. They do not
+// depend on the model.
 func (c *call) hashParts() []ident.Fingerprint {
 	count := max(0, len(c.meta.PromptParts)-1)
 	fingerprints := make([]ident.Fingerprint, 0, min(count, maxPromptParts))
@@ -51,8 +51,7 @@
 		var id [8]byte
 		binary.LittleEndian.PutUint64(id[:], uint64(part))
 		_, _ = hash.Write(id[:])
-		_, _ = hash.WriteString("part of prompts for ")
-		_, _ = hash.WriteString(c.meta.Model)
+		_, _ = hash.WriteString("part of prompts")
 		fingerprints = append(fingerprints, ident.Fingerprint(hash.Sum64()))
 	}
 	return fingerprints
--- a/internal/process/gate/parts_test.go
+++ b/internal/process/gate/parts_test.go
@@ -117,6 +117,19 @@
 	assert.Equal(t, status, http.StatusOK)
 }
 
+// Guards against a part that has to crash as many targets of each model as of one.
+func TestPartIsRejectedForAllModels(t *testing.T) {
+	control := new(fakeControl)
+	h := newHarness(t, gate.Config{Control: control}, newPartTarget(t, "t1"))
+	h.putDocument(testDocument())
+	fingerprint := h.crashOnPart(control)
+	h.setTargets(newPartTarget(t, "t2"))
+	h.setPartVerdict(fingerprint, poison.VerdictQuarantined, time.Now().Add(time.Minute))
+	status, _, err := h.sendAndRead("/once/a", "", "Part", deadlyPart, "Model", "another")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+}
+
 // Guards against a deadly part that crashes one target after the other when its
 // quarantine has ended.
 func TestReleasedPartRunsOnlyOnTrial(t *testing.T) {
--- a/internal/request/poison/part.go
+++ b/internal/request/poison/part.go
@@ -21,7 +21,7 @@
 // quarantined for Config.PartQuarantine.
 var partQuarantines = [...]time.Duration{2 * time.Second, time.Minute}
 
-// Part is a part of the prompts for a model, but the last of a prompt.
+// Part is a part of prompts, but the last of a prompt.
 type Part struct {
 	ID ident.PartID
 	// Depth is the position of the part in its prompt, from 1. It is 0 in the zero
@@ -32,7 +32,6 @@
 // PartInFlight is a part of the prompts of requests that were in flight at a crash.
 type PartInFlight struct {
 	Part
-	// Fingerprint is that of the part and the model.
 	Fingerprint ident.Fingerprint
 	// Sent is when the newest of these requests was sent to the target.
 	Sent time.Time
--- a/internal/request/poison/part_test.go
+++ b/internal/request/poison/part_test.go
@@ -99,6 +99,37 @@
 	assert.Equal(t, tracker.Verdict(at(3), sharedPart), poison.VerdictNone)
 }
 
+// Guards against verdicts on what another gate reports late of the crashes of a part that
+// is quarantined already.
+func TestLateReportsOfExplainedCrashesDoNotCount(t *testing.T) {
+	const request, other = 50, 51
+	tracker := poison.NewTracker(poison.Config{})
+	for second := range poison.MaxPartCrashes {
+		crashParts(tracker, second, sharedPart, badPart)
+	}
+	for second := range poison.MaxPartCrashes {
+		tracker.RecordDirectCrash(at(5), poison.DirectCrash{
+			Target: ident.TargetName(fmt.Sprint("t", second)), At: at(second).Add(100 * time.Millisecond),
+			InFlight: []ident.Fingerprint{request}, Parts: inFlight(second, sharedPart, other),
+		})
+	}
+	for _, fingerprint := range []ident.Fingerprint{request, sharedPart, other} {
+		assert.Equal(t, tracker.Verdict(at(5), fingerprint), poison.VerdictNone, "%v", fingerprint)
+	}
+}
+
+// Guards against a verdict on a part whose survival only the gates that report its
+// crashes know of.
+func TestSurvivalInCrashReportCounts(t *testing.T) {
+	tracker := poison.NewTracker(poison.Config{})
+	for target := range 2 * poison.MaxPartCrashes {
+		parts := inFlight(1, sharedPart)
+		parts[0].Survived = at(2)
+		tracker.RecordDirectCrash(at(3), poison.DirectCrash{Target: ident.TargetName(fmt.Sprint("t", target)), At: at(3), Parts: parts})
+	}
+	assert.Equal(t, tracker.Verdict(at(3), sharedPart), poison.VerdictNone)
+}
+
 func TestSurvivalReleasesQuarantinedPart(t *testing.T) {
 	tracker := poison.NewTracker(poison.Config{})
 	for second := range poison.MaxPartCrashes {
--- a/internal/version/ident/ident.go
+++ b/internal/version/ident/ident.go
@@ -35,7 +35,7 @@
 	// chat's prefix.
 	ChatKey uint64
 	// Fingerprint identifies the content of a request across resends, or one part of
-	// the prompts for a model.
+	// prompts.
 	Fingerprint uint64
 	// PartID identifies one part of a prompt. Prompts that start with the same parts
 	// share a prefix.
