Forward a response that ended with its connection if its target is only slow

What callers would see: a whole response is dropped as lost, or held for up to the time of a dial, because its target takes no connection in time.

Cause: the check of such a response took every failure to connect for a crash. The VM of the target has just closed a connection, so a process that crashed there leads to a refusal; a timeout shows nothing.

Change: only a refusal makes the response lost, the check takes 200 ms at most, and a probe that times out is no crash under such a response.

Evidence: TestResponseUntilCloseOfBusyTargetIsForwarded failed before (502, and after that a report of a crash). TestEarlierSurvivalIsReportedOnceAPartIsListed now waits between its lists: it passed with each survival reported again.

--- a/internal/process/gate/attempt.go
+++ b/internal/process/gate/attempt.go
@@ -25,6 +25,8 @@
 	// to count as unreachable, if the deadline ends the attempt. Connecting takes one
 	// round trip, up to 25 ms.
 	unreachableAfter = 100 * time.Millisecond
+	// endCheckTimeout bounds how long a response that ended with its connection is held.
+	endCheckTimeout = 200 * time.Millisecond
 )
 
 // attemptTarget makes one attempt at a target.
@@ -155,12 +157,16 @@
 
 // checkEnd returns nil if a response that was read to its end is complete. One that
 // ended with its connection may have been cut off by a crash of the target, and so is
-// taken for complete only if the target accepts another connection.
+// not taken for complete if the target refuses another connection. A connection that
+// times out shows nothing: the VM of the target had just closed the last one.
 func (e *exchange) checkEnd(ctx context.Context) error {
 	if !e.untilClose {
 		return nil
 	}
-	if err := e.call.gate.pool.Probe(ctx, e.choice.Target.Address); err != nil {
+	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
+	defer cancel()
+	err := e.call.gate.pool.Probe(ctx, e.choice.Target.Address)
+	if isRefused(err) {
 		return fmt.Errorf("response ended with its connection: %w", err)
 	}
 	return nil
--- a/internal/process/gate/crash.go
+++ b/internal/process/gate/crash.go
@@ -83,6 +83,12 @@
 	return unchecked
 }
 
+// dropMaybeComplete removes the requests whose responses ended with their connections. A
+// target that only does not respond may have completed them.
+func (u *uncheckedRequests) dropMaybeComplete() {
+	maps.DeleteFunc(u.requests, func(_ ident.Fingerprint, request uncheckedRequest) bool { return request.maybeComplete })
+}
+
 // sortedFingerprints returns the fingerprints in ascending order.
 func (u *uncheckedRequests) sortedFingerprints() []ident.Fingerprint {
 	return slices.Sorted(maps.Keys(u.requests))
@@ -109,6 +115,12 @@
 		g.recordLiveTarget(unchecked)
 		return
 	}
+	if !isRefused(err) {
+		unchecked.dropMaybeComplete()
+	}
+	if len(unchecked.requests) == 0 {
+		return
+	}
 	crash := poison.DirectCrash{
 		Target: target, At: unchecked.endedAt, InFlight: unchecked.sortedFingerprints(), Parts: unchecked.newestParts(maxReportedParts),
 	}
@@ -135,7 +147,13 @@
 // not respond.
 func isUnreachable(err error) bool {
 	var netErr net.Error
-	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) || errors.As(err, &netErr) && netErr.Timeout()
+	return isRefused(err) || errors.As(err, &netErr) && netErr.Timeout()
+}
+
+// isRefused reports whether the peer refused a connection, so that no process listens
+// there.
+func isRefused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 }
 
 // fingerprint returns the hash of the customer, the method, the URI and the body of
--- a/internal/process/gate/crash_test.go
+++ b/internal/process/gate/crash_test.go
@@ -1,6 +1,7 @@
 package gate_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -11,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -494,3 +496,49 @@
 	assert.Equal(t, body, "whole")
 	waitFor(t, "completion", func() bool { _, completed := control.reported(); return len(completed) == 1 })
 }
+
+// Guards against a whole response that is taken for lost or held for long, because its
+// target accepts no further connection in time.
+func TestResponseUntilCloseOfBusyTargetIsForwarded(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	address := listener.Addr().String()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		fillBacklog(listener.(*net.TCPListener))
+		(&receivedRequest{conn: conn, request: request}).writeUntilClose("whole")
+		_ = conn.Close()
+	}()
+	control := new(fakeControl)
+	h := newHarness(t, gate.Config{Control: control}, &fakeTarget{name: "t1", address: address})
+	h.putDocument(testDocument())
+	began := time.Now()
+	status, body, err := h.sendAndRead("/once/a", "")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, "whole")
+	assert.Assert(t, time.Since(began) < time.Second, "%v", time.Since(began))
+	time.Sleep(1500 * time.Millisecond) // until the probe of the target has timed out
+	crashes, _ := control.reported()
+	assert.Equal(t, len(crashes), 0)
+}
+
+// fillBacklog makes a listener ignore further connections.
+func fillBacklog(listener *net.TCPListener) {
+	raw, err := listener.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), 0) })
+	for err == nil {
+		_, err = net.DialTimeout("tcp", listener.Addr().String(), 50*time.Millisecond)
+	}
+}
--- a/internal/process/gate/parts_test.go
+++ b/internal/process/gate/parts_test.go
@@ -227,7 +227,8 @@
 	fingerprint := h.crashOnPart(control)
 	assert.Assert(t, control.crashedParts()[0].GetSurvivedAge() > 0)
 	for range 3 {
-		h.setPartVerdict(fingerprint, poison.VerdictWatched, time.Time{})
+		h.setPartVerdict(fingerprint, poison.VerdictSuspect, time.Time{})
+		time.Sleep(100 * time.Millisecond)
 	}
 	waitFor(t, "survival", func() bool { return len(control.survivals()) > 0 })
 	time.Sleep(100 * time.Millisecond)
