Test survivals with their mechanisms switched off

Cause: with each of three mechanisms switched off no test failed: the release of a part by a survival at the gate's own count and before control's next list, and the choice of the newest request in flight.

Change: a test for each, and one for a survival between own crashes.

Test code only.

--- a/internal/process/gate/parts_test.go
+++ b/internal/process/gate/parts_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -311,3 +312,94 @@
 	assert.NilError(t, err)
 	assert.Equal(t, status, http.StatusOK)
 }
+
+// A trial that a target survives releases the part at this gate before control's next
+// list.
+func TestSurvivedTrialReleasesPart(t *testing.T) {
+	control := new(fakeControl)
+	h := newHarness(t, gate.Config{Control: control}, newPartTarget(t, "t1"))
+	h.putDocument(testDocument())
+	fingerprint := h.crashOnPart(control)
+	h.setTargets(newFakeTarget(t, "t2", respondOK))
+	h.setPartVerdict(fingerprint, poison.VerdictQuarantined, time.Now().Add(-time.Second))
+	control.grantTrial()
+	for range 3 {
+		status, _, err := h.sendAndRead("/once/a", "", "Part", deadlyPart)
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusOK)
+	}
+	assert.Equal(t, control.askedTrials(), 1)
+}
+
+// Guards against crashes that a gate counts by itself on both sides of a survival.
+func TestSurvivalEndsCountOfOwnCrashes(t *testing.T) {
+	h := newHarness(t, gate.Config{Control: &fakeControl{failing: true}})
+	h.putDocument(testDocument())
+	for i := range 2 * (poison.MaxPartCrashes - 1) {
+		if i == poison.MaxPartCrashes-1 {
+			h.setTargets(newFakeTarget(t, "sound", respondOK))
+			status, _, err := h.sendAndRead("/once/a", "", "Part", deadlyPart)
+			assert.NilError(t, err)
+			assert.Equal(t, status, http.StatusOK)
+		}
+		h.setTargets(newPartTarget(t, fmt.Sprint("t", i)))
+		status, _, err := h.sendAndRead("/once/a", fmt.Sprint("no two alike ", i), "Part", deadlyPart)
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusBadGateway, "request %d", i)
+		time.Sleep(100 * time.Millisecond) // until the target is probed
+	}
+}
+
+// Of the requests in flight with a part, the newest counts: the others may be older than
+// its last survival.
+func TestCrashReportHasNewestRequestOfAPart(t *testing.T) {
+	control := new(fakeControl)
+	target := newFakeTarget(t, "t1", nil)
+	target.handler = func(r *receivedRequest) {
+		if r.body == "newest" {
+			target.crash()
+			return
+		}
+		<-r.closed
+	}
+	h := newHarness(t, gate.Config{Control: control}, target)
+	h.putDocument(testDocument())
+	var older sync.WaitGroup
+	for i := range 4 {
+		older.Go(func() { _, _, _ = h.sendAndRead("/once/a", fmt.Sprint("older ", i), "Part", deadlyPart) })
+	}
+	time.Sleep(500 * time.Millisecond)
+	_, _, _ = h.sendAndRead("/once/a", "newest", "Part", deadlyPart)
+	older.Wait()
+	waitFor(t, "report", func() bool { return len(control.crashedParts()) > 0 })
+	crashes, _ := control.reported()
+	sentBeforeCrash := time.Duration(control.crashedParts()[0].GetSentAge() - crashes[0].GetAge())
+	assert.Assert(t, sentBeforeCrash < 400*time.Millisecond, "%v", sentBeforeCrash)
+}
+
+// Guards against a part that stays held at a gate for the crashes that the gate saw
+// itself, after a target has survived its trial.
+func TestSurvivedTrialReleasesPartHeldForOwnCrashes(t *testing.T) {
+	control := &fakeControl{failing: true}
+	h := newHarness(t, gate.Config{Control: control})
+	h.putDocument(testDocument())
+	for i := range poison.MaxPartCrashes {
+		h.setTargets(newPartTarget(t, fmt.Sprint("t", i)))
+		_, _, err := h.sendAndRead("/once/a", fmt.Sprint("no two alike ", i), "Part", deadlyPart)
+		assert.NilError(t, err)
+		time.Sleep(100 * time.Millisecond) // until the target is probed
+	}
+	h.setTargets(newFakeTarget(t, "sound", respondOK))
+	control.setFailing(false)
+	control.grantTrial()
+	waitFor(t, "trial", func() bool {
+		status, _, err := h.sendAndRead("/once/a", "", "Part", deadlyPart)
+		assert.NilError(t, err)
+		return status == http.StatusOK
+	})
+	for range 3 {
+		status, _, err := h.sendAndRead("/once/a", "", "Part", deadlyPart)
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusOK)
+	}
+}
