Test the probe after a response that ended with its connection

Cause: with the probe before such a completion is reported switched off no test failed.

Change: TestCrashRightAfterResponseUntilCloseIsNoCompletion.

Measured: it fails now when the probe is switched off.

--- a/internal/process/gate/crash_test.go
+++ b/internal/process/gate/crash_test.go
@@ -542,3 +542,29 @@
 		_, err = net.DialTimeout("tcp", listener.Addr().String(), 50*time.Millisecond)
 	}
 }
+
+// Guards against a completion that is reported for a target that crashes right after a
+// response that ended with its connection.
+func TestCrashRightAfterResponseUntilCloseIsNoCompletion(t *testing.T) {
+	control := new(fakeControl)
+	h := newHarness(t, gate.Config{Control: control}, newCrashingTarget(t, "t0"))
+	h.putDocument(testDocument())
+	fingerprint := h.sendPoison(control)
+	target := newFakeTarget(t, "t1", nil)
+	target.handler = func(r *receivedRequest) {
+		r.writeUntilClose("whole")
+		time.Sleep(crashingSoon)
+		target.crash()
+	}
+	h.setTargets(target)
+	h.setVerdict(fingerprint, poison.VerdictSuspect, time.Time{})
+	status, _, err := h.sendAndRead("/once/a", "poison")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	waitFor(t, "report", func() bool { crashes, _ := control.reported(); return len(crashes) > 1 })
+	_, completed := control.reported()
+	assert.Equal(t, len(completed), 0)
+}
+
+// crashingSoon is after the check of the end of a response and before the probe.
+const crashingSoon = 20 * time.Millisecond
