Log the rate limits that targets name

Cause: nothing told whether a gate knew that a target had named a limit, so that a limit that is not known, one that every gate takes for itself, and repeats at limited targets looked alike in logs and metrics. Change: the field is parsed; gates log when a limit begins, changes, ends or cannot be used, keep the newest by target, and name it in each attempt. No decision uses it.

--- a/internal/process/gate/attempt.go
+++ b/internal/process/gate/attempt.go
@@ -51,6 +51,10 @@
 		Target: choice.Target.Name, Reason: choice.Reason, Load: choice.Load, Mean: choice.MeanLoad, Fetch: choice.FetchFrom,
 		Result: result.String(), Status: e.status, Reused: e.reused, UntilClose: e.untilClose, Took: now.Sub(start).String(),
 	}
+	if choice.RateLimit.Limited {
+		attempt.RateLimit = &choice.RateLimit.Rate
+		metrics.GetOrCreateCounter("cactusline_limited_target_attempts_total").Inc()
+	}
 	if e.err != nil {
 		attempt.Error = e.err.Error()
 	}
@@ -135,6 +139,7 @@
 	e.call.stopFirstByteTimer()
 	e.call.gate.balancer.RecordActivity(e.call.gate.cfg.Clock.Now(), e.choice.Target)
 	e.status = response.StatusCode
+	e.recordRateLimit(response)
 	e.recordFraming(response)
 	result, signal := e.forwardResponse(ctx, response)
 	if !stopWatch() || e.err != nil {
--- a/internal/process/gate/dialect.go
+++ b/internal/process/gate/dialect.go
@@ -48,6 +48,18 @@
 	RequestID ident.RequestID
 	// NotRun is set if the target did not and will not run the request.
 	NotRun bool
+	// RateLimit is the rate that the target accepts from all callers together.
+	RateLimit RateLimit
+}
+
+// RateLimit is what a response says of the rate that its target accepts.
+type RateLimit struct {
+	// Named is set if the response names a limit.
+	Named bool
+	// Rate is the limit. It is valid if Invalid is empty.
+	Rate ident.Rate
+	// Invalid is the start of the text of a limit that cannot be used.
+	Invalid string
 }
 
 // Dialect reads and writes the header fields that the platform defines between
--- a/internal/process/gate/gate.go
+++ b/internal/process/gate/gate.go
@@ -320,6 +320,7 @@
 	metrics.GetOrCreateGauge("cactusline_targets_usable", func() float64 {
 		return float64(g.balancer.UsableCount(g.cfg.Clock.Now()))
 	})
+	metrics.GetOrCreateGauge("cactusline_targets_limited", func() float64 { return float64(g.balancer.LimitedCount()) })
 	metrics.GetOrCreateGauge("cactusline_quarantines", func() float64 { return float64(g.suspects.fleet.CountQuarantined()) })
 	metrics.GetOrCreateGauge("cactusline_ready", func() float64 {
 		if g.Ready() {
--- a/internal/process/gate/serve.go
+++ b/internal/process/gate/serve.go
@@ -103,9 +103,11 @@
 	Status int  `json:",omitempty"`
 	Reused bool `json:",omitempty"`
 	// UntilClose is set if the response ended with its connection.
-	UntilClose bool   `json:",omitempty"`
-	Took       string `json:",omitempty"`
-	Error      string `json:",omitempty"`
+	UntilClose bool `json:",omitempty"`
+	// RateLimit is the rate that the target accepted from all callers, if it was limited.
+	RateLimit *ident.Rate `json:",omitempty"`
+	Took      string      `json:",omitempty"`
+	Error     string      `json:",omitempty"`
 }
 
 // admit finds the route, customer and service of the request, checks that it has an
--- a/internal/request/place/balancer.go
+++ b/internal/request/place/balancer.go
@@ -64,6 +64,9 @@
 	// while this process had none in flight there.
 	lastActivity time.Time
 	health       health
+	rateLimit    RateLimit
+	// rateLimitInvalid is set while the target names a limit that cannot be used.
+	rateLimitInvalid bool
 }
 
 // NewBalancer returns a balancer without targets.
--- a/internal/request/place/choose.go
+++ b/internal/request/place/choose.go
@@ -51,6 +51,8 @@
 	// ReasonLastResort.
 	Load     int
 	MeanLoad float64
+	// RateLimit is the rate that the target accepts, as far as it is known.
+	RateLimit RateLimit
 }
 
 // Reason says why a target was chosen.
@@ -120,6 +122,7 @@
 		choice.Target, choice.Reason = leastLoaded(candidates, b.cfg.Domain, b.tieBreakKey), ReasonLoad
 	}
 	choice.Load = choice.Target.load()
+	choice.RateLimit = choice.Target.rateLimit
 	s.startRequest(now, choice.Target)
 	return choice, true
 }
@@ -193,7 +196,7 @@
 	if best == nil {
 		return Choice{}, false
 	}
-	choice := Choice{Target: best, Reason: ReasonLastResort, Load: best.load()}
+	choice := Choice{Target: best, Reason: ReasonLastResort, Load: best.load(), RateLimit: best.rateLimit}
 	s.startRequest(now, best)
 	return choice, true
 }
--- a/internal/version/ident/ident.go
+++ b/internal/version/ident/ident.go
@@ -61,6 +61,8 @@
 	Tokens int64
 	// Bytes counts bytes.
 	Bytes int64
+	// Rate is a number of requests per second.
+	Rate float64
 )
 
 // String returns the fingerprint in hexadecimal, with leading zeros.
