Keep the rate limits that targets name, by permits of the leader

Cause: no gate heeded the field, and no process counted what all gates sent: a bound on a sum that nobody owned. Evidence: logs of all gates, every gate was told within 7 s, arrivals stayed as they were, all were first attempts. Change: the leader of control grants the permit for each request to a limited target from a token bucket a target, empty at each new term, only within 1.2 s of a quorum's confirmation; gates tell it of limits, it tells all gates. A request without a permit goes to a target without a limit that has a free slot, or is rejected at once. Without control for 3 s a gate goes by its own share. 'limits', /v1/limits, status, metrics and attempts show it. Why it works: one process counts, so that 4 s hold at most 4.5 times the rate and 3; two leaders overlap by at most 0.7 s.

--- a/internal/process/admin/admin.go
+++ b/internal/process/admin/admin.go
@@ -118,7 +118,7 @@
 	read("GET /v1/requests/{id}", a.explain)
 	read("GET /v1/audit", a.audit)
 	change("POST /v1/members/{verb}", a.changeMembers)
-	a.registerVerdicts(mux)
+	a.registerCore(mux)
 	read("/", a.unknownEndpoint)
 	return mux
 }
--- a/internal/process/admin/status.go
+++ b/internal/process/admin/status.go
@@ -28,8 +28,10 @@
 	Processes   []ctrl.Process
 	Targets     []Target
 	Quarantine  []CrashVerdict
-	Ledger      Ledger
-	Audit       audit.Head
+	// Limits are the rates that targets accept.
+	Limits []ctrl.TargetLimit
+	Ledger Ledger
+	Audit  audit.Head
 }
 
 // Member is the state of one control process.
@@ -89,6 +91,7 @@
 		Unreachable: append([]ident.VMName{}, fleet.Unreachable...),
 		Processes:   append([]ctrl.Process{}, fleet.Processes...),
 		Quarantine:  []CrashVerdict{},
+		Limits:      append([]ctrl.TargetLimit{}, fleet.Limits...),
 	}
 	answer.Quorum = a.quorumConfirms(req.Context())
 	set := a.cfg.Control.Set()
--- a/internal/process/admin/verdicts.go
+++ b/internal/process/admin/verdicts.go
@@ -48,15 +48,16 @@
 	return verdict
 }
 
-// VerdictHandler returns the HTTP handler of the endpoints that show and lift crash
-// verdicts, for processes that serve no other part of the API.
-func (a *API) VerdictHandler() http.Handler {
+// CoreHandler returns the HTTP handler of the endpoints that show and lift crash
+// verdicts and show the limits of targets, for processes that hold no records.
+func (a *API) CoreHandler() http.Handler {
 	mux := http.NewServeMux()
-	a.registerVerdicts(mux)
+	a.registerCore(mux)
 	return mux
 }
 
-func (a *API) registerVerdicts(mux *http.ServeMux) {
+func (a *API) registerCore(mux *http.ServeMux) {
+	mux.Handle("GET /v1/limits", a.authorize(RoleMonitor, a.listLimits))
 	mux.Handle("GET /v1/verdicts", a.authorize(RoleMonitor, a.listVerdicts))
 	mux.Handle("DELETE /v1/verdicts/{fingerprint}", a.authorize(RoleOperator, a.liftVerdict))
 }
--- a/internal/process/cmds/core.go
+++ b/internal/process/cmds/core.go
@@ -200,7 +200,7 @@
 		Relay:   &ctrl.Relay{Link: p.links, ControlAddresses: p.discovery.ReplicaAddresses, Logger: p.logger},
 	}
 	api := admin.New(admin.Config{Control: p.control, Group: p.storage.raftGroup, State: p.storage.state, NewChangeID: newChangeID})
-	if err := serveOperator(runCtx, p.logger, p.settings.OperatorAddress, documents, api.VerdictHandler()); err != nil {
+	if err := serveOperator(runCtx, p.logger, p.settings.OperatorAddress, documents, api.CoreHandler()); err != nil {
 		return err
 	}
 	memberFailure := p.watchMember(runCtx, cancel)
@@ -267,8 +267,9 @@
 	return serveDiscovery(ctx, linkListener, discovery)
 }
 
-// serveOperator serves the operator API, and verdicts on requests, until ctx ends.
-func serveOperator(ctx context.Context, logger log.Logger, address string, documents platform.DocumentStore, verdicts http.Handler) error {
+// serveOperator serves the operator API, and a part of the administration API, until ctx
+// ends.
+func serveOperator(ctx context.Context, logger log.Logger, address string, documents platform.DocumentStore, administration http.Handler) error {
 	listener, err := listen("operators", address)
 	if err != nil {
 		return err
@@ -276,8 +277,7 @@
 	operator := &platform.OperatorAPI{Documents: documents, Logger: logger}
 	mux := http.NewServeMux()
 	mux.Handle("/", operator.Handler())
-	mux.Handle("/v1/verdicts", verdicts)
-	mux.Handle("/v1/verdicts/", verdicts)
+	mux.Handle("/v1/", administration)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: operatorHeaderTimeout}
 	context.AfterFunc(ctx, func() { _ = server.Close() })
--- a/internal/process/cmds/gate.go
+++ b/internal/process/cmds/gate.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"cactusline.dev/cactusline/internal/conn/remote"
 	"cactusline.dev/cactusline/internal/conn/watch"
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/process/clock"
+	"cactusline.dev/cactusline/internal/process/ctrl"
 	"cactusline.dev/cactusline/internal/process/gate"
 	"cactusline.dev/cactusline/internal/version/record"
 	"cactusline.dev/cactusline/platform"
@@ -61,7 +65,7 @@
 	control := remote.NewClient(remote.Config{Addresses: settings.Seeds, Link: links, Clock: clock.System{}})
 	g := gate.New(gate.Config{
 		Name: string(settings.VM), Domain: settings.Domain,
-		Compile: platform.CompileDocument, Dialect: platform.Dialect{}, Clock: clock.System{}, Logger: logger, Control: control,
+		Compile: platform.CompileDocument, Dialect: platform.Dialect{}, Clock: clock.System{}, Logger: logger, Control: control, Permits: &sendPermits{control: control},
 		GracePeriod:              settings.GracePeriod,
 		RetryRatio:               settings.RetryRatio * earnedRetryShare,
 		UnearnedRetriesPerSecond: unearnedRetryRate(settings),
@@ -84,6 +88,28 @@
 	return g.Run(env.ctx, callerListener, readyListener)
 }
 
+// sendPermits asks control for permits. It implements gate.PermitSource.
+type sendPermits struct {
+	control *remote.Client
+}
+
+// AskSendPermit asks the leader for a permit.
+func (s *sendPermits) AskSendPermit(ctx context.Context, request *wire.SendPermit) (*wire.SendPermitReply, error) {
+	argument, err := proto.Marshal(request)
+	if err != nil {
+		return nil, fmt.Errorf("encode permit request: %w", err)
+	}
+	answer, err := s.control.Query(ctx, &wire.Query{Kind: ctrl.QuerySendPermit, Argument: argument})
+	if err != nil {
+		return nil, err
+	}
+	reply := new(wire.SendPermitReply)
+	if err := proto.Unmarshal(answer.GetResult(), reply); err != nil {
+		return nil, fmt.Errorf("decode permit: %w", err)
+	}
+	return reply, nil
+}
+
 // unearnedRetryRate returns the retries per second that all gates together may make
 // without earning them.
 func unearnedRetryRate(settings *platform.Settings) float64 {
--- a/internal/process/ctrl/ctrl.go
+++ b/internal/process/ctrl/ctrl.go
@@ -116,6 +116,7 @@
 	loadAggregator *loadAggregator
 	decisions      *trail.Ring
 	permitLimiter  *permit.Limiter
+	sendLimiter    *permit.SendLimiter
 	clockSkews     clockSkews
 	server         *link.Server
 
@@ -125,8 +126,9 @@
 
 // New returns a control process, which Run starts.
 func New(cfg Config) *Control {
+	sendLimiter := permit.NewSendLimiter()
 	c := &Control{
-		cfg: cfg, hub: newHub(cfg), loadAggregator: newLoadAggregator(cfg.Clock), decisions: trail.NewRing(0),
+		cfg: cfg, hub: newHub(cfg, sendLimiter), sendLimiter: sendLimiter, loadAggregator: newLoadAggregator(cfg.Clock), decisions: trail.NewRing(0),
 		recentMembers: make(map[ident.VMName]recentMember),
 		permitLimiter: permit.NewLimiter(permit.WeightLimits(cfg.WeightFetchLimit)),
 	}
@@ -191,6 +193,8 @@
 		return c.answerInFlightAtCrash(ctx, query.GetName())
 	case QueryPermit:
 		return c.answerPermit(ctx, query.GetArgument())
+	case QuerySendPermit:
+		return c.answerSendPermit(query.GetArgument())
 	case QueryStoreDecisions:
 		return c.storeDecisions(query.GetArgument())
 	case queryPutDocument:
--- a/internal/process/ctrl/fleet.go
+++ b/internal/process/ctrl/fleet.go
@@ -46,6 +46,8 @@
 	Processes []Process
 	// Loads are sorted by target.
 	Loads []TargetLoad
+	// Limits are the rates that targets accept, and their use, as the leader has them.
+	Limits []TargetLimit
 	// Unreachable are the VMs of control processes that did not answer.
 	Unreachable []ident.VMName
 	// Restarted are the VMs of control processes that started less than a lease
@@ -58,6 +60,7 @@
 type controlReport struct {
 	Processes []Process
 	Loads     []TargetLoad
+	Limits    []TargetLimit
 	Restarted bool
 	// Clock is the time on the answering VM.
 	Clock time.Time
@@ -83,6 +86,31 @@
 	return fleet
 }
 
+// TargetLimit is the use of the rate that a target accepts.
+type TargetLimit struct {
+	Target ident.TargetName
+	// Rate is in requests per second.
+	Rate ident.Rate
+	// Granted and Refused count the permits of the leader since its term began, or
+	// since the target named its limit.
+	Granted uint64
+	Refused uint64
+	// Leader is the VM of the process that grants the permits.
+	Leader ident.VMName
+}
+
+// targetLimits returns the limits of targets, if this process grants their permits.
+func (c *Control) targetLimits() []TargetLimit {
+	if _, leads, _ := c.leadership(); !leads {
+		return nil
+	}
+	var limits []TargetLimit
+	for _, use := range c.sendLimiter.Uses() {
+		limits = append(limits, TargetLimit{Target: use.Target, Rate: use.Rate, Granted: use.Granted, Refused: use.Refused, Leader: c.cfg.VM})
+	}
+	return limits
+}
+
 // add merges the answer of one control process, nil if it did not answer.
 func (f *Fleet) add(vm ident.VMName, answer *controlReport) {
 	if answer == nil {
@@ -91,6 +119,7 @@
 	}
 	f.Processes = append(f.Processes, answer.Processes...)
 	f.Loads = append(f.Loads, answer.Loads...)
+	f.Limits = append(f.Limits, answer.Limits...)
 	if answer.Restarted {
 		f.Restarted = append(f.Restarted, vm)
 	}
@@ -100,6 +129,7 @@
 func (c *Control) controlReport() *controlReport {
 	answer := c.hub.watcherReport()
 	answer.Loads = c.loadAggregator.targetLoads()
+	answer.Limits = c.targetLimits()
 	answer.Clock = c.cfg.Clock.Now()
 	return answer
 }
--- a/internal/process/ctrl/hub.go
+++ b/internal/process/ctrl/hub.go
@@ -10,6 +10,7 @@
 	"cactusline.dev/cactusline/internal/conn/roster"
 	"cactusline.dev/cactusline/internal/conn/watch"
 	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/process/permit"
 	"cactusline.dev/cactusline/internal/version/ident"
 )
 
@@ -53,6 +54,7 @@
 
 	documentPatches documentPatches
 	loads           roster.LoadTotals
+	sendLimiter     *permit.SendLimiter
 }
 
 // watcher is the state of one process that watches this one.
@@ -77,6 +79,8 @@
 	sentControls string
 	sentLeader   string
 	load         roster.ProcessLoads
+	// sentLimitStep is the step of the limits that were last sent.
+	sentLimitStep uint64
 }
 
 // reportStamp is a value that identifies a report of a watcher. It is sent back
@@ -88,9 +92,10 @@
 	receivedAt time.Time
 }
 
-func newHub(cfg Config) *hub {
+func newHub(cfg Config, sendLimiter *permit.SendLimiter) *hub {
 	return &hub{
 		cfg:              cfg,
+		sendLimiter:      sendLimiter,
 		started:          cfg.Clock.Now(),
 		watchers:         make(map[*watcher]struct{}),
 		nextConfirmation: make(chan struct{}),
--- a/internal/process/ctrl/metrics.go
+++ b/internal/process/ctrl/metrics.go
@@ -13,6 +13,9 @@
 	metrics.GetOrCreateGauge("cactusline_clock_skew_seconds", func() float64 {
 		return c.clockSkews.largest().Seconds()
 	})
+	metrics.GetOrCreateGauge("cactusline_limited_targets", func() float64 {
+		return float64(len(c.targetLimits()))
+	})
 	metrics.GetOrCreateGauge("cactusline_quorum_age_seconds", func() float64 {
 		barrierStart, _, _ := c.hub.signals()
 		return c.cfg.Clock.Now().Sub(barrierStart).Seconds()
--- a/internal/process/ctrl/update.go
+++ b/internal/process/ctrl/update.go
@@ -114,6 +114,7 @@
 		if update.Loads = h.loads.Delta(h.cfg.Roster.Source(), &w.load); update.Loads != nil {
 			changed = true
 		}
+		changed = h.addRateLimits(w, update) || changed
 	}
 	return h.addControlAddresses(w, update) || changed
 }
--- a/internal/process/gate/export_test.go
+++ b/internal/process/gate/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"cactusline.dev/cactusline/internal/version/ident"
@@ -33,3 +34,20 @@
 	}
 	return count
 }
+
+// Shares exports the shares of limits that gates use without control.
+type Shares struct{ clients []*permitClient }
+
+// NewShares returns the shares of a number of gates.
+func NewShares(gates int) *Shares {
+	s := new(Shares)
+	for range gates {
+		s.clients = append(s.clients, newPermitClient())
+	}
+	return s
+}
+
+// Take exports takeShare for one of the gates.
+func (s *Shares) Take(number int, target ident.TargetName, now time.Time, rate ident.Rate) bool {
+	return s.clients[number].takeShare(fmt.Sprint("gate", number), target, now, rate, uint32(len(s.clients)))
+}
--- a/internal/process/gate/gate.go
+++ b/internal/process/gate/gate.go
@@ -76,6 +76,9 @@
 	Follower *watch.Follower
 	// Control gets the reports of crashes; nil to report none.
 	Control Control
+	// Permits grants the requests to targets that limit their rates; nil if this is the
+	// only gate and goes by the limits alone.
+	Permits PermitSource
 
 	// DrainDelay is how long a stopping process still accepts connections after it
 	// has become not ready.
@@ -106,6 +109,9 @@
 	crashes  crashDetector
 	reporter *crashReporter
 	suspects *suspects
+	permits  *permitClient
+	// gateCount is the number of gates of the fleet.
+	gateCount atomic.Uint32
 	// survivals is what this gate saw of targets that survive parts of prompts.
 	survivals survivalLog
 
@@ -146,8 +152,9 @@
 		cfg.MaxBufferedBytes = DefaultMaxBufferedBytes
 	}
 	cfg.Pool.Clock = cfg.Clock
-	return &Gate{
+	g := &Gate{
 		cfg:      cfg,
+		permits:  newPermitClient(),
 		balancer: place.NewBalancer(place.Config{Name: cfg.Name, Domain: cfg.Domain}),
 		pool:     pool.New(cfg.Pool),
 		server:   callerServer{clock: cfg.Clock},
@@ -156,6 +163,8 @@
 		suspects: newSuspects(),
 		budget:   budget.New(budget.Config{RetryRatio: cfg.RetryRatio, PoolRate: cfg.UnearnedRetriesPerSecond / defaultGateCount}),
 	}
+	g.gateCount.Store(defaultGateCount)
+	return g
 }
 
 // SetFollower sets the follower. It must be called before Update and Run. The
@@ -176,7 +185,9 @@
 	if update.GetVerdictsSet() {
 		g.updateVerdicts(watch.DecodeVerdicts(update.GetVerdicts()))
 	}
+	g.updateRateLimits(now, update)
 	if gates := update.GetRouters(); gates > 0 {
+		g.gateCount.Store(gates)
 		g.budget.SetPoolRate(g.cfg.UnearnedRetriesPerSecond / float64(gates))
 	}
 	if loads := update.GetLoads(); loads != nil {
@@ -278,6 +289,9 @@
 	if g.cfg.Control != nil {
 		go g.reportCrashes(reportCtx)
 	}
+	if g.cfg.Permits != nil {
+		go g.reportRateLimits(reportCtx)
+	}
 	<-ctx.Done()
 	_ = level.Info(g.cfg.Logger).Log("msg", "stopping", "grace", g.cfg.GracePeriod)
 	// ctx has ended, so the shutdown needs a context of its own.
--- a/internal/process/gate/harness_test.go
+++ b/internal/process/gate/harness_test.go
@@ -57,7 +57,16 @@
 }
 
 func (testDialect) ParseResponse(h http.Header) gate.ResponseMeta {
-	return gate.ResponseMeta{RequestID: ident.RequestID(h.Get("Id")), NotRun: h.Get("Not-Run") != ""}
+	meta := gate.ResponseMeta{RequestID: ident.RequestID(h.Get("Id")), NotRun: h.Get("Not-Run") != ""}
+	if text := h.Get("Limit"); text != "" {
+		meta.RateLimit.Named = true
+		rate, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			meta.RateLimit.Invalid = text
+		}
+		meta.RateLimit.Rate = ident.Rate(rate)
+	}
+	return meta
 }
 
 func (testDialect) SetRetryAfter(h http.Header, retryAfter time.Duration) {
--- a/internal/process/gate/ratelimit.go
+++ b/internal/process/gate/ratelimit.go
@@ -26,6 +26,7 @@
 	}
 	limit := place.RateLimit{Limited: named.Named, Rate: named.Rate, NamedAt: g.cfg.Clock.Now()}
 	if g.balancer.RecordRateLimit(target, limit) {
+		g.permits.addLimit(target.Name, limit)
 		g.logRateLimit(target, limit)
 	}
 }
--- a/internal/process/gate/serve.go
+++ b/internal/process/gate/serve.go
@@ -142,7 +142,7 @@
 	}
 	c.deadline = c.startedAt.Add(min(timeout, c.route.Timeout))
 	c.lastEventID = c.meta.LastEventID
-	c.placement = place.Request{Parts: c.meta.PromptParts, Model: c.meta.Model}
+	c.placement = place.Request{Parts: c.meta.PromptParts, Model: c.meta.Model, Urgent: c.priority() == 0}
 	c.placement.Service = c.route.ChooseService(c.splitFraction())
 	c.retryState = carry.RetryState{
 		Repeatable:  c.route.Repeatable(),
@@ -207,6 +207,10 @@
 			c.finishQuarantined(ctx, next)
 			return
 		}
+		if retryAfter, ok := c.acquirePermit(ctx); !ok {
+			c.finishRateLimited(ctx, retryAfter)
+			return
+		}
 		choice, found := c.gate.balancer.Choose(c.gate.cfg.Clock.Now(), &c.placement)
 		if !found {
 			c.finish(ctx, c.retryState.NextWithoutTarget())
--- a/internal/process/permit/permit.go
+++ b/internal/process/permit/permit.go
@@ -62,13 +62,15 @@
 // the time until there will be enough, rounded up to a millisecond. It is zero if
 // amount exceeds the burst, which is never granted.
 func (b *Bucket) Take(now time.Time, amount uint32) (granted bool, retryAfter time.Duration) {
-	if elapsed := now.Sub(b.lastRefill); elapsed > 0 {
-		b.tokens = min(float64(b.limit.Burst), b.tokens+b.limit.Rate*elapsed.Seconds())
-		b.lastRefill = now
-	}
-	deficit := float64(amount) - b.tokens
+	return b.TakeAbove(now, amount, 0)
+}
+
+// TakeAbove is Take if at least reserve tokens are left after it.
+func (b *Bucket) TakeAbove(now time.Time, amount, reserve uint32) (granted bool, retryAfter time.Duration) {
+	b.refill(now)
+	deficit := float64(amount+reserve) - b.tokens
 	switch {
-	case amount > b.limit.Burst:
+	case amount+reserve > b.limit.Burst:
 		return false, 0
 	case deficit > 0:
 		seconds := math.Ceil(deficit/b.limit.Rate*1e3) / 1e3
@@ -78,6 +80,20 @@
 	return true, 0
 }
 
+// SetLimit changes the limit. The tokens stay, as far as the new burst allows.
+func (b *Bucket) SetLimit(now time.Time, limit Limit) {
+	b.refill(now)
+	b.limit = limit
+	b.tokens = min(b.tokens, float64(limit.Burst))
+}
+
+func (b *Bucket) refill(now time.Time) {
+	if elapsed := now.Sub(b.lastRefill); elapsed > 0 {
+		b.tokens = min(float64(b.limit.Burst), b.tokens+b.limit.Rate*elapsed.Seconds())
+		b.lastRefill = now
+	}
+}
+
 // Limiter holds the buckets of the term that this process leads. It is safe for
 // concurrent use.
 type Limiter struct {
--- a/internal/request/place/balancer.go
+++ b/internal/request/place/balancer.go
@@ -44,6 +44,8 @@
 	mu      sync.Mutex
 	targets []*Target
 	history prefixHistory
+	// chats records which targets were sent which whole prompts.
+	chats prefixHistory
 }
 
 // Target is a target that is or was listed. Its name, service and address never
@@ -67,6 +69,9 @@
 	rateLimit    RateLimit
 	// rateLimitInvalid is set while the target names a limit that cannot be used.
 	rateLimitInvalid bool
+	// noPermitUntil is when control may grant a permit again, for requests that are not
+	// urgent and for those that are.
+	noPermitUntil [2]time.Time
 }
 
 // NewBalancer returns a balancer without targets.
--- a/internal/request/place/choose.go
+++ b/internal/request/place/choose.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -37,6 +38,11 @@
 	Model string
 	// Tried holds the targets of earlier attempts, which are not chosen again.
 	Tried []*Target
+	// Urgent requests may use permits that are held in reserve.
+	Urgent bool
+	// Permit is the target for which control has granted a permit, nil if there is none.
+	// Other targets that limit their rates are not chosen.
+	Permit *Target
 }
 
 // Choice is the target chosen for a request.
@@ -98,6 +104,11 @@
 	return hashes[len(hashes)-1]
 }
 
+// chatHash returns the hash of the whole prompt.
+func (r *Request) chatHash() uint64 {
+	return mixBits(r.prefixHash() ^ uint64(r.Parts[len(r.Parts)-1]))
+}
+
 // PrefixFraction hashes the shared prefix of the prompt, and the model, to a number
 // in [0, 1). The numbers are uniformly distributed and serve to split traffic.
 func (r *Request) PrefixFraction() float64 { return float64(mixBits(r.prefixHash())>>11) / (1 << 53) }
@@ -115,11 +126,15 @@
 	if len(candidates) == 0 {
 		return s.chooseLastResort(now, req)
 	}
-	choice := Choice{MeanLoad: meanLoad(candidates)}
+	allowed := s.permitted(candidates, req.Permit)
+	if len(allowed) == 0 {
+		return Choice{}, false
+	}
+	choice := Choice{MeanLoad: meanLoad(allowed)}
 	if len(req.Parts) > 0 {
-		s.chooseByAffinity(now, req, candidates, b.tieBreakKey, &choice)
+		s.chooseByAffinity(now, req, candidates, allowed, b.tieBreakKey, &choice)
 	} else {
-		choice.Target, choice.Reason = leastLoaded(candidates, b.cfg.Domain, b.tieBreakKey), ReasonLoad
+		choice.Target, choice.Reason = leastLoaded(allowed, b.cfg.Domain, b.tieBreakKey), ReasonLoad
 	}
 	choice.Load = choice.Target.load()
 	choice.RateLimit = choice.Target.rateLimit
@@ -185,10 +200,7 @@
 // be down is better than a certain rejection.
 func (s *service) chooseLastResort(now time.Time, req *Request) (Choice, bool) {
 	var best *Target
-	for _, t := range s.targets {
-		if t.Leaving || contains(req.Tried, t) {
-			continue
-		}
+	for _, t := range s.permitted(s.lastResorts(req), req.Permit) {
 		if best == nil || t.health.ejectedUntil.Before(best.health.ejectedUntil) {
 			best = t
 		}
@@ -201,26 +213,21 @@
 	return choice, true
 }
 
-// chooseByAffinity chooses the highest ranked target for the prompt's prefix whose
-// load is below the bound: rendezvous hashing with bounded loads.
-func (s *service) chooseByAffinity(now time.Time, req *Request, candidates []*Target, tieBreakKey uint64, choice *Choice) {
+// chooseByAffinity chooses the highest ranked of the allowed targets for the prompt's
+// prefix whose load is below the bound: rendezvous hashing with bounded loads.
+func (s *service) chooseByAffinity(now time.Time, req *Request, candidates, allowed []*Target, tieBreakKey uint64, choice *Choice) {
 	hash := req.prefixHash()
 	maxLoad := choice.MeanLoad*maxLoadFactor + loadSlack
-	preferred, preferredRank := candidates[0], rank(hash, candidates[0])
+	preferred := highestRanked(hash, candidates)
 	var best *Target
-	var bestRank uint64
-	for _, t := range candidates {
-		r := rank(hash, t)
-		if r > preferredRank {
-			preferred, preferredRank = t, r
-		}
-		if float64(t.load()) < maxLoad && (best == nil || r > bestRank) {
-			best, bestRank = t, r
+	for _, t := range allowed {
+		if float64(t.load()) < maxLoad && (best == nil || ranksAbove(hash, t, best)) {
+			best = t
 		}
 	}
 	choice.Target, choice.Reason = best, ReasonAffinity
 	if best == nil {
-		choice.Target = leastLoaded(candidates, "", tieBreakKey)
+		choice.Target = leastLoaded(allowed, "", tieBreakKey)
 	}
 	if choice.Target != preferred {
 		choice.Reason = ReasonSpill
@@ -230,6 +237,14 @@
 	for _, hash := range hashes {
 		s.history.record(now, hash, choice.Target)
 	}
+	if len(req.Parts) > 1 {
+		s.chats.record(now, req.chatHash(), choice.Target)
+	}
+}
+
+// highestRanked returns the target that ranks highest for a key.
+func highestRanked(key uint64, targets []*Target) *Target {
+	return slices.MaxFunc(targets, func(a, b *Target) int { return cmp.Compare(rank(key, a), rank(key, b)) })
 }
 
 // fetchSource returns the address from which the chosen target may fetch the cached
@@ -286,16 +301,12 @@
 
 // leastLoaded returns the target with the least load per slot. Ties are broken in
 // an order that differs between processes, which would otherwise all send to the
-// same idle target at once. If domain is set, targets in other failure domains
-// cost more.
+// same idle target at once.
 func leastLoaded(candidates []*Target, domain ident.DomainName, tieBreakKey uint64) *Target {
 	var best *Target
 	leastCost := math.Inf(1)
 	for _, t := range candidates {
-		cost := float64(t.load()) / float64(max(1, t.Slots))
-		if domain != "" && t.Domain != domain {
-			cost += remoteDomainCost / float64(max(1, t.Slots))
-		}
+		cost := t.cost(domain)
 		if cost < leastCost || (cost == leastCost && ranksAbove(tieBreakKey, t, best)) {
 			best, leastCost = t, cost
 		}
@@ -303,6 +314,16 @@
 	return best
 }
 
+// cost returns the load per slot. If domain is set, targets in other failure domains
+// cost more.
+func (t *Target) cost(domain ident.DomainName) float64 {
+	cost := float64(t.load()) / float64(max(1, t.Slots))
+	if domain != "" && t.Domain != domain {
+		cost += remoteDomainCost / float64(max(1, t.Slots))
+	}
+	return cost
+}
+
 func meanLoad(candidates []*Target) float64 {
 	total := 0
 	for _, t := range candidates {
--- a/internal/request/place/history.go
+++ b/internal/request/place/history.go
@@ -60,6 +60,12 @@
 	return false
 }
 
+// anySentRecently reports whether any target was sent the prefix within retention.
+func (h *prefixHistory) anySentRecently(now time.Time, prefixHash uint64) bool {
+	holders := h.lookup(prefixHash)
+	return len(holders) > 0 && now.Sub(holders[len(holders)-1].sentAt) < retention
+}
+
 // otherHolder returns the target that was sent the prefix most recently and can
 // still serve it, nil if there is none. It never returns excluded.
 func (h *prefixHistory) otherHolder(now time.Time, prefixHash uint64, excluded *Target) *Target {
