Log the software versions of attempts and what resumptions take up

Cause: no log line had the version of a target or said that a request takes up a stream, so that a gate's own resumption at another version looked like that of a consumer, and both like a sound one. Change: the version in the platform's list is read and sent to the gates with the list; attempts in RequestEnded name it; requests that take a stream up have Resumes and LastEvent. A target that is listed with another version than before counts as another target. No choice uses the version. Conclusion: the two hypotheses can be told apart.

--- a/internal/conn/roster/roster.go
+++ b/internal/conn/roster/roster.go
@@ -29,6 +29,8 @@
 	Leaving bool
 	// Slots is the number of requests that the target can run concurrently.
 	Slots int
+	// Version is the version of the target's software.
+	Version ident.SoftwareVersion
 }
 
 // Publisher holds the current list of targets and computes the deltas for
@@ -168,7 +170,7 @@
 func encodeTarget(t Target) *wire.RosterTarget {
 	return &wire.RosterTarget{
 		Number: uint32(t.Number), Name: string(t.Name), Service: string(t.Service), Address: t.Address,
-		Domain: string(t.Domain), Leaving: t.Leaving, Slots: uint32(t.Slots),
+		Domain: string(t.Domain), Leaving: t.Leaving, Slots: uint32(t.Slots), Version: string(t.Version),
 	}
 }
 
@@ -202,6 +204,7 @@
 			Number: TargetNumber(t.GetNumber()), Name: ident.TargetName(t.GetName()),
 			Service: ident.ServiceName(t.GetService()), Address: t.GetAddress(),
 			Domain: ident.DomainName(t.GetDomain()), Leaving: t.GetLeaving(), Slots: int(t.GetSlots()),
+			Version: ident.SoftwareVersion(t.GetVersion()),
 		}
 	}
 	v.Source, v.Step = in.GetSource(), in.GetStep()
--- a/internal/process/gate/attempt.go
+++ b/internal/process/gate/attempt.go
@@ -48,7 +48,7 @@
 	now := c.gate.cfg.Clock.Now()
 	ejected := c.gate.balancer.Finish(now, choice.Target, signal)
 	attempt := attemptLog{
-		Target: choice.Target.Name, Reason: choice.Reason, Load: choice.Load, Mean: choice.MeanLoad, Fetch: choice.FetchFrom,
+		Target: choice.Target.Name, Version: choice.Target.Version, Reason: choice.Reason, Load: choice.Load, Mean: choice.MeanLoad, Fetch: choice.FetchFrom,
 		Result: result.String(), Status: e.status, Reused: e.reused, UntilClose: e.untilClose, Took: now.Sub(start).String(),
 	}
 	if choice.RateLimit.Limited {
--- a/internal/process/gate/dialect.go
+++ b/internal/process/gate/dialect.go
@@ -20,6 +20,9 @@
 	// LastEventID is the ID of the last event of a stream that the caller has, empty
 	// if it has none.
 	LastEventID string
+	// Resumes is the ID of the request that brought the first event of the stream that
+	// this one takes up, empty for a new stream.
+	Resumes ident.RequestID
 }
 
 // ForwardMeta holds what the header of a forwarded request tells the target in
--- a/internal/process/gate/harness_test.go
+++ b/internal/process/gate/harness_test.go
@@ -32,7 +32,7 @@
 type testDialect struct{}
 
 func (testDialect) ParseRequest(h http.Header) gate.RequestMeta {
-	meta := gate.RequestMeta{ID: ident.RequestID(h.Get("Id")), APIKey: h.Get("Key"), LastEventID: h.Get("After")}
+	meta := gate.RequestMeta{ID: ident.RequestID(h.Get("Id")), APIKey: h.Get("Key"), LastEventID: h.Get("After"), Resumes: ident.RequestID(h.Get("Resumes"))}
 	if timeout, err := time.ParseDuration(h.Get("Wait")); err == nil {
 		meta.Timeout = timeout
 	}
--- a/internal/process/gate/log.go
+++ b/internal/process/gate/log.go
@@ -32,6 +32,9 @@
 	if c.route != nil {
 		fields = append(fields, "Route", c.route.Name, "Customer", string(c.customerName()), "Attempts", c.attempts)
 	}
+	if c.meta.Resumes != "" {
+		fields = append(fields, "Resumes", string(c.meta.Resumes), "LastEvent", c.meta.LastEventID)
+	}
 	if c.responseLost || c.untilClose || c.quarantinedBy != 0 {
 		fields = append(fields, logs.FieldFingerprint, c.fingerprint().String())
 	}
--- a/internal/process/gate/serve.go
+++ b/internal/process/gate/serve.go
@@ -94,14 +94,15 @@
 
 // attemptLog is one attempt as it is logged, under the names of its fields.
 type attemptLog struct {
-	Target ident.TargetName
-	Reason place.Reason
-	Load   int
-	Mean   float64
-	Fetch  string `json:",omitempty"`
-	Result string
-	Status int  `json:",omitempty"`
-	Reused bool `json:",omitempty"`
+	Target  ident.TargetName
+	Version ident.SoftwareVersion `json:",omitempty"`
+	Reason  place.Reason
+	Load    int
+	Mean    float64
+	Fetch   string `json:",omitempty"`
+	Result  string
+	Status  int  `json:",omitempty"`
+	Reused  bool `json:",omitempty"`
 	// UntilClose is set if the response ended with its connection.
 	UntilClose bool `json:",omitempty"`
 	// RateLimit is the rate that the target accepted from all callers, if it was limited.
--- a/internal/request/place/balancer.go
+++ b/internal/request/place/balancer.go
@@ -48,7 +48,7 @@
 	chats prefixHistory
 }
 
-// Target is a target that is or was listed. Its name, service and address never
+// Target is a target that is or was listed. Its name, service, address and version never
 // change; all other fields are guarded by the lock of the service.
 type Target struct {
 	roster.Target
@@ -98,7 +98,7 @@
 	for _, entry := range targets {
 		listed[entry.Name] = true
 		t := b.byName[entry.Name]
-		if t == nil || t.Service != entry.Service || t.Address != entry.Address {
+		if t == nil || t.Service != entry.Service || t.Address != entry.Address || t.Version != entry.Version {
 			b.remove(t)
 			t = b.add(now, entry, wasEmpty)
 		}
--- a/internal/version/ident/ident.go
+++ b/internal/version/ident/ident.go
@@ -18,6 +18,9 @@
 	VMName string
 	// DomainName names a failure domain.
 	DomainName string
+	// SoftwareVersion names a version of the software of targets. What two versions
+	// write in one stream does not fit together.
+	SoftwareVersion string
 	// RegionName names a region, a set of failure domains.
 	RegionName string
 )
