Keep streams to the software version that began them

Cause: the version in the list was not read, so that a resumption chose among all targets; and what a stream is bound to was forgotten with its first attempt, at the only gate that knew. Change: a stream that has begun goes on only at targets of its version; gates remember where streams began and tell the leader within 20 ms of the first event, and each new leader all recent ones; a request that takes a stream up at a gate that doesn't know it asks the leader; without an answer it is rejected as not run. Prompts are fetched from caches of the same version only. 'software', /v1/software, logs and metrics show it. Why it works: the version is that of the target that was chosen, it never changes, and a request is sent only where it is known.

--- a/internal/conn/roster/roster.go
+++ b/internal/conn/roster/roster.go
@@ -119,6 +119,17 @@
 	p.changed = make(chan struct{})
 }
 
+// Targets returns the targets of the list in no particular order.
+func (p *Publisher) Targets() []Target {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := make([]Target, 0, len(p.targets))
+	for _, known := range p.targets {
+		list = append(list, known.target)
+	}
+	return list
+}
+
 // Changed returns a channel that is closed at the next step.
 func (p *Publisher) Changed() <-chan struct{} {
 	p.mu.Lock()
--- a/internal/conn/watch/follower.go
+++ b/internal/conn/watch/follower.go
@@ -65,6 +65,13 @@
 	// requests to targets.
 	CollectLoads func(first bool) *wire.TargetLoads
 	LoadInterval time.Duration
+	// CollectStreams returns where streams of this process began since the last report,
+	// or lately if first is set. StreamsBegan receives a value when there are any, and
+	// StreamDelay is how long they are collected then. All are zero in processes that
+	// have none.
+	CollectStreams func(first bool) []*wire.StreamOrigins
+	StreamsBegan   <-chan struct{}
+	StreamDelay    time.Duration
 	// OnUpdate puts an update in force. It is called with one update at a time.
 	// The revision is reported, and the lease extended, only after it has
 	// returned.
@@ -279,6 +286,8 @@
 			case <-ctx.Done():
 				return
 			case <-changed:
+			case <-f.cfg.StreamsBegan:
+				_ = f.cfg.Clock.Sleep(ctx, f.cfg.StreamDelay)
 			case <-timer:
 				if f.cfg.Clock.Now().Before(due) {
 					continue
@@ -287,6 +296,9 @@
 		}
 		message := f.report()
 		message.Loads = loads
+		if f.cfg.CollectStreams != nil {
+			message.Streams = f.cfg.CollectStreams(first)
+		}
 		if stream.Send(message) != nil {
 			return
 		}
--- a/internal/process/admin/status.go
+++ b/internal/process/admin/status.go
@@ -28,10 +28,12 @@
 	Processes   []ctrl.Process
 	Targets     []Target
 	Quarantine  []CrashVerdict
-	// Limits are the rates that targets accept.
-	Limits []ctrl.TargetLimit
-	Ledger Ledger
-	Audit  audit.Head
+	// Limits are the rates that targets accept, and Software the software versions that
+	// services run, both on the platform only.
+	Limits   []ctrl.TargetLimit
+	Software []ctrl.ServiceSoftware
+	Ledger   Ledger
+	Audit    audit.Head
 }
 
 // Member is the state of one control process.
@@ -92,6 +94,7 @@
 		Processes:   append([]ctrl.Process{}, fleet.Processes...),
 		Quarantine:  []CrashVerdict{},
 		Limits:      append([]ctrl.TargetLimit{}, fleet.Limits...),
+		Software:    append([]ctrl.ServiceSoftware{}, fleet.Software...),
 	}
 	answer.Quorum = a.quorumConfirms(req.Context())
 	set := a.cfg.Control.Set()
--- a/internal/process/cmds/cmds.go
+++ b/internal/process/cmds/cmds.go
@@ -68,7 +68,8 @@
 	Verdicts VerdictsCommand `cmd:"" help:"Show the requests and parts of prompts that are held for crashes of targets."`
 	Lift     LiftCommand     `cmd:"" help:"Forget the crashes held against a request or a part of prompts."`
 
-	Limits LimitsCommand `cmd:"" help:"Show the targets that limit their rates, and how much of the limits is used."`
+	Limits   LimitsCommand   `cmd:"" help:"Show the targets that limit their rates, and how much of the limits is used."`
+	Software SoftwareCommand `cmd:"" help:"Show the software versions that services run."`
 
 	Token TokenCommand `cmd:"" help:"Draw a bearer token of the administration API."`
 	Keys  KeysCommand  `cmd:"" help:"Make certificates for the fleet."`
--- a/internal/process/cmds/gate.go
+++ b/internal/process/cmds/gate.go
@@ -13,6 +13,8 @@
 	"cactusline.dev/cactusline/internal/process/clock"
 	"cactusline.dev/cactusline/internal/process/ctrl"
 	"cactusline.dev/cactusline/internal/process/gate"
+	"cactusline.dev/cactusline/internal/request/origin"
+	"cactusline.dev/cactusline/internal/version/ident"
 	"cactusline.dev/cactusline/internal/version/record"
 	"cactusline.dev/cactusline/platform"
 )
@@ -25,6 +27,8 @@
 	gateSilenceTimeout = 1800 * time.Millisecond
 	// gateLoadInterval is the interval between reports of changed loads.
 	gateLoadInterval = 150 * time.Millisecond
+	// gateStreamDelay is how long new streams are collected before they are reported.
+	gateStreamDelay = 20 * time.Millisecond
 	// earnedRetryShare and unearnedRetryShare are the shares of the platform's
 	// retry limits that the gates use. Requests earn retries in proportion to
 	// RetryRatio, and each gate counts these exactly. The unearned retries of
@@ -65,7 +69,7 @@
 	control := remote.NewClient(remote.Config{Addresses: settings.Seeds, Link: links, Clock: clock.System{}})
 	g := gate.New(gate.Config{
 		Name: string(settings.VM), Domain: settings.Domain,
-		Compile: platform.CompileDocument, Dialect: platform.Dialect{}, Clock: clock.System{}, Logger: logger, Control: control, Permits: &sendPermits{control: control},
+		Compile: platform.CompileDocument, Dialect: platform.Dialect{}, Clock: clock.System{}, Logger: logger, Control: control, Permits: &controlQueries{control: control}, Origins: &controlQueries{control: control},
 		GracePeriod:              settings.GracePeriod,
 		RetryRatio:               settings.RetryRatio * earnedRetryShare,
 		UnearnedRetriesPerSecond: unearnedRetryRate(settings),
@@ -74,6 +78,7 @@
 		Addresses: settings.Seeds, Link: links, Clock: clock.System{}, Logger: logger,
 		Process: uniqueName(string(settings.VM)), Role: "router",
 		SilenceTimeout: gateSilenceTimeout, FollowLeader: true, CollectLoads: g.Loads, LoadInterval: gateLoadInterval,
+		CollectStreams: g.StreamOrigins, StreamsBegan: g.StreamsBegan(), StreamDelay: gateStreamDelay,
 		OnUpdate: func(update *wire.Update, _ *record.Set) {
 			control.SetAddresses(update.GetControls())
 			g.Update(update)
@@ -88,18 +93,37 @@
 	return g.Run(env.ctx, callerListener, readyListener)
 }
 
-// sendPermits asks control for permits. It implements gate.PermitSource.
-type sendPermits struct {
+// controlQueries asks the leader of control. It implements gate.PermitSource and
+// gate.OriginSource.
+type controlQueries struct {
 	control *remote.Client
 }
 
+// AskOrigin asks where a stream began.
+func (q *controlQueries) AskOrigin(ctx context.Context, key origin.StreamKey) (began origin.Origin, found bool, err error) {
+	argument, err := proto.Marshal(&wire.StreamOrigins{Streams: []uint64{uint64(key)}})
+	if err != nil {
+		return origin.Origin{}, false, fmt.Errorf("encode stream: %w", err)
+	}
+	reply, err := q.control.Query(ctx, &wire.Query{Kind: ctrl.QueryOrigin, Argument: argument})
+	if err != nil {
+		return origin.Origin{}, false, err
+	}
+	answer := new(wire.StreamOrigins)
+	if err := proto.Unmarshal(reply.GetResult(), answer); err != nil {
+		return origin.Origin{}, false, fmt.Errorf("decode origin: %w", err)
+	}
+	began = origin.Origin{Service: ident.ServiceName(answer.GetService()), Version: ident.SoftwareVersion(answer.GetVersion())}
+	return began, len(answer.GetStreams()) > 0, nil
+}
+
 // AskSendPermit asks the leader for a permit.
-func (s *sendPermits) AskSendPermit(ctx context.Context, request *wire.SendPermit) (*wire.SendPermitReply, error) {
+func (q *controlQueries) AskSendPermit(ctx context.Context, request *wire.SendPermit) (*wire.SendPermitReply, error) {
 	argument, err := proto.Marshal(request)
 	if err != nil {
 		return nil, fmt.Errorf("encode permit request: %w", err)
 	}
-	answer, err := s.control.Query(ctx, &wire.Query{Kind: ctrl.QuerySendPermit, Argument: argument})
+	answer, err := q.control.Query(ctx, &wire.Query{Kind: ctrl.QuerySendPermit, Argument: argument})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/process/ctrl/ctrl.go
+++ b/internal/process/ctrl/ctrl.go
@@ -23,6 +23,7 @@
 	"cactusline.dev/cactusline/internal/process/group"
 	"cactusline.dev/cactusline/internal/process/permit"
 	"cactusline.dev/cactusline/internal/process/trace"
+	"cactusline.dev/cactusline/internal/request/origin"
 	"cactusline.dev/cactusline/internal/request/trail"
 	"cactusline.dev/cactusline/internal/version/cmdpb"
 	"cactusline.dev/cactusline/internal/version/ident"
@@ -117,6 +118,7 @@
 	decisions      *trail.Ring
 	permitLimiter  *permit.Limiter
 	sendLimiter    *permit.SendLimiter
+	origins        *origin.Table
 	clockSkews     clockSkews
 	server         *link.Server
 
@@ -128,7 +130,8 @@
 func New(cfg Config) *Control {
 	sendLimiter := permit.NewSendLimiter()
 	c := &Control{
-		cfg: cfg, hub: newHub(cfg, sendLimiter), sendLimiter: sendLimiter, loadAggregator: newLoadAggregator(cfg.Clock), decisions: trail.NewRing(0),
+		cfg: cfg, hub: newHub(cfg, sendLimiter), sendLimiter: sendLimiter,
+		origins: origin.NewTable(origin.Config{MaxStreams: maxStreams}), loadAggregator: newLoadAggregator(cfg.Clock), decisions: trail.NewRing(0),
 		recentMembers: make(map[ident.VMName]recentMember),
 		permitLimiter: permit.NewLimiter(permit.WeightLimits(cfg.WeightFetchLimit)),
 	}
@@ -195,6 +198,8 @@
 		return c.answerPermit(ctx, query.GetArgument())
 	case QuerySendPermit:
 		return c.answerSendPermit(query.GetArgument())
+	case QueryOrigin:
+		return c.answerOrigin(query.GetArgument())
 	case QueryStoreDecisions:
 		return c.storeDecisions(query.GetArgument())
 	case queryPutDocument:
@@ -327,6 +332,7 @@
 			if stream.Receive(report) != nil {
 				return
 			}
+			c.recordOrigins(report)
 			c.hub.recordReport(w, report)
 		}
 	}()
--- a/internal/process/ctrl/fleet.go
+++ b/internal/process/ctrl/fleet.go
@@ -48,6 +48,8 @@
 	Loads []TargetLoad
 	// Limits are the rates that targets accept, and their use, as the leader has them.
 	Limits []TargetLimit
+	// Software are the software versions in the platform's list, as the leader has it.
+	Software []ServiceSoftware
 	// Unreachable are the VMs of control processes that did not answer.
 	Unreachable []ident.VMName
 	// Restarted are the VMs of control processes that started less than a lease
@@ -61,6 +63,7 @@
 	Processes []Process
 	Loads     []TargetLoad
 	Limits    []TargetLimit
+	Software  []ServiceSoftware
 	Restarted bool
 	// Clock is the time on the answering VM.
 	Clock time.Time
@@ -120,6 +123,7 @@
 	f.Processes = append(f.Processes, answer.Processes...)
 	f.Loads = append(f.Loads, answer.Loads...)
 	f.Limits = append(f.Limits, answer.Limits...)
+	f.Software = append(f.Software, answer.Software...)
 	if answer.Restarted {
 		f.Restarted = append(f.Restarted, vm)
 	}
@@ -130,6 +134,7 @@
 	answer := c.hub.watcherReport()
 	answer.Loads = c.loadAggregator.targetLoads()
 	answer.Limits = c.targetLimits()
+	answer.Software = c.serviceSoftware()
 	answer.Clock = c.cfg.Clock.Now()
 	return answer
 }
--- a/internal/process/ctrl/metrics.go
+++ b/internal/process/ctrl/metrics.go
@@ -16,6 +16,7 @@
 	metrics.GetOrCreateGauge("cactusline_limited_targets", func() float64 {
 		return float64(len(c.targetLimits()))
 	})
+	metrics.GetOrCreateGauge("cactusline_streams_known", func() float64 { return float64(c.origins.Len()) })
 	metrics.GetOrCreateGauge("cactusline_quorum_age_seconds", func() float64 {
 		barrierStart, _, _ := c.hub.signals()
 		return c.cfg.Clock.Now().Sub(barrierStart).Seconds()
--- a/internal/process/ctrl/sendpermit_test.go
+++ b/internal/process/ctrl/sendpermit_test.go
@@ -120,3 +120,38 @@
 		}
 	}
 }
+
+func (h *sendPermitHarness) askOrigin(key uint64) (*wire.QueryReply, *wire.StreamOrigins) {
+	argument, err := proto.Marshal(&wire.StreamOrigins{Streams: []uint64{key}})
+	assert.NilError(h.t, err)
+	reply, result := new(wire.QueryReply), new(wire.StreamOrigins)
+	call := &wire.Call{Body: &wire.Call_Query{Query: &wire.Query{Kind: ctrl.QueryOrigin, Argument: argument}}}
+	assert.NilError(h.t, h.links.Ask(h.ctx, h.address, call, reply))
+	assert.NilError(h.t, proto.Unmarshal(reply.GetResult(), result))
+	return reply, result
+}
+
+func TestOriginsOfStreamsAreKeptForAllGates(t *testing.T) {
+	h := newSendPermitHarness(t)
+	stream, err := h.links.Open(h.ctx, h.address, &wire.Call{Body: &wire.Call_Watch{Watch: &wire.Watch{Process: "g", Role: "router"}}})
+	assert.NilError(t, err)
+	defer func() { _ = stream.Close() }()
+	report := &wire.Watch{Process: "g", Role: "router", Streams: []*wire.StreamOrigins{{Service: "s", Version: "v2", Streams: []uint64{7, 8}}}}
+	assert.NilError(t, stream.Send(report))
+	for began := time.Now(); ; time.Sleep(5 * time.Millisecond) {
+		_, answer := h.askOrigin(8)
+		if len(answer.GetStreams()) > 0 {
+			assert.Equal(t, answer.GetVersion(), "v2")
+			break
+		}
+		assert.Assert(t, time.Since(began) < 2*time.Second)
+	}
+	_, answer := h.askOrigin(9)
+	assert.Equal(t, len(answer.GetStreams()), 0)
+
+	h.membership.set("other", 2)
+	_, answer = h.askOrigin(7)
+	assert.Equal(t, answer.GetVersion(), "v2", "what is known holds at any process")
+	reply, _ := h.askOrigin(9)
+	assert.Assert(t, reply.GetRetry() && reply.GetLeader() != "", "only the leader may say that it is not known")
+}
--- a/internal/process/gate/events.go
+++ b/internal/process/gate/events.go
@@ -99,6 +99,7 @@
 func (e *exchange) startStream(response *http.Response) {
 	e.call.streamStarted = true
 	e.call.retryState.MarkStarted()
+	e.call.pinOrigin(e.choice.Target)
 	e.call.writeHead(response.StatusCode, endToEndHeader(response.Header), -1)
 }
 
--- a/internal/process/gate/gate.go
+++ b/internal/process/gate/gate.go
@@ -80,6 +80,9 @@
 	// only gate and goes by the limits alone.
 	Permits PermitSource
 
+	// Origins tells where streams of other gates began; nil if this is the only gate.
+	Origins OriginSource
+
 	// DrainDelay is how long a stopping process still accepts connections after it
 	// has become not ready.
 	DrainDelay time.Duration
@@ -110,6 +113,7 @@
 	reporter *crashReporter
 	suspects *suspects
 	permits  *permitClient
+	origins  *streamOrigins
 	// gateCount is the number of gates of the fleet.
 	gateCount atomic.Uint32
 	// survivals is what this gate saw of targets that survive parts of prompts.
@@ -155,6 +159,7 @@
 	g := &Gate{
 		cfg:      cfg,
 		permits:  newPermitClient(),
+		origins:  newStreamOrigins(),
 		balancer: place.NewBalancer(place.Config{Name: cfg.Name, Domain: cfg.Domain}),
 		pool:     pool.New(cfg.Pool),
 		server:   callerServer{clock: cfg.Clock},
--- a/internal/process/gate/log.go
+++ b/internal/process/gate/log.go
@@ -33,7 +33,7 @@
 		fields = append(fields, "Route", c.route.Name, "Customer", string(c.customerName()), "Attempts", c.attempts)
 	}
 	if c.meta.Resumes != "" {
-		fields = append(fields, "Resumes", string(c.meta.Resumes), "LastEvent", c.meta.LastEventID)
+		fields = append(fields, "Resumes", string(c.meta.Resumes), "LastEvent", c.meta.LastEventID, "Origin", c.originSource)
 	}
 	if c.responseLost || c.untilClose || c.quarantinedBy != 0 {
 		fields = append(fields, logs.FieldFingerprint, c.fingerprint().String())
--- a/internal/process/gate/serve.go
+++ b/internal/process/gate/serve.go
@@ -86,6 +86,8 @@
 	cachedFingerprint ident.Fingerprint
 	// partFingerprints is nil until sharedParts or subjects is called.
 	partFingerprints []ident.Fingerprint
+	// originSource is how the origin of a stream that the request takes up is known.
+	originSource string
 	// quarantinedBy is what the request was rejected for, 0 if it was not.
 	quarantinedBy ident.Fingerprint
 	// chargedBytes is what the buffers of the request were charged.
@@ -203,6 +205,10 @@
 		// Its caller may send it again; this process does not.
 		c.retryState.MaxRuns = 1
 	}
+	if c.takesUpStream() && !c.findOrigin(ctx) {
+		c.finishUnknownOrigin()
+		return
+	}
 	for {
 		if next, ok := c.mayRun(ctx, c.gate.cfg.Clock.Now()); !ok {
 			c.finishQuarantined(ctx, next)
@@ -214,7 +220,7 @@
 		}
 		choice, found := c.gate.balancer.Choose(c.gate.cfg.Clock.Now(), &c.placement)
 		if !found {
-			c.finish(ctx, c.retryState.NextWithoutTarget())
+			c.finishWithoutTarget(ctx)
 			return
 		}
 		result := c.attemptTarget(ctx, choice)
--- a/internal/request/place/balancer.go
+++ b/internal/request/place/balancer.go
@@ -44,6 +44,10 @@
 	mu      sync.Mutex
 	targets []*Target
 	history prefixHistory
+	// onlyVersion is the software version of all targets since onlyVersionSince, which is
+	// zero if they have several.
+	onlyVersion      ident.SoftwareVersion
+	onlyVersionSince time.Time
 	// chats records which targets were sent which whole prompts.
 	chats prefixHistory
 }
@@ -115,6 +119,9 @@
 			b.remove(t)
 		}
 	}
+	for _, s := range b.services {
+		s.updateVersions(now)
+	}
 }
 
 // add adds a listed target, which counts as new unless the list was empty before.
--- a/internal/request/place/choose.go
+++ b/internal/request/place/choose.go
@@ -38,6 +38,10 @@
 	Model string
 	// Tried holds the targets of earlier attempts, which are not chosen again.
 	Tried []*Target
+	// Pinned is set for a stream that has begun. It goes on only at targets whose
+	// software has Version.
+	Pinned  bool
+	Version ident.SoftwareVersion
 	// Urgent requests may use permits that are held in reserve.
 	Urgent bool
 	// Permit is the target for which control has granted a permit, nil if there is none.
@@ -161,7 +165,7 @@
 	available := make([]*Target, 0, len(s.targets))
 	responsive := make([]*Target, 0, len(s.targets))
 	for _, t := range s.targets {
-		if t.Leaving || !t.health.usable(now) || contains(req.Tried, t) {
+		if !t.mayGet(req) || !t.health.usable(now) {
 			continue
 		}
 		available = append(available, t)
@@ -286,7 +290,7 @@
 		if t == chosen || now.Sub(t.listedAt) < newTargetPeriod || now.Before(t.health.ejectedUntil) {
 			continue
 		}
-		if (isNew || ranksAbove(hash, t, chosen)) && (best == nil || ranksAbove(hash, t, best)) {
+		if t.Version == chosen.Version && (isNew || ranksAbove(hash, t, chosen)) && (best == nil || ranksAbove(hash, t, best)) {
 			best = t
 		}
 	}
--- a/internal/request/place/ratelimit.go
+++ b/internal/request/place/ratelimit.go
@@ -191,7 +191,7 @@
 func (s *service) lastResorts(req *Request) []*Target {
 	var targets []*Target
 	for _, t := range s.targets {
-		if !t.Leaving && !contains(req.Tried, t) {
+		if t.mayGet(req) {
 			targets = append(targets, t)
 		}
 	}
--- a/internal/version/route/table.go
+++ b/internal/version/route/table.go
@@ -85,6 +85,11 @@
 	return strings.ToLower(host)
 }
 
+// LeadsTo reports whether requests on the route may go to a service.
+func (r *Route) LeadsTo(service ident.ServiceName) bool {
+	return slices.ContainsFunc(r.Split, func(share Share) bool { return share.Service == service && share.Weight > 0 })
+}
+
 // ChooseService chooses a service of the route by weight. The draw is a random
 // number in [0, 1); the same draw yields the same service as long as the
 // weights stay the same.
