Take up unnamed streams where one version explains them

Change: two timeouts of the route are enough, which is how long a caller waits over its requests, and so is the first start of the whole system, if the first list comes within 5 s of it.

--- a/internal/process/cmds/gate.go
+++ b/internal/process/cmds/gate.go
@@ -70,6 +70,7 @@
 	g := gate.New(gate.Config{
 		Name: string(settings.VM), Domain: settings.Domain,
 		Compile: platform.CompileDocument, Dialect: platform.Dialect{}, Clock: clock.System{}, Logger: logger, Control: control, Permits: &controlQueries{control: control}, Origins: &controlQueries{control: control},
+		FirstStart:               settings.Bootstrap,
 		GracePeriod:              settings.GracePeriod,
 		RetryRatio:               settings.RetryRatio * earnedRetryShare,
 		UnearnedRetriesPerSecond: unearnedRetryRate(settings),
--- a/internal/process/gate/gate.go
+++ b/internal/process/gate/gate.go
@@ -80,6 +80,8 @@
 	// only gate and goes by the limits alone.
 	Permits PermitSource
 
+	// FirstStart is set at the first start of the whole system.
+	FirstStart bool
 	// Origins tells where streams of other gates began; nil if this is the only gate.
 	Origins OriginSource
 
@@ -156,11 +158,15 @@
 		cfg.MaxBufferedBytes = DefaultMaxBufferedBytes
 	}
 	cfg.Pool.Clock = cfg.Clock
+	var firstStart time.Time
+	if cfg.FirstStart {
+		firstStart = cfg.Clock.Now()
+	}
 	g := &Gate{
 		cfg:      cfg,
 		permits:  newPermitClient(),
 		origins:  newStreamOrigins(),
-		balancer: place.NewBalancer(place.Config{Name: cfg.Name, Domain: cfg.Domain}),
+		balancer: place.NewBalancer(place.Config{Name: cfg.Name, Domain: cfg.Domain, FirstStart: firstStart}),
 		pool:     pool.New(cfg.Pool),
 		server:   callerServer{clock: cfg.Clock},
 		buffers:  newBufferBudget(cfg.MaxBufferedBytes),
--- a/internal/process/gate/origin.go
+++ b/internal/process/gate/origin.go
@@ -24,6 +24,9 @@
 	// originRetryDelay is the pause before control is asked once more about a stream
 	// that it does not know. By then it has the report of a gate that runs.
 	originRetryDelay = 60 * time.Millisecond
+	// streamTimeouts is how long a stream can last over all requests of its caller, in
+	// timeouts of its route.
+	streamTimeouts = 2
 )
 
 // OriginSource asks control where streams began.
@@ -112,7 +115,7 @@
 // findOrigin restricts a request that takes up a stream to the service and version that
 // began it. It returns false if these are not known, or the route does not lead there.
 func (c *call) findOrigin(ctx context.Context) bool {
-	began, source := c.gate.streamOrigin(ctx, c.meta.Resumes, c.placement.Service)
+	began, source := c.streamOrigin(ctx)
 	metrics.GetOrCreateCounter(fmt.Sprintf("cactusline_streams_taken_up_total{origin=%q}", source)).Inc()
 	c.originSource = source
 	if source == originUnknown || !c.route.LeadsTo(began.Service) {
@@ -131,20 +134,22 @@
 	originOnly    = "OnlyVersion"
 )
 
-// streamOrigin returns where a stream began and how that is known: from this gate, from
-// control, or because the service has had one version for as long as streams last.
-func (g *Gate) streamOrigin(ctx context.Context, id ident.RequestID, service ident.ServiceName) (origin.Origin, string) {
-	now := g.cfg.Clock.Now()
-	if id != "" {
-		key := origin.KeyOf(id)
-		if began, found := g.origins.table.Lookup(now, key); found {
+// streamOrigin returns where the stream that the request takes up began, and how that is
+// known: from this gate, from control, or because the service has had one version for as
+// long as the stream can have lasted.
+func (c *call) streamOrigin(ctx context.Context) (origin.Origin, string) {
+	g, service := c.gate, c.placement.Service
+	if c.meta.Resumes != "" {
+		key := origin.KeyOf(c.meta.Resumes)
+		if began, found := g.origins.table.Lookup(c.startedAt, key); found {
 			return began, originHere
 		}
 		if began, found := g.askOrigin(ctx, key); found {
 			return began, originControl
 		}
 	}
-	if version, since, only := g.balancer.OnlyVersion(service); only && now.Sub(since) >= 2*origin.DefaultRetention {
+	longest := streamTimeouts * c.route.Timeout
+	if version, since, only := g.balancer.OnlyVersion(service); only && c.startedAt.Sub(since) >= longest {
 		return origin.Origin{Service: service, Version: version}, originOnly
 	}
 	return origin.Origin{}, originUnknown
--- a/internal/process/gate/origin_test.go
+++ b/internal/process/gate/origin_test.go
@@ -211,6 +211,32 @@
 	assert.Equal(t, status, http.StatusServiceUnavailable)
 }
 
+func TestOnlyVersionForAsLongAsStreamsLastIsTakenUp(t *testing.T) {
+	h, v1, _ := newVersionHarness(t, nil)
+	h.setVersions(map[*fakeTarget]string{v1: "v1"})
+	document := testDocument()
+	for i := range document.Routes {
+		document.Routes[i].Timeout = 200 * time.Millisecond
+	}
+	h.putDocument(document)
+	time.Sleep(450 * time.Millisecond)
+	status, body, err := h.sendAndRead("/resume/", "q", "After", "1")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, eventsText(2, 4))
+}
+
+// Before its first start a system has begun no stream at another version.
+func TestOnlyVersionSinceTheFirstStartIsTakenUp(t *testing.T) {
+	v1 := newFakeTarget(t, "t1", streamFrom(2))
+	h := newHarness(t, gate.Config{FirstStart: true})
+	h.putDocument(testDocument())
+	h.setVersions(map[*fakeTarget]string{v1: "v1"})
+	status, _, err := h.sendAndRead("/resume/", "q", "After", "1")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+}
+
 func TestBegunStreamsAreReported(t *testing.T) {
 	h, v1, v2 := newVersionHarness(t, nil)
 	v1.handler, v2.handler = streamFrom(1), streamFrom(1)
--- a/internal/request/place/balancer.go
+++ b/internal/request/place/balancer.go
@@ -22,8 +22,15 @@
 	Name string
 	// Domain is this process's failure domain.
 	Domain ident.DomainName
+	// FirstStart is when the whole system started for the first time, zero if that was
+	// before the start of this process. No target was sent anything before.
+	FirstStart time.Time
 }
 
+// firstListPeriod is how long after the first start of the whole system a list still has
+// all targets that have ever served. Targets drain before they leave.
+const firstListPeriod = 5 * time.Second
+
 // Balancer holds the targets of all services. It is safe for concurrent use.
 type Balancer struct {
 	cfg Config
@@ -44,10 +51,11 @@
 	mu      sync.Mutex
 	targets []*Target
 	history prefixHistory
-	// onlyVersion is the software version of all targets since onlyVersionSince, which is
-	// zero if they have several.
+	// onlyVersion is the software version of all targets since onlyVersionSince, if
+	// hasOnlyVersion is set.
 	onlyVersion      ident.SoftwareVersion
 	onlyVersionSince time.Time
+	hasOnlyVersion   bool
 	// chats records which targets were sent which whole prompts.
 	chats prefixHistory
 }
@@ -119,8 +127,12 @@
 			b.remove(t)
 		}
 	}
+	since := now
+	if wasEmpty && now.Sub(b.cfg.FirstStart) < firstListPeriod {
+		since = time.Time{}
+	}
 	for _, s := range b.services {
-		s.updateVersions(now)
+		s.updateVersions(since)
 	}
 }
 
--- a/internal/request/place/version.go
+++ b/internal/request/place/version.go
@@ -13,7 +13,8 @@
 }
 
 // OnlyVersion returns the software version of a service, and since when it has been the
-// only one that is listed. It returns false if there are none or several.
+// only one that is listed; the zero time if there never was another. It returns false if
+// there are none or several.
 func (b *Balancer) OnlyVersion(name ident.ServiceName) (version ident.SoftwareVersion, since time.Time, ok bool) {
 	s := b.service(name)
 	if s == nil {
@@ -21,25 +22,20 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.onlyVersion, s.onlyVersionSince, !s.onlyVersionSince.IsZero()
+	return s.onlyVersion, s.onlyVersionSince, s.hasOnlyVersion
 }
 
-// updateVersions records whether the listed targets have one version.
-func (s *service) updateVersions(now time.Time) {
+// updateVersions records whether the listed targets have one version, and since when if
+// that is new.
+func (s *service) updateVersions(since time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.targets) == 0 {
-		s.onlyVersionSince = time.Time{}
-		return
-	}
-	version := s.targets[0].Version
+	only := len(s.targets) > 0
 	for _, t := range s.targets {
-		if t.Version != version {
-			s.onlyVersionSince = time.Time{}
-			return
-		}
+		only = only && t.Version == s.targets[0].Version
 	}
-	if s.onlyVersionSince.IsZero() || s.onlyVersion != version {
-		s.onlyVersion, s.onlyVersionSince = version, now
+	if only && (!s.hasOnlyVersion || s.onlyVersion != s.targets[0].Version) {
+		s.onlyVersion, s.onlyVersionSince = s.targets[0].Version, since
 	}
+	s.hasOnlyVersion = only
 }
