Bound the wait of a rejected request below by zero

What callers saw: nothing yet; a request whose last limited target had turned it away, while the others had no free slot, would have been told to come back after minus 292 years. Cause: a plan without candidates has no time of the next permit, and the wait was counted from it. Change: the wait is at least zero; getting a permit is a function of its own. Measured: TestRequestIsRejectedIfOnlyFullTargetsAreLeft fails before (-9.2e9 s) and passes. Conclusion: the class is a zero time used as a moment; the other uses of Next in the gate and in place check for it.

--- a/internal/process/gate/permit.go
+++ b/internal/process/gate/permit.go
@@ -85,30 +85,36 @@
 	if len(plan.Candidates) == 0 {
 		if plan.Required {
 			g.permits.countRejected()
-			return plan.Next.Sub(now) + randomRetryAfter(), false
+			return max(0, plan.Next.Sub(now)) + randomRetryAfter(), false
 		}
 		return 0, true
 	}
+	if c.placement.Permit, retryAfter = g.requestPermit(ctx, now, plan); c.placement.Permit == nil && plan.Required {
+		return spreadRetryAfter(retryAfter), false
+	}
+	return 0, true
+}
+
+// requestPermit gets a permit for one of the candidates, from control or, if it does not
+// answer, by this gate's own share. Without one it returns nil, and when a rejected caller
+// should come back if control said so.
+func (g *Gate) requestPermit(ctx context.Context, now time.Time, plan place.PermitPlan) (granted *place.Target, retryAfter time.Duration) {
 	reply, err := g.askPermit(ctx, now, plan)
-	switch {
-	case err != nil && g.goesSolo(now):
-		c.placement.Permit = g.takeShare(now, plan.Candidates)
-		countPermit("Share", c.placement.Permit != nil)
-	case err != nil:
-		countPermit("Control", false)
-	default:
-		c.placement.Permit = findTarget(plan.Candidates, ident.TargetName(reply.GetTarget()))
-		countPermit("Control", c.placement.Permit != nil)
+	if err != nil && g.goesSolo(now) {
+		granted = g.takeShare(now, plan.Candidates)
+		countPermit("Share", granted != nil)
+		return granted, 0
+	}
+	if err == nil {
+		granted = findTarget(plan.Candidates, ident.TargetName(reply.GetTarget()))
 		retryAfter = time.Duration(reply.GetRetryAfterMs()) * time.Millisecond
-		if c.placement.Permit == nil {
-			next := time.Duration(reply.GetNextMs()) * time.Millisecond
-			g.balancer.RecordNoPermit(plan.Candidates, plan.Urgent, g.cfg.Clock.Now().Add(next))
-		}
 	}
-	if c.placement.Permit != nil || !plan.Required {
-		return 0, true
+	countPermit("Control", granted != nil)
+	if err == nil && granted == nil {
+		next := time.Duration(reply.GetNextMs()) * time.Millisecond
+		g.balancer.RecordNoPermit(plan.Candidates, plan.Urgent, g.cfg.Clock.Now().Add(next))
 	}
-	return spreadRetryAfter(retryAfter), false
+	return granted, retryAfter
 }
 
 // countPermit counts a permit that was asked for.
--- a/internal/process/gate/permit_test.go
+++ b/internal/process/gate/permit_test.go
@@ -138,6 +138,34 @@
 	assert.Equal(t, permits.questions[1].GetRejected(), uint32(1), "it counts as demand")
 }
 
+// Guards against a negative time to wait if no limited target is left to ask for.
+func TestRequestIsRejectedIfOnlyFullTargetsAreLeft(t *testing.T) {
+	permits := &fakePermits{answer: grantFirst}
+	h, targets := newLimitHarness(t, permits, "", "")
+	release := make(chan struct{})
+	defer close(release)
+	for _, target := range targets {
+		target.handler = func(r *receivedRequest) { <-release }
+	}
+	h.setTargets(targets[1])
+	for i := range 8 {
+		go func() { _, _, _ = h.sendAndRead("/once/", "q", "Id", fmt.Sprint("busy", i)) }()
+	}
+	waitFor(t, "all slots are taken", func() bool { return targets[1].count() == 8 })
+	targets[0].handler = func(r *receivedRequest) { r.respond(http.StatusServiceUnavailable, "", "Not-Run: 1", "Limit: 5") }
+	h.setTargets(targets...)
+	h.pushLimit("t1", 5)
+	response, err := h.send(context.Background(), "/once/", "q")
+	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, targets[0].count(), 1)
+	var wait float64
+	_, err = fmt.Sscan(response.Header.Get("Retry-After"), &wait)
+	assert.NilError(t, err)
+	assert.Assert(t, wait > 0 && wait < 1, "%v", wait)
+}
+
 func TestRetryNeedsAPermitOfItsOwn(t *testing.T) {
 	permits := &fakePermits{answer: refuse(10_000, 10_000)}
 	h, targets := newLimitHarness(t, permits, "", "1")
