Earn retries at the service that spends them

Cause: accounts held a customer's requests for all services; while one customer floods, it spent at one service what it earned at all. Accounts by customer and service alone would hold less than one retry at a gate of many, and all of them nothing but their part of the pool: at 105 gates that was 12.5 a second. Change: an account for each service, of which a customer may draw what it earned or half of the whole; less than a whole retry is allowed with that probability, so that the sum over gates is what was earned. Earned retries are kept for 5 s; the gates' share of the platform's ratio falls from 0.8 to 0.65, so that what is kept and what is earned in a window stay below the limit. Ruled out: permits of the leader for retries (a round trip each, and none without a leader).

--- a/internal/process/cmds/gate.go
+++ b/internal/process/cmds/gate.go
@@ -30,11 +30,11 @@
 	// gateStreamDelay is how long new streams are collected before they are reported.
 	gateStreamDelay = 20 * time.Millisecond
 	// earnedRetryShare and unearnedRetryShare are the shares of the platform's
-	// retry limits that the gates use. Requests earn retries in proportion to
-	// RetryRatio, and each gate counts these exactly. The unearned retries of
-	// RetrySlack are divided by the number of gates, which may be out of date,
-	// so their share is lower.
-	earnedRetryShare   = 0.8
+	// retry limits that the gates use. A burst also uses what was kept for half of a
+	// window, so that one and a half times each share must stay below the limit. The
+	// unearned retries of RetrySlack are divided by the number of gates, which may be
+	// out of date, so their share is lower.
+	earnedRetryShare   = 0.65
 	unearnedRetryShare = 0.5
 )
 
--- a/internal/process/gate/gate.go
+++ b/internal/process/gate/gate.go
@@ -41,6 +41,8 @@
 	DefaultRetryRatio               = 0.1
 	DefaultUnearnedRetriesPerSecond = 3.0
 	DefaultMaxBufferedBytes         = 64 << 20
+	// retryWindow is how long earned retries are kept, in which a burst may use them.
+	retryWindow = 5 * time.Second
 	// defaultGateCount is the number of gates that UnearnedRetriesPerSecond is
 	// divided by while the actual number is not known.
 	defaultGateCount = 32
@@ -172,7 +174,9 @@
 		buffers:  newBufferBudget(cfg.MaxBufferedBytes),
 		reporter: newCrashReporter(cfg.Logger),
 		suspects: newSuspects(),
-		budget:   budget.New(budget.Config{RetryRatio: cfg.RetryRatio, PoolRate: cfg.UnearnedRetriesPerSecond / defaultGateCount}),
+		budget: budget.New(budget.Config{
+			RetryRatio: cfg.RetryRatio, Window: retryWindow, PoolRate: cfg.UnearnedRetriesPerSecond / defaultGateCount,
+		}),
 	}
 	g.gateCount.Store(defaultGateCount)
 	return g
--- a/internal/process/gate/serve.go
+++ b/internal/process/gate/serve.go
@@ -200,7 +200,7 @@
 
 // run makes attempts at targets until one action ends the request.
 func (c *call) run(ctx context.Context) {
-	c.gate.budget.RecordRequest(c.startedAt, c.customerName())
+	c.gate.budget.Service(c.placement.Service).RecordRequest(c.startedAt, c.customerName())
 	if c.isSuspect() {
 		// Its caller may send it again; this process does not.
 		c.retryState.MaxRuns = 1
@@ -241,7 +241,7 @@
 
 // spendRetry charges the retry budget and counts whether it allows a retry.
 func (c *call) spendRetry(now time.Time) bool {
-	granted := c.gate.budget.Spend(now, c.customerName())
+	granted := c.gate.budget.Service(c.placement.Service).Spend(now, c.customerName())
 	metrics.GetOrCreateCounter(fmt.Sprintf("cactusline_retries_total{granted=%q}", strconv.FormatBool(granted))).Inc()
 	return granted
 }
--- a/internal/process/router/chat.go
+++ b/internal/process/router/chat.go
@@ -1,12 +1,14 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"slices"
 
 	"cactusline.dev/cactusline/internal/conn/httpd"
 	"cactusline.dev/cactusline/internal/conn/wire"
+	"cactusline.dev/cactusline/internal/request/budget"
 	"cactusline.dev/cactusline/internal/request/chat"
 	"cactusline.dev/cactusline/internal/request/poison"
 	"cactusline.dev/cactusline/internal/request/rank"
@@ -36,7 +38,9 @@
 	submit   *wire.Submit
 	tries    tries.Config
 	query    rank.Query
-	stream   bool
+	// retries is the account that pays for the retries of the request.
+	retries *budget.Service
+	stream  bool
 	// revision is the revision of the records used for routing.
 	revision ident.Revision
 }
@@ -101,10 +105,12 @@
 	if timeout == 0 {
 		timeout = DefaultRequestTimeout
 	}
+	retries := r.retryBudget.Service(cmp.Or(route.Service, ident.ServiceName(route.Model)))
 	return &routedRequest{
 		id:       id,
 		customer: customer,
 		pool:     pool,
+		retries:  retries,
 		query:    rank.Query{Now: now},
 		submit: &wire.Submit{
 			Request:  string(id),
@@ -118,7 +124,7 @@
 			Request:     id,
 			Customer:    customer.Name,
 			Deadline:    now.Add(timeout),
-			RetryBudget: r.retryBudget,
+			RetryBudget: retries,
 			Random:      r.random.fork(),
 			MaxAttempts: tries.MaxAttemptsLimit,
 		},
@@ -138,7 +144,7 @@
 		return
 	}
 	defer r.limits.Release(routed.customer.Name)
-	r.retryBudget.RecordRequest(routed.query.Now, routed.customer.Name)
+	routed.retries.RecordRequest(routed.query.Now, routed.customer.Name)
 	request := relay.Request{
 		MachineConfig: routed.tries,
 		Plan:          r.newPlan(routed),
