Record software versions before they are listed, and keep origins of streams on disk

Cause: a gate took the bootstrap setting for the first start of the whole system at each of its starts, and its first list for all that there ever was. After a kill of all processes with the settings files that they had, it joined streams of a version that had left to the one that was listed. Its own list also proved nothing for a stream that another gate, with a newer list, had begun. What was known of streams was held in memory alone. Change: the leader records a software version in the replicated log before it lists a target that has it, and forgets it after 10 minutes. For a stream whose origin nobody knows, the gate asks the leader for all versions that are possible, which a quorum confirms; only one that is left for as long as a stream lasts is an answer. Nothing goes by the bootstrap setting any more, nor by a gate's own list if it has control. Origins are appended to files of the core that hears them, written each 50 ms; after a restart the leader asks the other cores for what they hold. A route whose timeout was shortened keeps the longer one for that long. Ruled out: a time of day in the record (it may jump), an entry of the log for each stream (a quorum each), processes beside the targets (180 VMs would be paid for, at most 7 may be set aside). Conclusion: tests of the first start and of the own list now ask control; each is replaced by one that needs a confirmed answer.

--- a/internal/process/cmds/core.go
+++ b/internal/process/cmds/core.go
@@ -24,6 +24,7 @@
 	"cactusline.dev/cactusline/internal/process/group"
 	"cactusline.dev/cactusline/internal/process/lister"
 	"cactusline.dev/cactusline/internal/process/member"
+	"cactusline.dev/cactusline/internal/process/stlog"
 	"cactusline.dev/cactusline/internal/process/trace"
 	"cactusline.dev/cactusline/internal/process/walog"
 	"cactusline.dev/cactusline/internal/version/store"
@@ -91,8 +92,12 @@
 	discovery *member.Discovery
 	publisher *roster.Publisher
 	control   *ctrl.Control
+	streams   *stlog.Log
 }
 
+// streamsDirName is the folder of the origins of streams in the data directory.
+const streamsDirName = "streams"
+
 // runCore runs a control process with a data directory until ctx ends or its member
 // of the replicated log fails.
 func (c *CoreCommand) runCore(ctx context.Context, logger log.Logger, settings *platform.Settings) error {
@@ -119,6 +124,10 @@
 		return fmt.Errorf("trace: %w", err)
 	}
 	defer closeTracer(tracer)
+	streams, held, err := stlog.Open(stlog.Config{Folder: settings.DataDir + "/" + streamsDirName, FS: walog.OSFS{}, Clock: clock.System{}, Logger: logger})
+	if err != nil {
+		return &memberFailedError{cause: err}
+	}
 	p.control = ctrl.New(ctrl.Config{
 		VM: settings.VM, Listener: linkListener, Clock: clock.System{}, Logger: logger, Tracer: tracer,
 		Log: p.storage.raftGroup, Store: p.storage.state, Remote: controlClient, Link: links,
@@ -126,8 +135,10 @@
 		FallbackQuery: func(_ context.Context, query *wire.Query) *wire.QueryReply {
 			return answerDiscoveryQuery(p.discovery, query)
 		},
-		Roster: p.publisher, RedirectAddresses: p.discovery.ReplicaAddresses, DeadPeerTimeout: platformDeadPeerTimeout, MinVoters: 2*settings.ToleratedLosses + 1,
+		OriginLog: streams, Roster: p.publisher, RedirectAddresses: p.discovery.ReplicaAddresses, DeadPeerTimeout: platformDeadPeerTimeout, MinVoters: 2*settings.ToleratedLosses + 1,
 	})
+	p.control.RecordOrigins(held)
+	p.streams = streams
 	return p.run(ctx, c.Settings)
 }
 
@@ -186,13 +197,15 @@
 		MinVoters: 2*p.settings.ToleratedLosses + 1, Clock: clock.System{}, Logger: p.logger,
 	})
 	targetLister := lister.New(lister.Config{
-		Catalog: platform.NewCatalog(p.settings.CatalogAddress, p.settings.CatalogCallsPerSecond, clock.System{}), Publisher: p.publisher, IsReader: p.isCatalogReader,
+		Catalog: platform.NewCatalog(p.settings.CatalogAddress, p.settings.CatalogCallsPerSecond, clock.System{}), Publisher: p.publisher,
+		Admit: p.control.AdmitTargets, IsReader: p.isCatalogReader,
 		Clock: clock.System{}, Logger: p.logger,
 	})
 	go p.peers.Run(runCtx)
 	go p.discovery.Run(runCtx)
 	go reconciler.Run(runCtx)
 	go targetLister.Run(runCtx)
+	go p.streams.Run(runCtx)
 	go exportAudit(runCtx, p.logger, p.storage.state)
 	go followSettings(runCtx, p.logger, settingsPath, func(newSettings *platform.Settings) { p.discovery.SetSeeds(newSettings.Seeds) })
 	documents := &ctrl.DocumentService{
--- a/internal/process/cmds/gate.go
+++ b/internal/process/cmds/gate.go
@@ -70,7 +70,6 @@
 	g := gate.New(gate.Config{
 		Name: string(settings.VM), Domain: settings.Domain,
 		Compile: platform.CompileDocument, Dialect: platform.Dialect{}, Clock: clock.System{}, Logger: logger, Control: control, Permits: &controlQueries{control: control}, Origins: &controlQueries{control: control},
-		FirstStart:               settings.Bootstrap,
 		GracePeriod:              settings.GracePeriod,
 		RetryRatio:               settings.RetryRatio * earnedRetryShare,
 		UnearnedRetriesPerSecond: unearnedRetryRate(settings),
@@ -101,21 +100,29 @@
 }
 
 // AskOrigin asks where a stream began.
-func (q *controlQueries) AskOrigin(ctx context.Context, key origin.StreamKey) (began origin.Origin, found bool, err error) {
-	argument, err := proto.Marshal(&wire.StreamOrigins{Streams: []uint64{uint64(key)}})
+func (q *controlQueries) AskOrigin(ctx context.Context, question gate.OriginQuestion) (gate.OriginAnswer, error) {
+	argument, err := proto.Marshal(&wire.OriginQuestion{Service: string(question.Service), Stream: uint64(question.Stream)})
 	if err != nil {
-		return origin.Origin{}, false, fmt.Errorf("encode stream: %w", err)
+		return gate.OriginAnswer{}, fmt.Errorf("encode stream: %w", err)
 	}
 	reply, err := q.control.Query(ctx, &wire.Query{Kind: ctrl.QueryOrigin, Argument: argument})
 	if err != nil {
-		return origin.Origin{}, false, err
+		return gate.OriginAnswer{}, err
 	}
-	answer := new(wire.StreamOrigins)
-	if err := proto.Unmarshal(reply.GetResult(), answer); err != nil {
-		return origin.Origin{}, false, fmt.Errorf("decode origin: %w", err)
+	message := new(wire.OriginAnswer)
+	if err := proto.Unmarshal(reply.GetResult(), message); err != nil {
+		return gate.OriginAnswer{}, fmt.Errorf("decode origin: %w", err)
 	}
-	began = origin.Origin{Service: ident.ServiceName(answer.GetService()), Version: ident.SoftwareVersion(answer.GetVersion())}
-	return began, len(answer.GetStreams()) > 0, nil
+	answer := gate.OriginAnswer{
+		Known:  message.GetKnown(),
+		Origin: origin.Origin{Service: ident.ServiceName(message.GetService()), Version: ident.SoftwareVersion(message.GetVersion())},
+	}
+	for _, possible := range message.GetPossible() {
+		answer.Possible = append(answer.Possible, gate.SoftwareAge{
+			Version: ident.SoftwareVersion(possible.GetVersion()), Absent: time.Duration(possible.GetAbsentMs()) * time.Millisecond,
+		})
+	}
+	return answer, nil
 }
 
 // AskSendPermit asks the leader for a permit.
--- a/internal/process/ctrl/ctrl.go
+++ b/internal/process/ctrl/ctrl.go
@@ -62,6 +62,8 @@
 	Verdicts() ([]*wire.CrashVerdict, uint64)
 	// Document returns the current routing document.
 	Document() store.Document
+	// Software returns the software versions that gates may have been told of.
+	Software() []store.Software
 	// InFlightAtCrash returns the requests that were in flight when a target
 	// crashed.
 	InFlightAtCrash(target ident.TargetName) []ident.Fingerprint
@@ -97,6 +99,8 @@
 	WeightFetchLimit permit.Limit
 	// Roster publishes the targets of the platform; nil if records list them.
 	Roster *roster.Publisher
+	// OriginLog keeps the origins of streams; nil if they are held in memory only.
+	OriginLog OriginLog
 	// RedirectAddresses returns the addresses of control processes to which
 	// watchers are redirected while this process is not a member of the control
 	// group; nil disables redirection.
@@ -119,6 +123,7 @@
 	permitLimiter  *permit.Limiter
 	sendLimiter    *permit.SendLimiter
 	origins        *origin.Table
+	absences       absences
 	clockSkews     clockSkews
 	server         *link.Server
 
@@ -199,7 +204,7 @@
 	case QuerySendPermit:
 		return c.answerSendPermit(query.GetArgument())
 	case QueryOrigin:
-		return c.answerOrigin(query.GetArgument())
+		return c.answerOrigin(ctx, query.GetArgument())
 	case QueryStoreDecisions:
 		return c.storeDecisions(query.GetArgument())
 	case queryPutDocument:
@@ -332,7 +337,7 @@
 			if stream.Receive(report) != nil {
 				return
 			}
-			c.recordOrigins(report)
+			c.recordReport(report)
 			c.hub.recordReport(w, report)
 		}
 	}()
--- a/internal/process/ctrl/permit_test.go
+++ b/internal/process/ctrl/permit_test.go
@@ -41,7 +41,7 @@
 	defer m.mu.Unlock()
 	m.status = group.Status{
 		ID: "self", Leader: leader, Term: term,
-		Members: []group.MemberStatus{{Member: group.Member{ID: "other", Address: "192.0.2.1:7000"}}},
+		Members: []group.MemberStatus{{Member: group.Member{ID: "self"}}, {Member: group.Member{ID: "other", Address: "192.0.2.1:7000"}}},
 	}
 }
 
--- a/internal/process/ctrl/sendpermit_test.go
+++ b/internal/process/ctrl/sendpermit_test.go
@@ -121,10 +121,10 @@
 	}
 }
 
-func (h *sendPermitHarness) askOrigin(key uint64) (*wire.QueryReply, *wire.StreamOrigins) {
-	argument, err := proto.Marshal(&wire.StreamOrigins{Streams: []uint64{key}})
+func (h *sendPermitHarness) askOrigin(key uint64) (*wire.QueryReply, *wire.OriginAnswer) {
+	argument, err := proto.Marshal(&wire.OriginQuestion{Service: "s", Stream: key})
 	assert.NilError(h.t, err)
-	reply, result := new(wire.QueryReply), new(wire.StreamOrigins)
+	reply, result := new(wire.QueryReply), new(wire.OriginAnswer)
 	call := &wire.Call{Body: &wire.Call_Query{Query: &wire.Query{Kind: ctrl.QueryOrigin, Argument: argument}}}
 	assert.NilError(h.t, h.links.Ask(h.ctx, h.address, call, reply))
 	assert.NilError(h.t, proto.Unmarshal(reply.GetResult(), result))
@@ -140,14 +140,14 @@
 	assert.NilError(t, stream.Send(report))
 	for began := time.Now(); ; time.Sleep(5 * time.Millisecond) {
 		_, answer := h.askOrigin(8)
-		if len(answer.GetStreams()) > 0 {
+		if answer.GetKnown() {
 			assert.Equal(t, answer.GetVersion(), "v2")
 			break
 		}
 		assert.Assert(t, time.Since(began) < 2*time.Second)
 	}
 	_, answer := h.askOrigin(9)
-	assert.Equal(t, len(answer.GetStreams()), 0)
+	assert.Assert(t, !answer.GetKnown())
 
 	h.membership.set("other", 2)
 	_, answer = h.askOrigin(7)
@@ -155,3 +155,10 @@
 	reply, _ := h.askOrigin(9)
 	assert.Assert(t, reply.GetRetry() && reply.GetLeader() != "", "only the leader may say that it is not known")
 }
+
+func listenLocal(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	return listener
+}
--- a/internal/process/gate/gate.go
+++ b/internal/process/gate/gate.go
@@ -82,8 +82,6 @@
 	// only gate and goes by the limits alone.
 	Permits PermitSource
 
-	// FirstStart is set at the first start of the whole system.
-	FirstStart bool
 	// Origins tells where streams of other gates began; nil if this is the only gate.
 	Origins OriginSource
 
@@ -118,6 +116,7 @@
 	suspects *suspects
 	permits  *permitClient
 	origins  *streamOrigins
+	timeouts routeTimeouts
 	// gateCount is the number of gates of the fleet.
 	gateCount atomic.Uint32
 	// survivals is what this gate saw of targets that survive parts of prompts.
@@ -160,15 +159,11 @@
 		cfg.MaxBufferedBytes = DefaultMaxBufferedBytes
 	}
 	cfg.Pool.Clock = cfg.Clock
-	var firstStart time.Time
-	if cfg.FirstStart {
-		firstStart = cfg.Clock.Now()
-	}
 	g := &Gate{
 		cfg:      cfg,
 		permits:  newPermitClient(),
 		origins:  newStreamOrigins(),
-		balancer: place.NewBalancer(place.Config{Name: cfg.Name, Domain: cfg.Domain, FirstStart: firstStart}),
+		balancer: place.NewBalancer(place.Config{Name: cfg.Name, Domain: cfg.Domain}),
 		pool:     pool.New(cfg.Pool),
 		server:   callerServer{clock: cfg.Clock},
 		buffers:  newBufferBudget(cfg.MaxBufferedBytes),
@@ -234,6 +229,7 @@
 		_ = level.Error(g.cfg.Logger).Log("msg", "routing document failed to compile", "version", version, "err", err)
 		return
 	}
+	g.timeouts.replaced(now, current, table)
 	g.routeTable.Store(table)
 	g.firstDocumentAt.CompareAndSwap(nil, &now)
 	g.server.setLimits(table.Limits())
--- a/internal/process/gate/origin.go
+++ b/internal/process/gate/origin.go
@@ -31,8 +31,47 @@
 
 // OriginSource asks control where streams began.
 type OriginSource interface {
-	// AskOrigin returns the origin of a stream, and false if control does not know it.
-	AskOrigin(ctx context.Context, key origin.StreamKey) (origin.Origin, bool, error)
+	AskOrigin(ctx context.Context, question OriginQuestion) (OriginAnswer, error)
+}
+
+// OriginQuestion asks where a stream began.
+type OriginQuestion struct {
+	// Service is the service to which the route of the stream leads.
+	Service ident.ServiceName
+	// Stream is 0 if the caller does not name the stream.
+	Stream origin.StreamKey
+}
+
+// OriginAnswer says where a stream began.
+type OriginAnswer struct {
+	// Known is set if Origin is the origin of the stream.
+	Known  bool
+	Origin origin.Origin
+	// Possible are all versions at which streams of the service may have begun, if the
+	// origin is not known.
+	Possible []SoftwareAge
+}
+
+// SoftwareAge is a software version of a service, and how long no target of the service
+// has had it for certain.
+type SoftwareAge struct {
+	Version ident.SoftwareVersion
+	Absent  time.Duration
+}
+
+// only returns the one version of which targets served within a time, and false if there
+// are none or several.
+func (a *OriginAnswer) only(within time.Duration) (version ident.SoftwareVersion, ok bool) {
+	for _, possible := range a.Possible {
+		if possible.Absent >= within {
+			continue
+		}
+		if ok {
+			return "", false
+		}
+		version, ok = possible.Version, true
+	}
+	return version, ok
 }
 
 // streamOrigins holds where the streams of this gate began, and which of them control
@@ -138,45 +177,58 @@
 // known: from this gate, from control, or because the service has had one version for as
 // long as the stream can have lasted.
 func (c *call) streamOrigin(ctx context.Context) (origin.Origin, string) {
-	g, service := c.gate, c.placement.Service
+	g := c.gate
+	question := OriginQuestion{Service: c.placement.Service}
 	if c.meta.Resumes != "" {
-		key := origin.KeyOf(c.meta.Resumes)
-		if began, found := g.origins.table.Lookup(c.startedAt, key); found {
+		question.Stream = origin.KeyOf(c.meta.Resumes)
+		if began, found := g.origins.table.Lookup(c.startedAt, question.Stream); found {
 			return began, originHere
 		}
-		if began, found := g.askOrigin(ctx, key); found {
-			return began, originControl
-		}
 	}
-	longest := streamTimeouts * c.route.Timeout
-	if version, since, only := g.balancer.OnlyVersion(service); only && c.startedAt.Sub(since) >= longest {
-		return origin.Origin{Service: service, Version: version}, originOnly
+	longest := streamTimeouts * g.timeouts.longest(c.startedAt, c.routeTable, c.route)
+	answer := g.askOrigin(ctx, question, longest)
+	if answer.Known {
+		return answer.Origin, originControl
+	}
+	if version, only := answer.only(longest); only {
+		return origin.Origin{Service: question.Service, Version: version}, originOnly
 	}
 	return origin.Origin{}, originUnknown
 }
 
-// askOrigin asks control where a stream began. If control does not know it, it is asked
-// once more, since the report may be under way.
-func (g *Gate) askOrigin(ctx context.Context, key origin.StreamKey) (origin.Origin, bool) {
+// askOrigin asks control where a stream began. If control does not know it, and more than
+// one version is possible, it is asked once more, since the report may be under way. A
+// gate without control goes by its own list.
+func (g *Gate) askOrigin(ctx context.Context, question OriginQuestion, longest time.Duration) OriginAnswer {
 	if g.cfg.Origins == nil {
-		return origin.Origin{}, false
+		return g.listedSoftware(question.Service)
 	}
 	askCtx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
-	for range 2 {
-		began, found, err := g.cfg.Origins.AskOrigin(askCtx, key)
+	for attempt := 0; ; attempt++ {
+		answer, err := g.cfg.Origins.AskOrigin(askCtx, question)
 		if err != nil {
 			if ctx.Err() == nil {
 				_ = level.Warn(g.cfg.Logger).Log("msg", "asking for the origin of a stream failed", "err", err)
 			}
-			return origin.Origin{}, false
+			return OriginAnswer{}
 		}
-		if found {
-			return began, true
+		_, only := answer.only(longest)
+		if answer.Known || only || question.Stream == 0 || attempt > 0 {
+			return answer
 		}
 		_ = g.cfg.Clock.Sleep(askCtx, originRetryDelay)
 	}
-	return origin.Origin{}, false
+}
+
+// listedSoftware returns what this gate's own list says of the versions of a service.
+func (g *Gate) listedSoftware(service ident.ServiceName) OriginAnswer {
+	version, since, only := g.balancer.OnlyVersion(service)
+	if !only {
+		return OriginAnswer{}
+	}
+	// Before since, there may have been any other version.
+	return OriginAnswer{Possible: []SoftwareAge{{Version: version}, {Absent: g.cfg.Clock.Now().Sub(since)}}}
 }
 
 // finishUnknownOrigin rejects a request that takes up a stream that began nobody knows
--- a/internal/process/gate/origin_test.go
+++ b/internal/process/gate/origin_test.go
@@ -14,26 +14,29 @@
 	"cactusline.dev/cactusline/internal/process/gate"
 	"cactusline.dev/cactusline/internal/request/origin"
 	"cactusline.dev/cactusline/internal/version/ident"
+	"cactusline.dev/cactusline/internal/version/route"
 )
 
 // fakeOrigins is control as a source of origins.
 type fakeOrigins struct {
 	mu    sync.Mutex
 	known map[origin.StreamKey]origin.Origin
-	err   error
-	asked int
-	onAsk func()
+	// possible are the versions of streams that are not known.
+	possible []gate.SoftwareAge
+	err      error
+	asked    int
+	onAsk    func()
 }
 
-func (f *fakeOrigins) AskOrigin(_ context.Context, key origin.StreamKey) (origin.Origin, bool, error) {
+func (f *fakeOrigins) AskOrigin(_ context.Context, question gate.OriginQuestion) (gate.OriginAnswer, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.asked++
 	if f.onAsk != nil {
 		f.onAsk()
 	}
-	began, found := f.known[key]
-	return began, found, f.err
+	began, found := f.known[question.Stream]
+	return gate.OriginAnswer{Known: found, Origin: began, Possible: f.possible}, f.err
 }
 
 // setVersions lists targets of the service "s" with versions.
@@ -211,14 +214,20 @@
 	assert.Equal(t, status, http.StatusServiceUnavailable)
 }
 
-func TestOnlyVersionForAsLongAsStreamsLastIsTakenUp(t *testing.T) {
-	h, v1, _ := newVersionHarness(t, nil)
-	h.setVersions(map[*fakeTarget]string{v1: "v1"})
+// withTimeout returns testDocument with another timeout of its routes.
+func withTimeout(timeout time.Duration) route.Document {
 	document := testDocument()
 	for i := range document.Routes {
-		document.Routes[i].Timeout = 200 * time.Millisecond
+		document.Routes[i].Timeout = timeout
 	}
-	h.putDocument(document)
+	return document
+}
+
+func TestOnlyVersionForAsLongAsStreamsLastIsTakenUp(t *testing.T) {
+	v1 := newFakeTarget(t, "t1", streamFrom(2))
+	h := newHarness(t, gate.Config{})
+	h.putDocument(withTimeout(200 * time.Millisecond))
+	h.setVersions(map[*fakeTarget]string{v1: "v1"})
 	time.Sleep(450 * time.Millisecond)
 	status, body, err := h.sendAndRead("/resume/", "q", "After", "1")
 	assert.NilError(t, err)
@@ -226,17 +235,73 @@
 	assert.Equal(t, body, eventsText(2, 4))
 }
 
-// Before its first start a system has begun no stream at another version.
-func TestOnlyVersionSinceTheFirstStartIsTakenUp(t *testing.T) {
+// Guards against streams that began by a longer timeout than the document has now.
+func TestShortenedTimeoutKeepsStreamsApartForAsLongAsBefore(t *testing.T) {
 	v1 := newFakeTarget(t, "t1", streamFrom(2))
-	h := newHarness(t, gate.Config{FirstStart: true})
-	h.putDocument(testDocument())
+	origins := &fakeOrigins{possible: []gate.SoftwareAge{{Version: "v1"}, {Version: "v0", Absent: 600 * time.Millisecond}}}
+	h := newHarness(t, gate.Config{Origins: origins})
+	h.setVersions(map[*fakeTarget]string{v1: "v1"})
+	statusAfter := func(document route.Document) int {
+		h.putDocument(document)
+		status, _, err := h.sendAndRead("/resume/", "q", "After", "1")
+		assert.NilError(t, err)
+		return status
+	}
+	assert.Equal(t, statusAfter(withTimeout(200*time.Millisecond)), http.StatusOK)
+	assert.Equal(t, statusAfter(withTimeout(500*time.Millisecond)), http.StatusServiceUnavailable)
+	assert.Equal(t, statusAfter(withTimeout(200*time.Millisecond)), http.StatusServiceUnavailable)
+	time.Sleep(1050 * time.Millisecond)
+	assert.Equal(t, statusAfter(withTimeout(200*time.Millisecond)), http.StatusOK)
+}
+
+// Soon after its start a gate does not know which timeouts its routes had before.
+func TestStartedGateAllowsForTheLongestTimeout(t *testing.T) {
+	v1 := newFakeTarget(t, "t1", streamFrom(2))
+	origins := &fakeOrigins{possible: []gate.SoftwareAge{{Version: "v1"}, {Version: "v0", Absent: 500 * time.Millisecond}}}
+	h := newHarness(t, gate.Config{Origins: origins})
+	document := withTimeout(200 * time.Millisecond)
+	document.Routes[2].Timeout = 400 * time.Millisecond // another route for streams
+	h.putDocument(document)
 	h.setVersions(map[*fakeTarget]string{v1: "v1"})
 	status, _, err := h.sendAndRead("/resume/", "q", "After", "1")
 	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	time.Sleep(850 * time.Millisecond)
+	status, _, err = h.sendAndRead("/resume/", "q", "After", "1")
+	assert.NilError(t, err)
 	assert.Equal(t, status, http.StatusOK)
 }
 
+// Control names all versions that may have begun a stream; one alone is an answer.
+func TestOnlyPossibleVersionIsTakenUp(t *testing.T) {
+	longGone := gate.SoftwareAge{Version: "v0", Absent: time.Minute}
+	for name, c := range map[string]struct {
+		possible []gate.SoftwareAge
+		err      error
+		status   int
+	}{
+		"one":            {[]gate.SoftwareAge{{Version: "v1"}}, nil, http.StatusOK},
+		"one and a gone": {[]gate.SoftwareAge{longGone, {Version: "v1"}}, nil, http.StatusOK},
+		"two":            {[]gate.SoftwareAge{{Version: "v1"}, {Version: "v2"}}, nil, http.StatusServiceUnavailable},
+		"one just gone":  {[]gate.SoftwareAge{{Version: "v1"}, {Version: "v0", Absent: 3900 * time.Millisecond}}, nil, http.StatusServiceUnavailable},
+		"only gone":      {[]gate.SoftwareAge{longGone}, nil, http.StatusServiceUnavailable},
+		"none":           {nil, nil, http.StatusServiceUnavailable},
+		"no answer":      {[]gate.SoftwareAge{{Version: "v1"}}, errors.New("no leader"), http.StatusServiceUnavailable},
+	} {
+		for _, header := range [][]string{{"After", "1"}, {"Resumes", "first", "After", "1"}} {
+			t.Run(name, func(t *testing.T) {
+				v1 := newFakeTarget(t, "t1", streamFrom(2))
+				h := newHarness(t, gate.Config{Origins: &fakeOrigins{possible: c.possible, err: c.err}})
+				h.putDocument(testDocument())
+				h.setVersions(map[*fakeTarget]string{v1: "v1"})
+				status, _, err := h.sendAndRead("/resume/", "q", header...)
+				assert.NilError(t, err)
+				assert.Equal(t, status, c.status)
+			})
+		}
+	}
+}
+
 func TestBegunStreamsAreReported(t *testing.T) {
 	h, v1, v2 := newVersionHarness(t, nil)
 	v1.handler, v2.handler = streamFrom(1), streamFrom(1)
--- a/internal/process/lister/lister.go
+++ b/internal/process/lister/lister.go
@@ -39,11 +39,13 @@
 	Sleep(ctx context.Context, d time.Duration) error
 }
 
-// Config configures a Lister. PollInterval has a default; all other fields are
-// required.
+// Config configures a Lister. PollInterval has a default and Admit may be nil; all
+// other fields are required.
 type Config struct {
 	Catalog   Catalog
 	Publisher *roster.Publisher
+	// Admit returns the targets of a list that may be published; nil for all.
+	Admit func(ctx context.Context, list []roster.Target) []roster.Target
 	// IsReader reports whether this process currently reads the list.
 	IsReader     func() bool
 	PollInterval time.Duration
@@ -103,6 +105,9 @@
 	if err != nil {
 		return fmt.Errorf("read list of targets: %w", err)
 	}
+	if l.cfg.Admit != nil {
+		list = l.cfg.Admit(ctx, list)
+	}
 	changed, removed := l.cfg.Publisher.Replace(list)
 	for _, target := range changed {
 		_ = level.Info(l.cfg.Logger).Log("msg", "target listed", "target", target.Name, "service", target.Service,
--- a/internal/request/place/balancer.go
+++ b/internal/request/place/balancer.go
@@ -22,15 +22,8 @@
 	Name string
 	// Domain is this process's failure domain.
 	Domain ident.DomainName
-	// FirstStart is when the whole system started for the first time, zero if that was
-	// before the start of this process. No target was sent anything before.
-	FirstStart time.Time
 }
 
-// firstListPeriod is how long after the first start of the whole system a list still has
-// all targets that have ever served. Targets drain before they leave.
-const firstListPeriod = 5 * time.Second
-
 // Balancer holds the targets of all services. It is safe for concurrent use.
 type Balancer struct {
 	cfg Config
@@ -127,12 +120,8 @@
 			b.remove(t)
 		}
 	}
-	since := now
-	if wasEmpty && now.Sub(b.cfg.FirstStart) < firstListPeriod {
-		since = time.Time{}
-	}
 	for _, s := range b.services {
-		s.updateVersions(since)
+		s.updateVersions(now)
 	}
 }
 
--- a/internal/request/place/version.go
+++ b/internal/request/place/version.go
@@ -13,8 +13,7 @@
 }
 
 // OnlyVersion returns the software version of a service, and since when it has been the
-// only one that is listed; the zero time if there never was another. It returns false if
-// there are none or several.
+// only one that is listed. It returns false if there are none or several.
 func (b *Balancer) OnlyVersion(name ident.ServiceName) (version ident.SoftwareVersion, since time.Time, ok bool) {
 	s := b.service(name)
 	if s == nil {
--- a/internal/request/place/version_test.go
+++ b/internal/request/place/version_test.go
@@ -84,17 +84,8 @@
 	_, since, only = balancer.OnlyVersion("model")
 	assert.Assert(t, only && since.Equal(start.Add(3*time.Second)))
 
-	late := place.NewBalancer(place.Config{FirstStart: start.Add(-time.Minute)})
+	late := place.NewBalancer(place.Config{})
 	late.Update(start, "s", list[:1])
 	_, since, only = late.OnlyVersion("model")
-	assert.Assert(t, only && since.Equal(start), "another one may have left within the minute")
-
-	first := place.NewBalancer(place.Config{FirstStart: start})
-	first.Update(start, "s", list[:1])
-	_, since, only = first.OnlyVersion("model")
-	assert.Assert(t, only && since.IsZero(), "there never was another one")
-	first.Update(start.Add(time.Second), "s", list)
-	first.Update(start.Add(2*time.Second), "s", list[1:])
-	_, since, only = first.OnlyVersion("model")
-	assert.Assert(t, only && since.Equal(start.Add(2*time.Second)))
+	assert.Assert(t, only && since.Equal(start), "another one may have left before")
 }
--- a/internal/version/route/table.go
+++ b/internal/version/route/table.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"strings"
+	"time"
 
 	"cactusline.dev/cactusline/internal/version/ident"
 )
@@ -16,6 +18,8 @@
 	customersByKey map[string]*Customer
 	requiresKey    bool
 	limits         Limits
+	// longestStreamTimeout is the longest timeout of a route for streams.
+	longestStreamTimeout time.Duration
 }
 
 // Compile returns the table of a document, or an *InvalidError if the document
@@ -34,6 +38,9 @@
 	for i := range d.Routes {
 		host := strings.ToLower(d.Routes[i].Host)
 		t.routesByHost[host] = append(t.routesByHost[host], &d.Routes[i])
+		if d.Routes[i].Kind == Stream {
+			t.longestStreamTimeout = max(t.longestStreamTimeout, d.Routes[i].Timeout)
+		}
 	}
 	for _, routes := range t.routesByHost {
 		slices.SortFunc(routes, func(a, b *Route) int { return cmp.Compare(a.Prefix, b.Prefix) })
@@ -52,6 +59,23 @@
 // Limits returns the limits on callers.
 func (t *Table) Limits() Limits { return t.limits }
 
+// LongestStreamTimeout returns the longest timeout of a route for streams, 0 if there is
+// none.
+func (t *Table) LongestStreamTimeout() time.Duration { return t.longestStreamTimeout }
+
+// Routes returns all routes, in no particular order.
+func (t *Table) Routes() iter.Seq[*Route] {
+	return func(yield func(*Route) bool) {
+		for _, routes := range t.routesByHost {
+			for _, r := range routes {
+				if !yield(r) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // RequiresKey reports whether requests for routes that are not public need a
 // key.
 func (t *Table) RequiresKey() bool { return t.requiresKey }
--- a/internal/version/store/codec.go
+++ b/internal/version/store/codec.go
@@ -13,13 +13,15 @@
 // The rules of a format never change; new rules need a new format, which may
 // be proposed only once every replica supports it.
 const (
-	Format = formatPartReport
+	Format = formatSoftware
 
-	// formatBase is the format of all commands but GateReport, and formatGateReport that
-	// of a GateReport without parts of prompts. Older programs apply them too.
+	// formatBase is the format of all commands but GateReport and RecordSoftware, and
+	// formatGateReport that of a GateReport without parts of prompts. Older programs
+	// apply them too.
 	formatBase       = 2
 	formatGateReport = 3
 	formatPartReport = 4
+	formatSoftware   = 5
 )
 
 // maxCommandBytes limits the size of one encoded command.
@@ -77,6 +79,9 @@
 	if report := command.GetGateReport(); report != nil {
 		command.Format = gateReportFormat(report)
 	}
+	if command.GetSoftware() != nil {
+		command.Format = formatSoftware
+	}
 	data, err := proto.Marshal(command)
 	if err != nil {
 		return nil, fmt.Errorf("encode command: %w", err)
--- a/internal/version/store/snapshot.go
+++ b/internal/version/store/snapshot.go
@@ -20,11 +20,11 @@
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	snapshot := &cmdpb.Snapshot{
-		Format: snapshotFormat(s.crashes), Applied: s.applied, Time: s.now.UnixNano(), Revision: s.revision(),
+		Format: s.snapshotFormat(), Applied: s.applied, Time: s.now.UnixNano(), Revision: s.revision(),
 		Changes:   s.changeResults.order,
 		Processes: s.processes.sorted(), Incarnations: s.processes.lastIncarnation,
 		Fences: s.fences.sorted(), LastFence: uint64(s.fences.lastFence),
-		Crashes: crashesToProto(s.crashes.Entries()),
+		Crashes: crashesToProto(s.crashes.Entries()), Software: softwareToProto(s.software),
 	}
 	s.saveRecords(snapshot)
 	var err error
@@ -44,10 +44,13 @@
 	return data, nil
 }
 
-// snapshotFormat returns the oldest format that can hold the crashes.
-func snapshotFormat(crashes *poison.Tracker) uint32 {
+// snapshotFormat returns the oldest format that can hold the state.
+func (s *Store) snapshotFormat() uint32 {
+	if len(s.software) > 0 {
+		return formatSoftware
+	}
 	var format uint32 = formatBase
-	for _, entry := range crashes.Entries() {
+	for _, entry := range s.crashes.Entries() {
 		switch {
 		case entry.Part.Depth > 0:
 			return formatPartReport
@@ -122,6 +125,7 @@
 	}
 	s.crashes = poison.NewTracker(s.cfg.Poison)
 	s.crashes.Merge(crashesFromProto(snapshot.GetCrashes()))
+	s.software = softwareFromProto(snapshot.GetSoftware())
 	var err error
 	if s.document, err = documentFromProto(snapshot.GetDocument()); err != nil {
 		return err
@@ -179,7 +183,7 @@
 	s.applied, s.now = loaded.applied, loaded.now
 	s.retiredVersions, s.history, s.changeResults = loaded.retiredVersions, loaded.history, loaded.changeResults
 	s.processes, s.fences, s.crashes = loaded.processes, loaded.fences, loaded.crashes
-	s.document = loaded.document
+	s.document, s.software = loaded.document, loaded.software
 	s.records.Store(loaded.records.Load())
 	s.updateVerdicts()
 	return nil
--- a/internal/version/store/store.go
+++ b/internal/version/store/store.go
@@ -65,6 +65,7 @@
 	crashes         *poison.Tracker
 	verdicts        activeVerdicts
 	document        Document
+	software        []Software
 	changed         chan struct{} // closed and replaced at each change
 	exportErr       error         // of an export within Apply
 }
@@ -163,6 +164,8 @@
 		return s.handleNote(c, body.Note)
 	case *cmdpb.Command_Document:
 		return s.putDocument(c, body.Document)
+	case *cmdpb.Command_Software:
+		return s.recordSoftware(body.Software)
 	case *cmdpb.Command_Tick:
 		return &cmdpb.Result{Status: cmdpb.Status_STATUS_OK}
 	}
