Heed targets that say they leave or ask for a pause

Cause: gates read only the limit of what a target says of itself. A target that leaves got requests until the list showed it, and one that turned a request away with Retry-After got more at once. Change: any response, heads of streams, failures and rejections too, is read in one place (gate/notice.go) into one typed value, kept with the target while it is listed. A leaving target gets nothing more, or, if no other can serve, what comes within the drain time less half a second. A pause is heeded by placing, repeats, resumed streams, fetches of caches and requests that wait for a connection; each gate takes the target up at its own moment within 0.4 s of the end. While all pause, callers are told at once to come back after the first end, urgent and returning ones before the others. What cannot be read is logged once and asks for nothing. Ruled out: telling other gates. Conclusion: limits, leaving and pauses end with the listing of the target.

--- a/internal/process/cmds/gate.go
+++ b/internal/process/cmds/gate.go
@@ -29,6 +29,9 @@
 	gateLoadInterval = 150 * time.Millisecond
 	// gateStreamDelay is how long new streams are collected before they are reported.
 	gateStreamDelay = 20 * time.Millisecond
+	// leavingMargin is the part of the platform's drain time in which a target that leaves
+	// gets nothing, so that what is sent before has arrived.
+	leavingMargin = 500 * time.Millisecond
 	// earnedRetryShare and unearnedRetryShare are the shares of the platform's
 	// retry limits that the gates use. A burst also uses what was kept for half of a
 	// window, so that one and a half times each share must stay below the limit. The
@@ -71,6 +74,7 @@
 		Name: string(settings.VM), Domain: settings.Domain,
 		Compile: platform.CompileDocument, Dialect: platform.Dialect{}, Clock: clock.System{}, Logger: logger, Control: control, Permits: &controlQueries{control: control}, Origins: &controlQueries{control: control},
 		GracePeriod:              settings.GracePeriod,
+		LeavingGrace:             max(0, settings.DrainTime-leavingMargin),
 		RetryRatio:               settings.RetryRatio * earnedRetryShare,
 		UnearnedRetriesPerSecond: unearnedRetryRate(settings),
 	})
--- a/internal/process/gate/attempt.go
+++ b/internal/process/gate/attempt.go
@@ -125,6 +125,12 @@
 		}
 		return carry.NotSent, e.connectSignal()
 	}
+	if !e.call.gate.balancer.MaySend(e.call.gate.cfg.Clock.Now(), e.choice.Target) {
+		// The target has said so while this request waited for its connection.
+		e.conn.Discard()
+		e.err = errTargetUnwilling
+		return carry.NotSent, place.Inconclusive
+	}
 	e.reused = e.conn.Reused
 	stopWatch := e.conn.CloseOnCancel(ctx)
 	var sent bool
@@ -139,7 +145,7 @@
 	e.call.stopFirstByteTimer()
 	e.call.gate.balancer.RecordActivity(e.call.gate.cfg.Clock.Now(), e.choice.Target)
 	e.status = response.StatusCode
-	e.recordRateLimit(response)
+	e.recordNotice(response)
 	e.recordFraming(response)
 	result, signal := e.forwardResponse(ctx, response)
 	if !stopWatch() || e.err != nil {
--- a/internal/process/gate/dialect.go
+++ b/internal/process/gate/dialect.go
@@ -51,8 +51,25 @@
 	RequestID ident.RequestID
 	// NotRun is set if the target did not and will not run the request.
 	NotRun bool
+	// Notice is what the target says of itself.
+	Notice TargetNotice
+}
+
+// TargetNotice is what a target says of itself in a response.
+type TargetNotice struct {
 	// RateLimit is the rate that the target accepts from all callers together.
 	RateLimit RateLimit
+	// Leaving is set if the target is about to stop.
+	Leaving bool
+	// Pause is how long a target that turns a request away wants no more of this process.
+	Pause Pause
+}
+
+// Pause is what a response says of a pause. The zero value asks for none.
+type Pause struct {
+	For time.Duration
+	// Invalid is the start of the text of a pause that cannot be used.
+	Invalid string
 }
 
 // RateLimit is what a response says of the rate that its target accepts.
--- a/internal/process/gate/gate.go
+++ b/internal/process/gate/gate.go
@@ -85,6 +85,9 @@
 	// Origins tells where streams of other gates began; nil if this is the only gate.
 	Origins OriginSource
 
+	// LeavingGrace is how long a target that has said that it leaves may get requests
+	// that no other target can.
+	LeavingGrace time.Duration
 	// DrainDelay is how long a stopping process still accepts connections after it
 	// has become not ready.
 	DrainDelay time.Duration
@@ -163,7 +166,7 @@
 		cfg:      cfg,
 		permits:  newPermitClient(),
 		origins:  newStreamOrigins(),
-		balancer: place.NewBalancer(place.Config{Name: cfg.Name, Domain: cfg.Domain}),
+		balancer: place.NewBalancer(place.Config{Name: cfg.Name, Domain: cfg.Domain, LeavingGrace: cfg.LeavingGrace}),
 		pool:     pool.New(cfg.Pool),
 		server:   callerServer{clock: cfg.Clock},
 		buffers:  newBufferBudget(cfg.MaxBufferedBytes),
@@ -346,6 +349,8 @@
 		return float64(g.balancer.UsableCount(g.cfg.Clock.Now()))
 	})
 	metrics.GetOrCreateGauge("cactusline_targets_limited", func() float64 { return float64(g.balancer.LimitedCount()) })
+	metrics.GetOrCreateGauge("cactusline_targets_announced_leaving", func() float64 { return float64(g.countNotices(isLeaving)) })
+	metrics.GetOrCreateGauge("cactusline_targets_paused", func() float64 { return float64(g.countNotices(isPaused)) })
 	metrics.GetOrCreateGauge("cactusline_quarantines", func() float64 { return float64(g.suspects.fleet.CountQuarantined()) })
 	metrics.GetOrCreateGauge("cactusline_ready", func() float64 {
 		if g.Ready() {
--- a/internal/process/gate/harness_test.go
+++ b/internal/process/gate/harness_test.go
@@ -59,12 +59,21 @@
 func (testDialect) ParseResponse(h http.Header) gate.ResponseMeta {
 	meta := gate.ResponseMeta{RequestID: ident.RequestID(h.Get("Id")), NotRun: h.Get("Not-Run") != ""}
 	if text := h.Get("Limit"); text != "" {
-		meta.RateLimit.Named = true
+		meta.Notice.RateLimit.Named = true
 		rate, err := strconv.ParseFloat(text, 64)
 		if err != nil {
-			meta.RateLimit.Invalid = text
+			meta.Notice.RateLimit.Invalid = text
+		}
+		meta.Notice.RateLimit.Rate = ident.Rate(rate)
+	}
+	meta.Notice.Leaving = h.Get("Leaving") != ""
+	if text := h.Get("Retry-After"); text != "" {
+		wait, err := strconv.ParseFloat(text, 64)
+		if err != nil || wait < 0 {
+			meta.Notice.Pause.Invalid = text
+		} else {
+			meta.Notice.Pause.For = time.Duration(wait * float64(time.Second))
 		}
-		meta.RateLimit.Rate = ident.Rate(rate)
 	}
 	return meta
 }
--- /dev/null
+++ b/internal/process/gate/notice.go
@@ -0,0 +1,120 @@
+package gate
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log/level"
+
+	"cactusline.dev/cactusline/internal/process/logs"
+	"cactusline.dev/cactusline/internal/request/place"
+)
+
+// recordNotice records what the target says of itself in any response. A response of
+// another instance at the address says nothing of the target.
+func (e *exchange) recordNotice(response *http.Response) {
+	if response.StatusCode == http.StatusMisdirectedRequest {
+		return
+	}
+	notice := e.call.gate.cfg.Dialect.ParseResponse(response.Header).Notice
+	now := e.call.gate.cfg.Clock.Now()
+	e.recordRateLimit(now, notice.RateLimit)
+	e.recordLeaving(now, notice.Leaving)
+	if response.StatusCode == http.StatusServiceUnavailable {
+		e.recordPause(now, notice.Pause)
+	}
+}
+
+// recordRateLimit records the rate that the target accepts.
+func (e *exchange) recordRateLimit(now time.Time, named RateLimit) {
+	g, target := e.call.gate, e.choice.Target
+	if named.Invalid != "" {
+		if g.balancer.RecordInvalidRateLimit(target) {
+			_ = level.Warn(g.cfg.Logger).Log(logs.FieldEvent, "TargetLimitInvalid", "Target", target.Name, "Text", named.Invalid)
+		}
+		return
+	}
+	limit := place.RateLimit{Limited: named.Named, Rate: named.Rate, NamedAt: now}
+	if g.balancer.RecordRateLimit(target, limit) {
+		g.permits.addLimit(target.Name, limit)
+		g.logRateLimit(target, limit)
+	}
+}
+
+// logRateLimit logs that the limit of a target changed.
+func (g *Gate) logRateLimit(target *place.Target, limit place.RateLimit) {
+	metrics.GetOrCreateCounter("cactusline_target_rate_limit_changes_total").Inc()
+	if !limit.Limited {
+		_ = level.Info(g.cfg.Logger).Log(logs.FieldEvent, "TargetLimitEnded", "Target", target.Name)
+		return
+	}
+	_ = level.Warn(g.cfg.Logger).Log(logs.FieldEvent, "TargetLimited", "Target", target.Name, "Rate", float64(limit.Rate))
+}
+
+// recordLeaving records whether the target says that it leaves.
+func (e *exchange) recordLeaving(now time.Time, leaving bool) {
+	g, target := e.call.gate, e.choice.Target
+	if !g.balancer.RecordLeaving(now, e.startedAt, target, leaving) {
+		return
+	}
+	event := "TargetStays"
+	if leaving {
+		event = "TargetLeaves"
+		metrics.GetOrCreateCounter("cactusline_targets_announced_leaving_total").Inc()
+	}
+	_ = level.Info(g.cfg.Logger).Log(logs.FieldEvent, event, "Target", target.Name, logs.FieldRequest, string(e.call.meta.ID))
+}
+
+// recordPause records that the target turned the request away and for how long it wants
+// none.
+func (e *exchange) recordPause(now time.Time, pause Pause) {
+	g, target := e.call.gate, e.choice.Target
+	switch {
+	case pause.Invalid != "":
+		if g.balancer.RecordInvalidPause(target) {
+			_ = level.Warn(g.cfg.Logger).Log(logs.FieldEvent, "TargetPauseInvalid", "Target", target.Name, "Text", pause.Invalid)
+		}
+	case pause.For > 0 && g.balancer.RecordPause(now, target, pause.For):
+		metrics.GetOrCreateCounter("cactusline_target_pauses_total").Inc()
+		_ = level.Warn(g.cfg.Logger).Log(logs.FieldEvent, "TargetPauses", "Target", target.Name, "For", pause.For.String(), logs.FieldRequest, string(e.call.meta.ID))
+	}
+}
+
+const (
+	// minPauseSpread and maxPauseSpread bound the time over which callers are spread that
+	// come back after a pause.
+	minPauseSpread = 400 * time.Millisecond
+	maxPauseSpread = 2 * time.Second
+	// urgentPauseSpread is that time for urgent and returning requests, which come first.
+	urgentPauseSpread = 200 * time.Millisecond
+)
+
+// finishPaused ends a request that no target wants before the end of a pause. Its caller
+// is told to come back after that. As many come back as were rejected in the pause, so
+// they are spread over as long a time.
+func (c *call) finishPaused(now, end time.Time) {
+	wait := end.Sub(now)
+	if c.placement.Urgent || c.gate.balancer.IsReturning(now, &c.placement) {
+		wait += rand.N(urgentPauseSpread)
+	} else {
+		wait += urgentPauseSpread + rand.N(min(max(wait, minPauseSpread), maxPauseSpread))
+	}
+	c.respondErrorRetryAfter(http.StatusServiceUnavailable, "Paused", wait)
+}
+
+// countNotices counts the targets that leave or pause by their own word.
+func (g *Gate) countNotices(of func(place.TargetNotice) bool) int {
+	count := 0
+	for _, notice := range g.balancer.Notices(g.cfg.Clock.Now()) {
+		if of(notice) {
+			count++
+		}
+	}
+	return count
+}
+
+func isLeaving(notice place.TargetNotice) bool { return !notice.LeavingSince.IsZero() }
+
+func isPaused(notice place.TargetNotice) bool { return !notice.PausedUntil.IsZero() }
--- a/internal/process/gate/origin.go
+++ b/internal/process/gate/origin.go
@@ -240,6 +240,11 @@
 // finishWithoutTarget ends a request for which no target is left.
 func (c *call) finishWithoutTarget(ctx context.Context) {
 	action := c.retryState.NextWithoutTarget()
+	now := c.gate.cfg.Clock.Now()
+	if end, paused := c.gate.balancer.PauseEnd(now, &c.placement); paused && action == carry.Reject {
+		c.finishPaused(now, end)
+		return
+	}
 	if action == carry.Reject && c.placement.Pinned {
 		c.respondError(http.StatusServiceUnavailable, "VersionGone")
 		return
--- a/internal/process/gate/serve.go
+++ b/internal/process/gate/serve.go
@@ -32,6 +32,7 @@
 var (
 	errDeadlineExceeded = errors.New("request deadline exceeded")
 	errTargetSilent     = errors.New("target sent nothing in time")
+	errTargetUnwilling  = errors.New("target leaves or pauses")
 )
 
 // ServeHTTP handles one request of a caller.
--- a/internal/process/stlog/stlog.go
+++ b/internal/process/stlog/stlog.go
@@ -75,7 +75,7 @@
 	// unsynced is set while a write waits for a sync, which may begin at nextSync.
 	unsynced bool
 	nextSync time.Time
-	failing   bool
+	failing  bool
 }
 
 // Open returns a log, and the origins that its folder holds. Files that cannot be read,
--- a/internal/request/place/balancer.go
+++ b/internal/request/place/balancer.go
@@ -8,6 +8,7 @@
 package place
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -22,6 +23,9 @@
 	Name string
 	// Domain is this process's failure domain.
 	Domain ident.DomainName
+	// LeavingGrace is how long a target that has said that it leaves may get requests
+	// that no other target can.
+	LeavingGrace time.Duration
 }
 
 // Balancer holds the targets of all services. It is safe for concurrent use.
@@ -71,6 +75,7 @@
 	// while this process had none in flight there.
 	lastActivity time.Time
 	health       health
+	notice       notice
 	rateLimit    RateLimit
 	// rateLimitInvalid is set while the target names a limit that cannot be used.
 	rateLimitInvalid bool
@@ -81,6 +86,7 @@
 
 // NewBalancer returns a balancer without targets.
 func NewBalancer(cfg Config) *Balancer {
+	cfg.LeavingGrace = cmp.Or(cfg.LeavingGrace, defaultLeavingGrace)
 	return &Balancer{
 		cfg:         cfg,
 		tieBreakKey: hashString(cfg.Name),
--- a/internal/request/place/choose.go
+++ b/internal/request/place/choose.go
@@ -128,7 +128,7 @@
 	defer s.mu.Unlock()
 	candidates := s.candidates(now, req)
 	if len(candidates) == 0 {
-		return s.chooseLastResort(now, req)
+		return s.chooseLastResort(now, req, b.cfg.LeavingGrace)
 	}
 	allowed := s.permitted(candidates, req.Permit)
 	if len(allowed) == 0 {
@@ -165,7 +165,7 @@
 	available := make([]*Target, 0, len(s.targets))
 	responsive := make([]*Target, 0, len(s.targets))
 	for _, t := range s.targets {
-		if !t.mayGet(req) || !t.health.usable(now) {
+		if !t.mayServe(req) || !t.notice.wantsRequests(now) || !t.health.usable(now) {
 			continue
 		}
 		available = append(available, t)
@@ -202,9 +202,9 @@
 
 // chooseLastResort returns the target whose ejection ends first. A target that may
 // be down is better than a certain rejection.
-func (s *service) chooseLastResort(now time.Time, req *Request) (Choice, bool) {
+func (s *service) chooseLastResort(now time.Time, req *Request, leavingGrace time.Duration) (Choice, bool) {
 	var best *Target
-	for _, t := range s.permitted(s.lastResorts(req), req.Permit) {
+	for _, t := range s.permitted(s.lastResorts(now, req, leavingGrace), req.Permit) {
 		if best == nil || t.health.ejectedUntil.Before(best.health.ejectedUntil) {
 			best = t
 		}
@@ -287,7 +287,7 @@
 	isNew := now.Sub(chosen.listedAt) < newTargetPeriod
 	var best *Target
 	for _, t := range s.targets {
-		if t == chosen || now.Sub(t.listedAt) < newTargetPeriod || now.Before(t.health.ejectedUntil) {
+		if t == chosen || now.Sub(t.listedAt) < newTargetPeriod || !t.mayBeFetchedFrom(now) {
 			continue
 		}
 		if t.Version == chosen.Version && (isNew || ranksAbove(hash, t, chosen)) && (best == nil || ranksAbove(hash, t, best)) {
@@ -297,6 +297,12 @@
 	return best
 }
 
+// mayBeFetchedFrom reports whether other targets may fetch what this one has cached. One
+// that leaves may well be.
+func (t *Target) mayBeFetchedFrom(now time.Time) bool {
+	return !now.Before(t.health.ejectedUntil) && !now.Before(t.notice.pausedUntil)
+}
+
 // ranksAbove reports whether a ranks above b for a key.
 func ranksAbove(key uint64, a, b *Target) bool { return rank(key, a) > rank(key, b) }
 
@@ -371,8 +377,13 @@
 	})
 }
 
-// HasUsable reports whether a service has a target that is neither leaving, ejected nor
-// being probed.
+// isOpen reports whether a target is neither leaving, paused, ejected nor being probed.
+func (t *Target) isOpen(now time.Time) bool {
+	return !t.Leaving && t.notice.wantsRequests(now) && t.health.usable(now)
+}
+
+// HasUsable reports whether a service has a target that is neither leaving, paused,
+// ejected nor being probed.
 func (b *Balancer) HasUsable(now time.Time, name ident.ServiceName) bool {
 	s := b.service(name)
 	if s == nil {
@@ -380,10 +391,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.ContainsFunc(s.targets, func(t *Target) bool { return !t.Leaving && t.health.usable(now) })
+	return slices.ContainsFunc(s.targets, func(t *Target) bool { return t.isOpen(now) })
 }
 
-// UsableCount returns the number of targets that are neither leaving, ejected nor
+// UsableCount returns the number of targets that are neither leaving, paused, ejected nor
 // being probed.
 func (b *Balancer) UsableCount(now time.Time) int {
 	b.mu.RLock()
@@ -391,7 +402,7 @@
 	count := 0
 	for _, t := range b.byName {
 		t.owner.mu.Lock()
-		if !t.Leaving && t.health.usable(now) {
+		if t.isOpen(now) {
 			count++
 		}
 		t.owner.mu.Unlock()
--- a/internal/request/place/history.go
+++ b/internal/request/place/history.go
@@ -73,7 +73,7 @@
 	holders := h.lookup(prefixHash)
 	for i := len(holders) - 1; i >= 0; i-- {
 		t := holders[i].target
-		if t != chosen && t.Version == chosen.Version && !t.removed && now.Sub(holders[i].sentAt) < retention && !now.Before(t.health.ejectedUntil) {
+		if t != chosen && t.Version == chosen.Version && !t.removed && now.Sub(holders[i].sentAt) < retention && t.mayBeFetchedFrom(now) {
 			return t
 		}
 	}
--- a/internal/request/place/ratelimit.go
+++ b/internal/request/place/ratelimit.go
@@ -119,7 +119,7 @@
 	}
 	targets := s.candidates(now, req)
 	if len(targets) == 0 {
-		targets = s.lastResorts(req)
+		targets = s.lastResorts(now, req, b.cfg.LeavingGrace)
 	}
 	if len(targets) == 0 {
 		return PermitPlan{}
@@ -188,10 +188,10 @@
 }
 
 // lastResorts returns the targets that may get a request if there are no candidates.
-func (s *service) lastResorts(req *Request) []*Target {
+func (s *service) lastResorts(now time.Time, req *Request, leavingGrace time.Duration) []*Target {
 	var targets []*Target
 	for _, t := range s.targets {
-		if t.mayGet(req) {
+		if t.mayServe(req) && t.notice.endures(now, leavingGrace) {
 			targets = append(targets, t)
 		}
 	}
--- a/internal/request/place/version.go
+++ b/internal/request/place/version.go
@@ -6,9 +6,9 @@
 	"cactusline.dev/cactusline/internal/version/ident"
 )
 
-// mayGet reports whether a request may be sent to a target: a stream that has begun goes
-// on only at its software version.
-func (t *Target) mayGet(req *Request) bool {
+// mayServe reports whether a target can serve a request at all: a stream that has begun
+// goes on only at its software version.
+func (t *Target) mayServe(req *Request) bool {
 	return !t.Leaving && !contains(req.Tried, t) && (!req.Pinned || t.Version == req.Version)
 }
 
