Failing test of an answer that a target sends twice

Cause: operators of a similar system report a second copy of an answer that reached the next caller on the same connection. Gates check the ID that the platform's targets return; sidecars read whatever comes next on a connection that they use again. Change: a target that sends each answer again once the next request has come.

--- a/internal/process/side/faults_test.go
+++ b/internal/process/side/faults_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
@@ -275,3 +276,33 @@
 		})
 	}
 }
+
+// Guards against an answer that the target sends a second time, late, when the connection
+// is in use for another attempt.
+func TestSecondCopyOfAnAnswerReachesNoOtherAttempt(t *testing.T) {
+	p := startPlainTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		conn, buffered, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		answer := func(text string) {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+		}
+		answer(string(body))
+		next, err := http.ReadRequest(buffered.Reader)
+		if err != nil {
+			return
+		}
+		own, _ := io.ReadAll(next.Body)
+		answer(string(body))
+		answer(string(own))
+	})
+	for i := range 4 {
+		text := fmt.Sprint("request ", i)
+		result, status := p.readAnswer(p.submitAttempt(&wire.Submit{Attempt: fmt.Sprint("a", i), Body: []byte(text)}))
+		assert.Equal(t, status, int32(http.StatusOK))
+		assert.Equal(t, string(result.body), text)
+	}
+}
