--- a/internal/request/place/notice_test.go
+++ b/internal/request/place/notice_test.go
@@ -169,3 +169,23 @@
 	}
 	return false
 }
+
+// A target that pauses wants no fetches of its cache either; one that leaves may well be
+// fetched from.
+func TestPausedTargetIsNotFetchedFrom(t *testing.T) {
+	for _, pauses := range []bool{true, false} {
+		balancer, list := place.NewBalancer(place.Config{LeavingGrace: time.Second}), targets(3)
+		balancer.Update(start, "s", list)
+		req := promptRequest(7)
+		holder := choose(t, balancer, start, req).Target
+		balancer.Finish(start, holder, place.Healthy)
+		if pauses {
+			balancer.RecordPause(at(time.Second), holder, time.Minute)
+		} else {
+			balancer.RecordLeaving(at(time.Second), start, holder, true)
+		}
+		choice := choose(t, balancer, at(time.Second), promptRequest(7))
+		assert.Assert(t, choice.Target != holder)
+		assert.Equal(t, choice.FetchFrom == holder.Address, !pauses)
+	}
+}
