--- a/internal/process/ctrl/sendpermit_test.go
+++ b/internal/process/ctrl/sendpermit_test.go
@@ -33,20 +33,28 @@
 }
 
 func newSendPermitHarness(t *testing.T) *sendPermitHarness {
+	barriers := new(fakeLog)
+	barriers.set(func() error { return nil })
+	h := newControlHarness(t, barriers, store.New(store.Config{}))
+	h.log = barriers
+	return h
+}
+
+// newControlHarness runs a control process with a log and its state.
+func newControlHarness(t *testing.T, replicated ctrl.Log, state *store.Store) *sendPermitHarness {
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	h := &sendPermitHarness{
 		t: t, ctx: ctx, links: link.NewClient(link.Config{Clock: clock.System{}}), address: listener.Addr().String(),
-		membership: new(fakeMembership), log: new(fakeLog),
+		membership: new(fakeMembership),
 	}
 	t.Cleanup(func() { _ = h.links.Close() })
 	h.membership.set("self", 1)
-	h.log.set(func() error { return nil })
 	h.control = ctrl.New(ctrl.Config{
 		VM: "self", Listener: listener, Clock: clock.System{}, Logger: log.NewNopLogger(), Tracer: trace.NewNoop(),
-		Log: h.log, Store: store.New(store.Config{}), Link: h.links, Group: h.membership, Roster: roster.NewPublisher("self"),
+		Log: replicated, Store: state, Link: h.links, Group: h.membership, Roster: roster.NewPublisher("self"),
 	})
 	go func() { _ = h.control.Run(ctx) }()
 	return h
--- a/internal/process/ctrl/software_test.go
+++ b/internal/process/ctrl/software_test.go
@@ -10,7 +10,6 @@
 	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
 
-	"cactusline.dev/cactusline/internal/conn/link"
 	"cactusline.dev/cactusline/internal/conn/roster"
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/process/clock"
@@ -54,20 +53,10 @@
 }
 
 func newSoftwareHarness(t *testing.T) *softwareHarness {
-	h := &softwareHarness{sendPermitHarness: newSendPermitHarness(t)}
 	state := store.New(store.Config{})
-	h.applied = &applyLog{state: state}
-	h.applied.setError(nil)
-	listener := listenLocal(t)
-	h.address = listener.Addr().String()
-	h.links = link.NewClient(link.Config{Clock: clock.System{}})
-	t.Cleanup(func() { _ = h.links.Close() })
-	h.control = ctrl.New(ctrl.Config{
-		VM: "self", Listener: listener, Clock: clock.System{}, Logger: log.NewNopLogger(), Tracer: trace.NewNoop(),
-		Log: h.applied, Store: state, Link: h.links, Group: h.membership, Roster: roster.NewPublisher("self"),
-	})
-	go func() { _ = h.control.Run(h.ctx) }()
-	return h
+	applied := &applyLog{state: state}
+	applied.setError(nil)
+	return &softwareHarness{sendPermitHarness: newControlHarness(t, applied, state), applied: applied}
 }
 
 // admit returns the versions of the listed ones that may be published.
