Log the document and the age of its confirmation with each denial

Cause: nothing told whether a denied request was decided by a document that was known to be the newest, or whether a lost watch had used an old connection. Ruled out: no logic changes here. Change: RequestEnded of a denial has Confirmed, control watched and control lost have the age of the session, how long it received nothing, and the age of the confirmation; metrics of both; status lists the document of each process.

--- a/internal/conn/link/link.go
+++ b/internal/conn/link/link.go
@@ -78,11 +78,17 @@
 // may send while another receives.
 type Stream struct {
 	conn    net.Conn
-	session *yamux.Session
+	session *session
 	reader  *bufio.Reader
 }
 
-func newStream(conn net.Conn, session *yamux.Session) *Stream {
+// session is a yamux session with its connection.
+type session struct {
+	*yamux.Session
+	conn *countingConn
+}
+
+func newStream(conn net.Conn, session *session) *Stream {
 	return &Stream{
 		conn:    conn,
 		session: session,
@@ -161,6 +167,12 @@
 // SessionOpen reports whether the session of the stream is open.
 func (s *Stream) SessionOpen() bool { return !s.session.IsClosed() }
 
+// SessionAge returns the time since the session of the stream was established.
+func (s *Stream) SessionAge() time.Duration { return s.session.conn.age() }
+
+// SessionQuiet returns the time since the session last received anything.
+func (s *Stream) SessionQuiet() time.Duration { return s.session.conn.quiet() }
+
 // Peer returns the address of the peer.
 func (s *Stream) Peer() net.Addr { return s.session.RemoteAddr() }
 
--- a/internal/conn/link/metrics.go
+++ b/internal/conn/link/metrics.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -23,24 +25,38 @@
 // countingConn counts the bytes and writes of a connection.
 type countingConn struct {
 	net.Conn
-	closeOnce sync.Once
+	clock    Clock
+	openedAt time.Time
+	// lastReceived is the time from openedAt to the last successful read.
+	lastReceived atomic.Int64
+	closeOnce    sync.Once
 }
 
 // instrument increments sessions and openSessions and returns a connection that
 // counts its traffic.
-func instrument(conn net.Conn, sessions *metrics.Counter) net.Conn {
+func instrument(conn net.Conn, clock Clock, sessions *metrics.Counter) *countingConn {
 	sessions.Inc()
 	openSessions.Inc()
-	return &countingConn{Conn: conn}
+	return &countingConn{Conn: conn, clock: clock, openedAt: clock.Now()}
 }
 
 // Read implements net.Conn.
 func (c *countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	bytesIn.Add(n)
+	if n > 0 {
+		c.lastReceived.Store(int64(c.age()))
+	}
 	return n, err
 }
 
+func (c *countingConn) age() time.Duration { return c.clock.Now().Sub(c.openedAt) }
+
+// quiet returns the time since the connection last received anything.
+func (c *countingConn) quiet() time.Duration {
+	return c.age() - time.Duration(c.lastReceived.Load())
+}
+
 // Write implements net.Conn.
 func (c *countingConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
--- a/internal/conn/link/peer.go
+++ b/internal/conn/link/peer.go
@@ -18,7 +18,7 @@
 type slot struct {
 	mu      sync.Mutex
 	closed  bool
-	session *yamux.Session
+	session *session
 	// pendingDial is the dial in progress, nil if there is none.
 	pendingDial *pendingDial
 }
@@ -27,7 +27,7 @@
 // be read once done is closed.
 type pendingDial struct {
 	done    chan struct{}
-	session *yamux.Session
+	session *session
 	err     error
 }
 
@@ -48,7 +48,7 @@
 
 // open returns the session of the slot. Callers without a session share one
 // dial and its error. Each caller waits until its own context ends at most.
-func (s *slot) open(ctx context.Context, address string, cfg Config) (*yamux.Session, error) {
+func (s *slot) open(ctx context.Context, address string, cfg Config) (*session, error) {
 	session, pending := s.sessionOrDial(address, cfg)
 	if session != nil {
 		return session, nil
@@ -63,7 +63,7 @@
 
 // sessionOrDial returns the open session, or otherwise the dial in progress,
 // which it starts if there is none.
-func (s *slot) sessionOrDial(address string, cfg Config) (*yamux.Session, *pendingDial) {
+func (s *slot) sessionOrDial(address string, cfg Config) (*session, *pendingDial) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.session != nil && !s.session.IsClosed() {
@@ -90,16 +90,17 @@
 	close(pending.done)
 }
 
-func dialSession(address string, cfg Config) (*yamux.Session, error) {
+func dialSession(address string, cfg Config) (*session, error) {
 	conn, err := dial(context.Background(), address, cfg)
 	if err != nil {
 		dialFailures.Inc()
 		return nil, err
 	}
-	session, err := yamux.Client(&coalescingConn{Conn: instrument(conn, dialedSessions)}, sessionConfig(cfg.PingTimeout))
+	counted := instrument(conn, cfg.Clock, dialedSessions)
+	client, err := yamux.Client(&coalescingConn{Conn: counted}, sessionConfig(cfg.PingTimeout))
 	if err != nil {
 		_ = conn.Close()
 		return nil, fmt.Errorf("start session: %w", err)
 	}
-	return session, nil
+	return &session{Session: client, conn: counted}, nil
 }
--- a/internal/conn/link/server.go
+++ b/internal/conn/link/server.go
@@ -48,7 +48,7 @@
 	wg      sync.WaitGroup
 
 	mu       sync.Mutex
-	sessions map[*yamux.Session]struct{}
+	sessions map[*session]struct{}
 	closed   bool
 }
 
@@ -57,7 +57,7 @@
 
 // NewServerWithClock returns a Server for handler on the given clock.
 func NewServerWithClock(clk Clock, handler Handler) *Server {
-	return &Server{handler: handler, clock: clk, sessions: make(map[*yamux.Session]struct{})}
+	return &Server{handler: handler, clock: clk, sessions: make(map[*session]struct{})}
 }
 
 // Serve accepts sessions from listener and returns nil when listener is closed.
@@ -104,11 +104,13 @@
 		_ = sock.SetUserTimeout(conn, s.DeadPeerTimeout)
 	}
 	// A server never pings; DefaultPingTimeout limits its blocked writes.
-	session, err := yamux.Server(&coalescingConn{Conn: instrument(conn, acceptedSessions)}, sessionConfig(DefaultPingTimeout))
+	counted := instrument(conn, s.clock, acceptedSessions)
+	accepted, err := yamux.Server(&coalescingConn{Conn: counted}, sessionConfig(DefaultPingTimeout))
 	if err != nil {
 		_ = conn.Close()
 		return
 	}
+	session := &session{Session: accepted, conn: counted}
 	if !s.addSession(session) {
 		_ = session.Close()
 		return
@@ -143,7 +145,7 @@
 }
 
 // closeIdle closes a session that has had no calls for idleTimeout.
-func (s *Server) closeIdle(ctx context.Context, session *yamux.Session, lastUsed *atomic.Int64) {
+func (s *Server) closeIdle(ctx context.Context, session *session, lastUsed *atomic.Int64) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -158,7 +160,7 @@
 	}
 }
 
-func (s *Server) addSession(session *yamux.Session) bool {
+func (s *Server) addSession(session *session) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
@@ -168,7 +170,7 @@
 	return true
 }
 
-func (s *Server) removeSession(session *yamux.Session) {
+func (s *Server) removeSession(session *session) {
 	_ = session.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/conn/watch/follower.go
+++ b/internal/conn/watch/follower.go
@@ -124,8 +124,18 @@
 // HasLease reports whether a quorum has confirmed within the lease that the set
 // is the newest.
 func (f *Follower) HasLease() bool {
+	age, confirmed := f.ConfirmedAge()
+	return confirmed && age < f.cfg.Lease
+}
+
+// ConfirmedAge returns how long ago a quorum last confirmed that what this process
+// holds is the newest. It reports false if none has since the process started.
+func (f *Follower) ConfirmedAge() (time.Duration, bool) {
 	confirmed := f.confirmedStamp.Load()
-	return confirmed != 0 && time.Duration(f.stamp()-confirmed) < f.cfg.Lease
+	if confirmed == 0 {
+		return 0, false
+	}
+	return time.Duration(f.stamp() - confirmed), true
 }
 
 // Confirmed reports whether a quorum has confirmed a set since the process
@@ -133,10 +143,19 @@
 // before it was restarted.
 func (f *Follower) Confirmed() bool { return f.confirmedStamp.Load() != 0 }
 
+// confirmedText returns the result of ConfirmedAge as it is logged.
+func (f *Follower) confirmedText() string {
+	if age, confirmed := f.ConfirmedAge(); confirmed {
+		return age.String()
+	}
+	return "never"
+}
+
 // Run watches one control process after another until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		address := f.endpoints.next()
+		began := f.cfg.Clock.Now()
 		err := f.watchControl(ctx, address)
 		if ctx.Err() != nil {
 			return
@@ -145,7 +164,8 @@
 			continue
 		}
 		f.endpoints.markLost(address)
-		_ = level.Warn(f.cfg.Logger).Log("msg", "control lost", "address", address, "err", err)
+		_ = level.Warn(f.cfg.Logger).Log("msg", "control lost", "address", address, "watched", f.cfg.Clock.Now().Sub(began),
+			"confirmed", f.confirmedText(), "err", err)
 		_ = f.cfg.Clock.Sleep(ctx, reconnectDelay)
 	}
 }
@@ -178,6 +198,7 @@
 		return fmt.Errorf("watch %s: %w", address, err)
 	}
 	defer func() { _ = stream.Close() }()
+	_ = level.Info(f.cfg.Logger).Log("msg", "control watched", "address", address, "sessionAge", stream.SessionAge(), "sessionQuiet", stream.SessionQuiet())
 	context.AfterFunc(ctx, func() { f.closeStream(ctx, stream) })
 	alive := make(chan struct{}, 1)
 	go f.detectSilence(ctx, cancel, alive)
--- a/internal/process/cmds/print.go
+++ b/internal/process/cmds/print.go
@@ -155,9 +155,9 @@
 		t.row(vm, "gives no answer", "", "")
 	}
 	t.flush(env)
-	t = newTable("\nPROCESS", "ROLE", "IN FORCE", "REPORTED", "LEASE")
+	t = newTable("\nPROCESS", "ROLE", "IN FORCE", "DOCUMENT", "REPORTED", "LEASE")
 	for _, p := range status.Processes {
-		t.row(p.Name, p.Role, p.InForce, p.Age.Round(time.Millisecond), yesNo(p.Leased))
+		t.row(p.Name, p.Role, p.InForce, p.Document, p.Age.Round(time.Millisecond), yesNo(p.Leased))
 	}
 	t.flush(env)
 	t = newTable("\nTARGET", "VM", "DOMAIN", "REPORTING", "LEAVING", "REQUESTS", "TOKENS", "QUEUED")
--- a/internal/process/ctrl/fleet.go
+++ b/internal/process/ctrl/fleet.go
@@ -31,6 +31,9 @@
 	Target ident.TargetName `json:",omitempty"`
 	// InForce is the revision that the process last reported to act on.
 	InForce ident.Revision
+	// Document is the version of the routing document that the process last reported
+	// to hold, 0 if it holds none.
+	Document ident.Version `json:",omitempty"`
 	// Age is the time since that report.
 	Age record.Duration
 	// Leased says whether the last report is younger than a lease. If so, the
@@ -265,12 +268,13 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	process := Process{
-		Name:    w.report.GetProcess(),
-		Role:    w.report.GetRole(),
-		Target:  ident.TargetName(w.report.GetTarget()),
-		InForce: ident.Revision(w.report.GetInForce()),
-		Age:     record.Duration{Duration: now.Sub(w.reportedAt).Round(time.Millisecond)},
-		Leased:  now.Sub(w.reportedAt) < watch.DefaultLease,
+		Name:     w.report.GetProcess(),
+		Role:     w.report.GetRole(),
+		Target:   ident.TargetName(w.report.GetTarget()),
+		InForce:  ident.Revision(w.report.GetInForce()),
+		Document: ident.Version(w.report.GetDocument()),
+		Age:      record.Duration{Duration: now.Sub(w.reportedAt).Round(time.Millisecond)},
+		Leased:   now.Sub(w.reportedAt) < watch.DefaultLease,
 	}
 	return process
 }
--- a/internal/process/gate/gate.go
+++ b/internal/process/gate/gate.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -344,6 +345,12 @@
 		}
 		return 0
 	})
+	metrics.GetOrCreateGauge("cactusline_document_confirmed_age_seconds", func() float64 {
+		if age, confirmed := g.cfg.Follower.ConfirmedAge(); confirmed {
+			return age.Seconds()
+		}
+		return math.Inf(1)
+	})
 	metrics.GetOrCreateGauge("cactusline_targets_listed", func() float64 { return float64(g.balancer.TargetCount()) })
 	metrics.GetOrCreateGauge("cactusline_targets_usable", func() float64 {
 		return float64(g.balancer.UsableCount(g.cfg.Clock.Now()))
--- a/internal/process/gate/log.go
+++ b/internal/process/gate/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -29,6 +30,10 @@
 	if c.routeTable != nil {
 		fields = append(fields, "Document", uint64(c.routeTable.Version()))
 	}
+	if isDenial(status) && len(c.attempts) == 0 {
+		fields = append(fields, "Confirmed", g.confirmedText())
+		metrics.GetOrCreateCounter(fmt.Sprintf("cactusline_denials_total{status=\"%d\"}", status)).Inc()
+	}
 	if c.route != nil {
 		fields = append(fields, "Route", c.route.Name, "Customer", string(c.customerName()), "Attempts", c.attempts)
 	}
@@ -51,6 +56,19 @@
 	_ = log.With(logger, fields...).Log()
 }
 
+// isDenial reports whether a status says that the document does not allow a request.
+func isDenial(status int) bool {
+	return status == http.StatusUnauthorized || status == http.StatusForbidden || status == http.StatusNotFound
+}
+
+// confirmedText returns how long ago a quorum confirmed the document, as it is logged.
+func (g *Gate) confirmedText() string {
+	if age, confirmed := g.cfg.Follower.ConfirmedAge(); confirmed {
+		return age.String()
+	}
+	return "never"
+}
+
 // quarantineFields counts a rejection and returns the fields that say what the request
 // was rejected for.
 func (c *call) quarantineFields() []any {
