--- a/internal/process/cmds/export_test.go
+++ b/internal/process/cmds/export_test.go
@@ -19,6 +19,19 @@
 	return supervise(ctx, supervisor{run: s.Run, checkDisk: s.CheckDisk, clock: s.Clock, logger: s.Logger})
 }
 
+// Settings of the platform's processes.
+const (
+	CoreHeartbeatInterval   = coreHeartbeatInterval
+	CoreElectionTimeout     = coreElectionTimeout
+	PlatformDeadPeerTimeout = platformDeadPeerTimeout
+)
+
+// Constructors that the platform's processes use.
+var (
+	PlatformLinks      = platformLinks
+	GateFollowerConfig = gateFollowerConfig
+)
+
 // MemberFailed returns a *memberFailedError.
 func MemberFailed(cause error) error { return &memberFailedError{cause: cause} }
 
--- a/internal/process/cmds/gate.go
+++ b/internal/process/cmds/gate.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"time"
 
+	"github.com/go-kit/log"
 	"google.golang.org/protobuf/proto"
 
+	"cactusline.dev/cactusline/internal/conn/link"
 	"cactusline.dev/cactusline/internal/conn/remote"
 	"cactusline.dev/cactusline/internal/conn/watch"
 	"cactusline.dev/cactusline/internal/conn/wire"
@@ -78,16 +80,14 @@
 		RetryRatio:               settings.RetryRatio * earnedRetryShare,
 		UnearnedRetriesPerSecond: unearnedRetryRate(settings),
 	})
-	follower := watch.NewFollower(watch.Config{
-		Addresses: settings.Seeds, Link: links, Clock: clock.System{}, Logger: logger,
-		Process: uniqueName(string(settings.VM)), Role: "router",
-		SilenceTimeout: gateSilenceTimeout, FollowLeader: true, CollectLoads: g.Loads, LoadInterval: gateLoadInterval,
-		CollectStreams: g.StreamOrigins, StreamsBegan: g.StreamsBegan(), StreamDelay: gateStreamDelay,
-		OnUpdate: func(update *wire.Update, _ *record.Set) {
-			control.SetAddresses(update.GetControls())
-			g.Update(update)
-		},
-	})
+	followerConfig := gateFollowerConfig(settings, links, logger)
+	followerConfig.CollectLoads = g.Loads
+	followerConfig.CollectStreams, followerConfig.StreamsBegan = g.StreamOrigins, g.StreamsBegan()
+	followerConfig.OnUpdate = func(update *wire.Update, _ *record.Set) {
+		control.SetAddresses(update.GetControls())
+		g.Update(update)
+	}
+	follower := watch.NewFollower(followerConfig)
 	g.SetFollower(follower)
 	// Updates continue while the process stops, for the requests in flight.
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(env.ctx))
@@ -97,6 +97,17 @@
 	return g.Run(env.ctx, callerListener, readyListener)
 }
 
+// gateFollowerConfig returns the configuration of a gate's follower, without the
+// functions that the gate provides.
+func gateFollowerConfig(settings *platform.Settings, links *link.Client, logger log.Logger) watch.Config {
+	return watch.Config{
+		Addresses: settings.Seeds, Link: links, Clock: clock.System{}, Logger: logger,
+		Process: uniqueName(string(settings.VM)), Role: "router",
+		SilenceTimeout: gateSilenceTimeout, FollowLeader: true,
+		LoadInterval: gateLoadInterval, StreamDelay: gateStreamDelay,
+	}
+}
+
 // controlQueries asks the leader of control. It implements gate.PermitSource and
 // gate.OriginSource.
 type controlQueries struct {
--- /dev/null
+++ b/internal/process/ctrl/confirm_test.go
@@ -0,0 +1,62 @@
+package ctrl_test
+
+import (
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+
+	"cactusline.dev/cactusline/internal/conn/link"
+	"cactusline.dev/cactusline/internal/conn/roster"
+	"cactusline.dev/cactusline/internal/conn/watch"
+	"cactusline.dev/cactusline/internal/process/clock"
+	"cactusline.dev/cactusline/internal/process/ctrl"
+	"cactusline.dev/cactusline/internal/process/group"
+	"cactusline.dev/cactusline/internal/version/store"
+)
+
+// replacedDocumentStore is a store whose document can be replaced.
+type replacedDocumentStore struct {
+	*store.Store
+	document atomic.Pointer[store.Document]
+}
+
+func (s *replacedDocumentStore) Document() store.Document { return *s.document.Load() }
+
+// Guards against a confirmation that goes out without the document that it is of.
+func TestDocumentThatCannotBeSentIsNotConfirmed(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	links := link.NewClient(link.Config{Clock: clock.System{}})
+	defer links.Close()
+	state := &replacedDocumentStore{Store: store.New(store.Config{})}
+	valid := document(1, `{"a":1}`)
+	state.document.Store(&valid)
+	controlGroup, err := group.Open(group.Config{VM: "a", Folder: t.TempDir(), StateMachine: state.Store, Clock: clock.System{}})
+	assert.NilError(t, err)
+	defer controlGroup.Close()
+	assert.Assert(t, controlGroup.BootstrapSingle(listener.Addr().String()))
+	control := ctrl.New(ctrl.Config{
+		VM: "a", Listener: listener, Clock: clock.System{}, Logger: log.NewNopLogger(),
+		Log: controlGroup, Store: state, Link: links, Group: controlGroup, Roster: roster.NewPublisher("a"),
+	})
+	go func() { _ = control.Run(t.Context()) }()
+	follower := watch.NewFollower(watch.Config{
+		Addresses: []string{listener.Addr().String()}, Link: links, Clock: clock.System{}, Logger: log.NewNopLogger(),
+		Process: "gate", FollowLeader: true, ReportInterval: 50 * time.Millisecond, SilenceTimeout: time.Minute,
+	})
+	go follower.Run(t.Context())
+	for began := time.Now(); !follower.Confirmed(); time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Since(began) < 10*time.Second, "not confirmed")
+	}
+	invalid := document(2, `{"a":`)
+	state.document.Store(&invalid)
+	time.Sleep(100 * time.Millisecond)
+	lost := time.Now()
+	time.Sleep(1500 * time.Millisecond)
+	age, _ := follower.ConfirmedAge()
+	assert.Assert(t, age > time.Since(lost), "version 1 was confirmed %s ago", age)
+}
--- a/internal/process/gate/harness_test.go
+++ b/internal/process/gate/harness_test.go
@@ -240,6 +240,8 @@
 	stopped         chan error
 	documentVersion uint64
 	rosterStep      uint64
+	// startedAt is when the follower was created, from which its stamps count.
+	startedAt time.Time
 }
 
 func newHarness(t *testing.T, cfg gate.Config, targets ...*fakeTarget) *harness {
@@ -253,7 +255,7 @@
 	if cfg.DrainDelay == 0 {
 		cfg.DrainDelay = 10 * time.Millisecond
 	}
-	h := &harness{t: t, gate: gate.New(cfg), stopped: make(chan error, 1)}
+	h := &harness{t: t, gate: gate.New(cfg), stopped: make(chan error, 1), startedAt: time.Now()}
 	h.follower = watch.NewFollower(watch.Config{
 		Addresses: []string{"127.0.0.1:1"}, Link: links, Clock: clock.System{}, Logger: log.NewNopLogger(),
 		OnUpdate: func(update *wire.Update, _ *record.Set) { h.gate.Update(update) },
@@ -291,7 +293,15 @@
 	assert.NilError(h.t, err)
 	documentPatch, err := patch.Diff(nil, body)
 	assert.NilError(h.t, err)
-	assert.NilError(h.t, h.follower.ApplyUpdate(&wire.Update{Echo: 1, Document: &wire.Document{Version: h.documentVersion, Patch: documentPatch}}))
+	assert.NilError(h.t, h.follower.ApplyUpdate(&wire.Update{Echo: h.stamp(), Document: &wire.Document{Version: h.documentVersion, Patch: documentPatch}}))
+}
+
+// stamp returns a stamp of the follower that is as new as possible.
+func (h *harness) stamp() int64 { return max(1, int64(time.Since(h.startedAt))) }
+
+// confirm delivers the confirmation of what the follower holds.
+func (h *harness) confirm() {
+	assert.NilError(h.t, h.follower.ApplyUpdate(&wire.Update{Echo: h.stamp()}))
 }
 
 // testDocument returns a document with one route of each kind, under the prefixes
