Use no connection that has received nothing for a second

What callers saw: gates denied by a document that was up to 4.8 s old. Cause: connections between VMs may fall silent for good while new ones work. A gate that left the silent core it watched opened its next watch on a session that it had since its start and that had fallen silent too: 1.8 s for each. Calls shorter than a ping never closed a silent session. Ruled out: the cores; in this case theirs were sound. Change: on the platform a session that has received nothing for a second is replaced by a new one, a round trip, for the next call; a call that ends without a reply closes its session if that was silent; so does every follower whose watch was silent.

--- a/internal/conn/link/client.go
+++ b/internal/conn/link/client.go
@@ -35,6 +35,10 @@
 	// session ends; 0 leaves that to the system. Without it, a connection that
 	// survives a network partition retransmits only after ever longer backoffs.
 	DeadPeerTimeout time.Duration
+	// MaxQuiet is how long a session may have received nothing to be used for another
+	// call. A later call establishes a new one, since a connection may have fallen silent
+	// while it was idle; 0 sets no limit.
+	MaxQuiet time.Duration
 	// SessionsPerPeer is the number of TCP connections to each peer.
 	SessionsPerPeer int
 }
@@ -115,12 +119,18 @@
 }
 
 // Guard monitors a stream that a caller waits on. It aborts the stream when ctx
-// ends. It pings the session every PingInterval, and closes it if a ping fails.
-// The returned function stops the monitoring.
+// ends. It pings the session every PingInterval, and closes it if a ping fails, or if
+// ctx ends and the session has been silent. The returned function stops the monitoring.
 func (c *Client) Guard(ctx context.Context, stream *Stream) (stop func()) {
 	done := make(chan struct{})
 	// A ping may block for long and must not delay the abort when ctx ends.
-	stopAbort := context.AfterFunc(ctx, stream.Abort)
+	stopAbort := context.AfterFunc(ctx, func() {
+		if stream.SessionQuiet() > c.silentAfter() {
+			stream.CloseSession()
+			return
+		}
+		stream.Abort()
+	})
 	go func() {
 		for {
 			select {
@@ -139,6 +149,14 @@
 	})
 }
 
+// silentAfter is how long a session that is pinged every PingInterval has received
+// nothing if it is silent.
+func (c *Client) silentAfter() time.Duration { return c.cfg.PingInterval * 3 / 2 }
+
+// Verify pings the session of a stream, and closes it if no reply arrives. The stream of
+// a call without replies has no other way to notice that the connection is silent.
+func (c *Client) Verify(stream *Stream) { stream.pingOrClose() }
+
 // Close closes every session.
 func (c *Client) Close() error {
 	for i := range c.shards {
--- a/internal/conn/link/peer.go
+++ b/internal/conn/link/peer.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/hashicorp/yamux"
 )
@@ -19,6 +21,8 @@
 	mu      sync.Mutex
 	closed  bool
 	session *session
+	// replaced are earlier sessions that may still carry calls.
+	replaced []*session
 	// pendingDial is the dial in progress, nil if there is none.
 	pendingDial *pendingDial
 }
@@ -44,6 +48,9 @@
 	if s.session != nil {
 		_ = s.session.Close()
 	}
+	for _, replaced := range s.replaced {
+		_ = replaced.Close()
+	}
 }
 
 // open returns the session of the slot. Callers without a session share one
@@ -61,12 +68,13 @@
 	}
 }
 
-// sessionOrDial returns the open session, or otherwise the dial in progress,
-// which it starts if there is none.
+// sessionOrDial returns the open session if it may be used, or otherwise the dial in
+// progress, which it starts if there is none.
 func (s *slot) sessionOrDial(address string, cfg Config) (*session, *pendingDial) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.session != nil && !s.session.IsClosed() {
+	s.closeUnusedReplaced()
+	if s.session != nil && !s.session.IsClosed() && !s.session.quietFor(cfg.MaxQuiet) {
 		return s.session, nil
 	}
 	if s.pendingDial == nil {
@@ -76,18 +84,40 @@
 	return nil, s.pendingDial
 }
 
+// closeUnusedReplaced closes the replaced sessions that carry no call any more. The
+// caller holds the lock.
+func (s *slot) closeUnusedReplaced() {
+	s.replaced = slices.DeleteFunc(s.replaced, func(replaced *session) bool {
+		if replaced.NumStreams() > 0 {
+			return replaced.IsClosed()
+		}
+		_ = replaced.Close()
+		return true
+	})
+}
+
+// quietFor reports whether the session has received nothing for limit. A limit of 0 is
+// never reached.
+func (s *session) quietFor(limit time.Duration) bool { return limit > 0 && s.conn.quiet() > limit }
+
 // dial connects independently of the context of the caller that started it,
 // since others may wait for the result. The dial timeout limits it.
 func (s *slot) dial(pending *pendingDial, address string, cfg Config) {
 	pending.session, pending.err = dialSession(address, cfg)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	defer close(pending.done)
 	s.pendingDial = nil
+	if pending.err != nil {
+		return
+	}
+	if s.session != nil && !s.session.IsClosed() {
+		s.replaced = append(s.replaced, s.session)
+	}
 	s.session = pending.session
-	if s.closed && pending.session != nil {
+	if s.closed {
 		_ = pending.session.Close()
 	}
-	close(pending.done)
 }
 
 func dialSession(address string, cfg Config) (*session, error) {
--- a/internal/conn/watch/follower.go
+++ b/internal/conn/watch/follower.go
@@ -225,11 +225,10 @@
 	}
 }
 
-// closeStream ends a watch. A follower that follows the leader also closes the
-// connection after silence: a network cut may have silenced it, and the next
-// watch must not use it.
+// closeStream ends a watch. After silence it also closes the connection, which the
+// next watch must not use: a network cut may have silenced it.
 func (f *Follower) closeStream(ctx context.Context, stream *link.Stream) {
-	if f.cfg.FollowLeader && errors.Is(context.Cause(ctx), errSilent) {
+	if errors.Is(context.Cause(ctx), errSilent) && (f.cfg.FollowLeader || stream.SessionQuiet() >= f.cfg.SilenceTimeout) {
 		stream.CloseSession()
 		return
 	}
--- a/internal/process/cmds/settings.go
+++ b/internal/process/cmds/settings.go
@@ -61,13 +61,17 @@
 	// cut. It is longer than three consecutive packet losses take, with a
 	// retransmission timeout that starts at 200 ms and doubles.
 	platformDeadPeerTimeout = 1500 * time.Millisecond
+	// platformMaxQuiet is how long a connection may have received nothing to be used for
+	// another call. Connections may fall silent for good while new ones work, and a new
+	// one takes a round trip.
+	platformMaxQuiet = time.Second
 )
 
 // platformLinks returns the client for calls between processes on the platform.
 func platformLinks(settings *platform.Settings) *link.Client {
 	return link.NewClient(link.Config{
 		Clock: clock.System{}, Caller: string(settings.VM),
-		DialTimeout: platformDialTimeout, PingTimeout: platformPingTimeout, DeadPeerTimeout: platformDeadPeerTimeout, SessionsPerPeer: 1,
+		DialTimeout: platformDialTimeout, PingTimeout: platformPingTimeout, DeadPeerTimeout: platformDeadPeerTimeout, MaxQuiet: platformMaxQuiet, SessionsPerPeer: 1,
 	})
 }
 
