Verify the connections that carry the replicated log

What callers saw: after the connections between cores fell silent, no document was acknowledged any more and none was read. Cause: a stream of the replicated log has no reply, so that only TCP could end it, and a connection whose data is acknowledged and not delivered lives on for good. Ruled out: elections; candidates sent on the same silent streams. Change: while messages are sent, a session that has received nothing for 0.5 s is pinged and closed if no reply comes; idle streams cost nothing.

--- a/internal/process/ctrl/transport.go
+++ b/internal/process/ctrl/transport.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cactusline.dev/cactusline/internal/conn/link"
@@ -16,6 +17,9 @@
 	// Further messages are dropped; the replicated log sends them again.
 	peerQueueSize     = 256
 	peerRetryInterval = 100 * time.Millisecond
+	// peerVerifyInterval is how long a session to a peer may have received nothing while
+	// messages are sent.
+	peerVerifyInterval = 500 * time.Millisecond
 )
 
 // PeerTransportConfig holds the settings of a PeerTransport.
@@ -157,8 +161,10 @@
 	}
 }
 
-// sendQueue sends queued messages until ctx is done or sending fails.
+// sendQueue sends queued messages until ctx is done or sending fails. The peer sends
+// nothing back on the stream, so that the session is verified while messages are sent.
 func (p *PeerTransport) sendQueue(ctx context.Context, stream *link.Stream, queue <-chan []byte) {
+	var verifying atomic.Bool
 	for {
 		select {
 		case <-ctx.Done():
@@ -168,5 +174,11 @@
 				return
 			}
 		}
+		if stream.SessionQuiet() > peerVerifyInterval && !verifying.Swap(true) {
+			go func() {
+				p.cfg.Link.Verify(stream)
+				verifying.Store(false)
+			}()
+		}
 	}
 }
