Bound the search for a core that has a quorum

What callers saw: gates that denied by an older document after the loss of their core. Cause: a core that answers and has no quorum held a new watcher as long as one that had confirmed before, 1.8 s each, one after the other. Ruled out: connections, which are sound in this test. Change: a new watch has 0.7 s, at most a fifth of the platform's contact time, for its first confirmation, an established one 1.5 s, at most half; gates report each 0.5 s, so that confirmations come often enough for it. Sum at a contact time of 3 s with one core without quorum: 1.5 + 0.1 + 0.6 + 0.1 and a dial of 0.3 s at most.

--- a/internal/conn/watch/follower.go
+++ b/internal/conn/watch/follower.go
@@ -54,9 +54,12 @@
 	// SilenceTimeout is how long a control process may send nothing before the
 	// follower tries another one.
 	SilenceTimeout time.Duration
+	// FirstTimeout is how long a new watch may take until the first update that
+	// restarts SilenceTimeout; it is SilenceTimeout by default.
+	FirstTimeout time.Duration
 	// FollowLeader makes the follower watch the leader if it is known, and try
 	// another control process if no quorum has confirmed the set within
-	// SilenceTimeout.
+	// SilenceTimeout, or within FirstTimeout of the beginning of the watch.
 	FollowLeader bool
 	// CollectLoads returns the requests that this process has in flight at each
 	// target, or nil if they have not changed since the last report. With first
@@ -111,6 +114,9 @@
 	if cfg.SilenceTimeout == 0 {
 		cfg.SilenceTimeout = DefaultSilenceTimeout
 	}
+	if cfg.FirstTimeout == 0 {
+		cfg.FirstTimeout = cfg.SilenceTimeout
+	}
 	f := &Follower{cfg: cfg, epoch: cfg.Clock.Now().Add(-1)}
 	f.endpoints = endpoints{process: cfg.Process, seeds: cfg.Addresses}
 	f.endpoints.setLearned(nil)
@@ -279,14 +285,15 @@
 // errSilent ends a watch that detectSilence has canceled.
 var errSilent = errors.New("control sends nothing")
 
-// detectSilence cancels a watch if alive is not signaled for SilenceTimeout.
+// detectSilence cancels a watch if alive is not signaled for FirstTimeout at first, and
+// for SilenceTimeout later.
 func (f *Follower) detectSilence(ctx context.Context, cancel context.CancelCauseFunc, alive <-chan struct{}) {
-	for {
+	for timeout := f.cfg.FirstTimeout; ; timeout = f.cfg.SilenceTimeout {
 		select {
 		case <-ctx.Done():
 			return
 		case <-alive:
-		case <-f.cfg.Clock.After(f.cfg.SilenceTimeout):
+		case <-f.cfg.Clock.After(timeout):
 			cancel(errSilent)
 			return
 		}
--- a/internal/process/cmds/gate.go
+++ b/internal/process/cmds/gate.go
@@ -22,11 +22,18 @@
 )
 
 const (
-	// gateSilenceTimeout is how long a gate follows a control process without
-	// confirmation from a quorum before it switches to another one. Including
-	// the switch, it must stay below the time within which a process that can
-	// reach the quorum must know the quorum's newest decision.
-	gateSilenceTimeout = 1800 * time.Millisecond
+	// maxGateSilenceTimeout and maxGateFirstTimeout are how long a gate follows a control
+	// process without confirmation from a quorum before it switches to another one, and
+	// how long a new one may take for the first confirmation. Both are bounded by a share
+	// of the contact time, within which a process that can reach the quorum must know the
+	// quorum's newest decision: it has to suffice for one silence, at least one control
+	// process without a quorum, and a dial.
+	maxGateSilenceTimeout = 1500 * time.Millisecond
+	maxGateFirstTimeout   = 700 * time.Millisecond
+	gateSilenceShare      = 0.5
+	gateFirstShare        = 0.2
+	// gateReportInterval is the interval of a gate's reports, each of which is confirmed.
+	gateReportInterval = 500 * time.Millisecond
 	// gateLoadInterval is the interval between reports of changed loads.
 	gateLoadInterval = 150 * time.Millisecond
 	// gateStreamDelay is how long new streams are collected before they are reported.
@@ -103,11 +110,22 @@
 	return watch.Config{
 		Addresses: settings.Seeds, Link: links, Clock: clock.System{}, Logger: logger,
 		Process: uniqueName(string(settings.VM)), Role: "router",
-		SilenceTimeout: gateSilenceTimeout, FollowLeader: true,
+		SilenceTimeout: shareOf(settings.ContactTime, gateSilenceShare, maxGateSilenceTimeout),
+		FirstTimeout:   shareOf(settings.ContactTime, gateFirstShare, maxGateFirstTimeout),
+		FollowLeader:   true, ReportInterval: gateReportInterval,
 		LoadInterval: gateLoadInterval, StreamDelay: gateStreamDelay,
 	}
 }
 
+// shareOf returns a share of a bound of the platform, limit at most. It returns limit if
+// the platform names no bound.
+func shareOf(bound time.Duration, share float64, limit time.Duration) time.Duration {
+	if bound <= 0 {
+		return limit
+	}
+	return min(limit, time.Duration(float64(bound)*share))
+}
+
 // controlQueries asks the leader of control. It implements gate.PermitSource and
 // gate.OriginSource.
 type controlQueries struct {
--- a/internal/process/cmds/search_test.go
+++ b/internal/process/cmds/search_test.go
@@ -117,7 +117,7 @@
 	const count = 60
 	var followers []*watch.Follower
 	for i := range count {
-		settings := &platform.Settings{VM: ident.VMName(fmt.Sprint("gate-", i)), Seeds: addresses}
+		settings := &platform.Settings{VM: ident.VMName(fmt.Sprint("gate-", i)), Seeds: addresses, ContactTime: contact}
 		links := cmds.PlatformLinks(settings)
 		t.Cleanup(func() { _ = links.Close() })
 		follower := watch.NewFollower(cmds.GateFollowerConfig(settings, links, log.NewNopLogger()))
--- a/internal/process/cmds/silence_test.go
+++ b/internal/process/cmds/silence_test.go
@@ -144,7 +144,7 @@
 		f.controls = append(f.controls, startSilenceCore(t, members, peers, i, listeners[i]))
 	}
 	for i := range gates {
-		settings := &platform.Settings{VM: ident.VMName(fmt.Sprint("gate-", i)), Seeds: addresses}
+		settings := &platform.Settings{VM: ident.VMName(fmt.Sprint("gate-", i)), Seeds: addresses, ContactTime: contactTime}
 		links := cmds.PlatformLinks(settings)
 		t.Cleanup(func() { _ = links.Close() })
 		// A gate that has been redirected keeps sessions to cores that it does not watch.
