Deny nothing by a document that may be out of date

What callers saw: 401 and 404 by an older document, long after a newer one was acknowledged. Cause: a gate that was confirmed once denied by what it held for as long as it ran, whatever it had heard since; and a newer document that did not compile left the older one in charge as if confirmed. Class: a belief without an end. Change: a denial needs a confirmation within configApplyMs and the table of the newest document; without, 503 with a time. Requests that the document allows are served on.

--- a/internal/process/cmds/gate.go
+++ b/internal/process/cmds/gate.go
@@ -83,6 +83,7 @@
 		Name: string(settings.VM), Domain: settings.Domain,
 		Compile: platform.CompileDocument, Dialect: platform.Dialect{}, Clock: clock.System{}, Logger: logger, Control: control, Permits: &controlQueries{control: control}, Origins: &controlQueries{control: control},
 		GracePeriod:              settings.GracePeriod,
+		DenialLease:              settings.ApplyTime,
 		LeavingGrace:             max(0, settings.DrainTime-leavingMargin),
 		RetryRatio:               settings.RetryRatio * earnedRetryShare,
 		UnearnedRetriesPerSecond: unearnedRetryRate(settings),
--- a/internal/process/gate/gate.go
+++ b/internal/process/gate/gate.go
@@ -37,6 +37,7 @@
 	DefaultDrainDelay   = 2500 * time.Millisecond
 	DefaultGracePeriod  = 8 * time.Second
 	DefaultWriteTimeout = 5 * time.Second
+	DefaultDenialLease  = 2 * time.Second
 	// DefaultRetryRatio is half of what the platform allows, which leaves room for
 	// the retries of other processes.
 	DefaultRetryRatio               = 0.1
@@ -97,6 +98,9 @@
 	GracePeriod time.Duration
 	// WriteTimeout bounds one write to a caller, which may not read.
 	WriteTimeout time.Duration
+	// DenialLease is how long after its last confirmation by a quorum a document may deny
+	// requests. Later, a newer document may allow them.
+	DenialLease time.Duration
 	// RetryRatio is the number of retries that one request earns.
 	RetryRatio float64
 	// UnearnedRetriesPerSecond is the number of retries per second that all gates
@@ -153,6 +157,9 @@
 	if cfg.WriteTimeout == 0 {
 		cfg.WriteTimeout = DefaultWriteTimeout
 	}
+	if cfg.DenialLease == 0 {
+		cfg.DenialLease = DefaultDenialLease
+	}
 	if cfg.RetryRatio == 0 {
 		cfg.RetryRatio = DefaultRetryRatio
 	}
@@ -285,6 +292,14 @@
 	return table
 }
 
+// mayDeny reports whether a route table may deny requests: a quorum has confirmed the
+// follower's document within DenialLease, and the table is of that document.
+func (g *Gate) mayDeny(table *route.Table) bool {
+	age, confirmed := g.cfg.Follower.ConfirmedAge()
+	version, _ := g.cfg.Follower.Document()
+	return confirmed && age <= g.cfg.DenialLease && table.Version() >= version
+}
+
 // Ready reports whether this process should get requests.
 func (g *Gate) Ready() bool {
 	return !g.stopping.Load() && g.servingTable() != nil && g.balancer.TargetCount() > 0
@@ -372,8 +387,9 @@
 	// retryAfterJitter, so that callers do not retry at the same time.
 	minRetryAfter    = 150 * time.Millisecond
 	retryAfterJitter = 350 * time.Millisecond
-	// startupRetryAfter is added while this process has no document. After a power
-	// loss the control processes first elect a leader, which then sends the document.
+	// startupRetryAfter is added while this process has no document, or none that is
+	// confirmed. After a power loss the control processes first elect a leader, which then
+	// sends the document.
 	startupRetryAfter = 700 * time.Millisecond
 )
 
--- a/internal/process/gate/log.go
+++ b/internal/process/gate/log.go
@@ -30,7 +30,7 @@
 	if c.routeTable != nil {
 		fields = append(fields, "Document", uint64(c.routeTable.Version()))
 	}
-	if isDenial(status) && len(c.attempts) == 0 {
+	if len(c.attempts) == 0 && (isDenial(status) || outcome == reasonUnconfirmed) {
 		fields = append(fields, "Confirmed", g.confirmedText())
 		metrics.GetOrCreateCounter(fmt.Sprintf("cactusline_denials_total{status=\"%d\"}", status)).Inc()
 	}
--- a/internal/process/gate/response.go
+++ b/internal/process/gate/response.go
@@ -84,6 +84,19 @@
 	c.respondErrorRetryAfter(status, reason, retryAfter)
 }
 
+// deny rejects a request that the document does not allow. If a newer document may allow
+// it, the caller is told to retry instead.
+func (c *call) deny(status int, reason string) {
+	if c.gate.mayDeny(c.routeTable) {
+		c.respondError(status, reason)
+		return
+	}
+	c.respondErrorRetryAfter(http.StatusServiceUnavailable, reasonUnconfirmed, randomRetryAfter()+startupRetryAfter)
+}
+
+// reasonUnconfirmed is the reason of a rejection by a document that may be out of date.
+const reasonUnconfirmed = "DocumentUnconfirmed"
+
 // finishQuarantined ends a request that must not run until the given time.
 func (c *call) finishQuarantined(ctx context.Context, until time.Time) {
 	if action := c.retryState.NextWithoutTarget(); action != carry.Reject {
--- a/internal/process/gate/serve.go
+++ b/internal/process/gate/serve.go
@@ -128,12 +128,12 @@
 		path = c.request.URL.EscapedPath()
 	}
 	if c.route = c.routeTable.Find(c.request.Host, path); c.route == nil {
-		c.respondError(http.StatusNotFound, "NoRoute")
+		c.deny(http.StatusNotFound, "NoRoute")
 		return false
 	}
 	c.customer = c.routeTable.CustomerByKey(c.meta.APIKey)
 	if c.customer == nil && c.routeTable.RequiresKey() && !c.route.Public {
-		c.respondError(http.StatusUnauthorized, "NoCustomer")
+		c.deny(http.StatusUnauthorized, "NoCustomer")
 		return false
 	}
 	if c.meta.ID == "" {
