--- a/internal/process/router/chat.go
+++ b/internal/process/router/chat.go
@@ -49,7 +49,7 @@
 func (r *Router) routeChat(w http.ResponseWriter, req *http.Request, id ident.RequestID) (*routedRequest, *httpd.Error) {
 	snap := r.view.current.Load()
 	set := snap.set
-	customer, apiErr := authenticate(set, req)
+	customer, apiErr := r.authenticate(set, req)
 	if apiErr != nil {
 		return nil, apiErr
 	}
@@ -63,7 +63,7 @@
 	}
 	route, ok := set.ModelRoute(customer.Name, completion.Model)
 	if !ok {
-		return nil, notRunError(http.StatusNotFound, codeUnknownModel, "no route for model "+string(completion.Model))
+		return nil, r.deny(http.StatusNotFound, codeUnknownModel, "no route for model "+string(completion.Model))
 	}
 	chatKey := completion.Key(customer.Name, req.Header.Get(chat.KeyHeader))
 	routed := r.newRoutedRequest(id, customer, route, snap.poolsByRoute[route.Name])
--- a/internal/process/router/error.go
+++ b/internal/process/router/error.go
@@ -33,6 +33,17 @@
 	return &httpd.Error{Status: status, Code: code, Message: message, Outcome: httpd.OutcomeNotRun}
 }
 
+// deny returns the error for a request that the records do not allow. Without a lease,
+// newer records may allow it, so that the caller is told to retry instead.
+func (r *Router) deny(status int, code, message string) *httpd.Error {
+	if r.cfg.Follower.HasLease() {
+		return notRunError(status, code, message)
+	}
+	apiErr := notRunError(http.StatusServiceUnavailable, codeNotReady, "the records may be out of date")
+	apiErr.RetryAfter = httpd.Delay(startupRetryAfter)
+	return apiErr
+}
+
 // quarantineError returns the error for a request that was quarantined because it
 // crashes targets. Retrying does not help.
 func quarantineError() *httpd.Error {
--- a/internal/process/router/service.go
+++ b/internal/process/router/service.go
@@ -18,7 +18,7 @@
 // serveModels lists the models for which the customer has routes.
 func (r *Router) serveModels(w http.ResponseWriter, req *http.Request) {
 	set := r.view.set()
-	customer, apiErr := authenticate(set, req)
+	customer, apiErr := r.authenticate(set, req)
 	if apiErr != nil {
 		httpd.WriteError(w, req, *apiErr)
 		return
@@ -40,18 +40,18 @@
 func (r *Router) routeService(w http.ResponseWriter, req *http.Request, id ident.RequestID) (*routedRequest, *httpd.Error) {
 	snap := r.view.current.Load()
 	set := snap.set
-	customer, apiErr := authenticate(set, req)
+	customer, apiErr := r.authenticate(set, req)
 	if apiErr != nil {
 		return nil, apiErr
 	}
 	name := ident.ServiceName(req.PathValue("service"))
 	service, ok := set.Service(name)
 	if !ok {
-		return nil, notRunError(http.StatusNotFound, codeUnknownService, "no service "+string(name))
+		return nil, r.deny(http.StatusNotFound, codeUnknownService, "no service "+string(name))
 	}
 	route, ok := set.ServiceRoute(customer.Name, name)
 	if !ok {
-		return nil, notRunError(http.StatusNotFound, codeUnknownService, "no route for service "+string(name))
+		return nil, r.deny(http.StatusNotFound, codeUnknownService, "no route for service "+string(name))
 	}
 	path, apiErr := parseServicePath(req)
 	if apiErr != nil {
@@ -78,14 +78,14 @@
 }
 
 // authenticate returns the customer that owns the request's bearer key.
-func authenticate(set *record.Set, req *http.Request) (*record.Customer, *httpd.Error) {
+func (r *Router) authenticate(set *record.Set, req *http.Request) (*record.Customer, *httpd.Error) {
 	bearer, ok := strings.CutPrefix(req.Header.Get("Authorization"), "Bearer ")
 	if !ok {
 		return nil, notRunError(http.StatusUnauthorized, codeUnauthorized, "a bearer key is required")
 	}
 	customer, ok := set.CustomerByKey(record.HashKey(bearer))
 	if !ok {
-		return nil, notRunError(http.StatusUnauthorized, codeUnauthorized, "the bearer key is unknown")
+		return nil, r.deny(http.StatusUnauthorized, codeUnauthorized, "the bearer key is unknown")
 	}
 	return customer, nil
 }
