--- a/internal/conn/watch/follower.go
+++ b/internal/conn/watch/follower.go
@@ -27,6 +27,9 @@
 // Clock provides time, so that tests can replace it.
 type Clock interface {
 	Now() time.Time
+	// Elapsed returns the time since an unspecified start, including the time for which
+	// the machine was suspended.
+	Elapsed() time.Duration
 	After(d time.Duration) <-chan time.Time
 	Sleep(ctx context.Context, d time.Duration) error
 }
@@ -94,9 +97,9 @@
 	applyMu sync.Mutex
 	// verdictsIndex is the highest VerdictsIndex of the updates applied so far.
 	verdictsIndex uint64
-	// epoch is the time from which stamps count, so that they follow the
-	// monotonic clock. It is just before the start, so that no stamp is 0.
-	epoch time.Time
+	// epoch is the elapsed time from which stamps count. It is just before the start, so
+	// that no stamp is 0.
+	epoch time.Duration
 	// confirmedStamp is the highest stamp that a control process has echoed, 0 if
 	// none has. A control process echoes the stamp of a report once a quorum has
 	// confirmed the set after that report.
@@ -117,7 +120,7 @@
 	if cfg.FirstTimeout == 0 {
 		cfg.FirstTimeout = cfg.SilenceTimeout
 	}
-	f := &Follower{cfg: cfg, epoch: cfg.Clock.Now().Add(-1)}
+	f := &Follower{cfg: cfg, epoch: cfg.Clock.Elapsed() - 1}
 	f.endpoints = endpoints{process: cfg.Process, seeds: cfg.Addresses}
 	f.endpoints.setLearned(nil)
 	return f
@@ -358,5 +361,5 @@
 
 // stamp returns the nanoseconds since epoch.
 func (f *Follower) stamp() int64 {
-	return int64(f.cfg.Clock.Now().Sub(f.epoch))
+	return int64(f.cfg.Clock.Elapsed() - f.epoch)
 }
--- a/internal/process/clock/fake.go
+++ b/internal/process/clock/fake.go
@@ -9,9 +9,11 @@
 // Fake is a clock that moves only when Advance is called. Its zero value shows
 // the zero time and is ready for use. It is safe for concurrent use.
 type Fake struct {
-	mu     sync.Mutex
-	now    time.Time
-	timers []timer
+	mu  sync.Mutex
+	now time.Time
+	// elapsed is the time by which the clock was advanced, and for which it was suspended.
+	elapsed time.Duration
+	timers  []timer
 }
 
 type timer struct {
@@ -29,6 +31,20 @@
 	return f.now
 }
 
+// Elapsed returns the time by which the clock was advanced or suspended.
+func (f *Fake) Elapsed() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.elapsed
+}
+
+// Suspend lets d pass as on a machine that is suspended: Now and timers stand still.
+func (f *Fake) Suspend(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.elapsed += d
+}
+
 // After returns a channel on which the time is sent once the clock has advanced
 // by d.
 func (f *Fake) After(d time.Duration) <-chan time.Time {
@@ -59,6 +75,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.now = f.now.Add(d)
+	f.elapsed += d
 	kept := f.timers[:0]
 	for _, t := range f.timers {
 		if t.deadline.After(f.now) {
--- a/internal/process/ctrl/rollout_test.go
+++ b/internal/process/ctrl/rollout_test.go
@@ -30,7 +30,8 @@
 	started time.Time
 }
 
-func (c fastClock) Now() time.Time                         { return c.started.Add(clockSpeed * time.Since(c.started)) }
+func (c fastClock) Now() time.Time                         { return c.started.Add(c.Elapsed()) }
+func (c fastClock) Elapsed() time.Duration                 { return clockSpeed * time.Since(c.started) }
 func (c fastClock) After(d time.Duration) <-chan time.Time { return time.After(d / clockSpeed) }
 func (c fastClock) Sleep(ctx context.Context, d time.Duration) error {
 	return clock.System{}.Sleep(ctx, d/clockSpeed)
