Continue a caller's stream by no answer but a stream

What other operators saw: after a stream had begun and broke off, the error of the next target stood in the middle of the caller's stream, or the stream ended as if complete. Here: a resumed attempt that was answered with another status than 200 was forwarded as a response of its own: head written twice, body into the stream, and a complete end. Class: an answer is written by a path that doesn't know that a head has gone out. Looked at: all that write an answer go through writeHead and respondErrorRetryAfter; rejections without a target, permit or because of a quarantine ask the retry state first, which aborts a started stream. Change: such an answer counts as a failure of the target; the stream is resumed elsewhere if it may be, and broken off if not.

--- a/internal/process/gate/attempt.go
+++ b/internal/process/gate/attempt.go
@@ -260,7 +260,8 @@
 }
 
 // forwardResponse forwards a response to the caller, unless the target says that it
-// did not run the request.
+// did not run the request, or the caller has a part of a stream that the response does
+// not continue.
 func (e *exchange) forwardResponse(ctx context.Context, response *http.Response) (carry.Result, place.HealthSignal) {
 	if e.call.gate.cfg.Dialect.ParseResponse(response.Header).NotRun {
 		if e.err = drainBody(response); e.err != nil {
@@ -274,5 +275,12 @@
 	if e.call.route.Kind == route.Stream && response.StatusCode == http.StatusOK {
 		return e.relayEvents(ctx, response)
 	}
+	if e.call.streamStarted {
+		e.err = fmt.Errorf("target answered a resumed stream with status %d", response.StatusCode)
+		if response.StatusCode < http.StatusInternalServerError {
+			return carry.TargetFailed, place.Inconclusive
+		}
+		return carry.TargetFailed, place.Failing
+	}
 	return e.forwardBuffered(ctx, response)
 }
