Use a connection to a target once for each request ID

What other operators saw: a target wrote an earlier refusal once more on a kept connection; callers were told that requests had not run which ran, or such requests ran at a second target. Here: responses are matched by the request's ID alone, so that a second request with an ID, or a further attempt, on the same connection took the refusal of the first for its own. Class: an answer is taken for that of an attempt. Ruled out: a copy that arrives while the connection is idle or with the first refusal; such connections are discarded. Change: a connection remembers the IDs of its last 256 requests, and one with the same ID uses another connection.

--- a/internal/conn/pool/conn.go
+++ b/internal/conn/pool/conn.go
@@ -12,11 +12,16 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cactusline.dev/cactusline/internal/version/ident"
 )
 
 const (
@@ -35,6 +40,9 @@
 	// maxHeadBytes limits the status line and header of one response. A target in
 	// trouble may send them without end.
 	maxHeadBytes = 64 << 10
+	// maxRequests bounds the IDs that a connection remembers. The attempts at one request
+	// are made within its deadline, in which a connection carries fewer requests.
+	maxRequests = 256
 )
 
 // Conn is a connection to a target. It carries one exchange at a time.
@@ -55,6 +63,10 @@
 	keepAliveTimeout time.Duration
 	// idleTime is how long the connection was idle before this exchange.
 	idleTime time.Duration
+	// requests are the hashed IDs of the last maxRequests requests, in a ring, and
+	// requestCount is the number of all.
+	requests     []uint64
+	requestCount int
 	// A connection is not reused if it is unusable or if a request is still
 	// being sent on it.
 	unusable atomic.Bool
@@ -82,6 +94,25 @@
 	return fmt.Sprintf("target %s returned only responses to other requests", e.Address)
 }
 
+// recordRequest remembers the ID of a request.
+func (c *Conn) recordRequest(id ident.RequestID) {
+	if id == "" {
+		return
+	}
+	hash := xxhash.Sum64String(string(id))
+	if len(c.requests) < maxRequests {
+		c.requests = append(c.requests, hash)
+	} else {
+		c.requests[c.requestCount%maxRequests] = hash
+	}
+	c.requestCount++
+}
+
+// hasCarried reports whether the connection remembers the ID of a request.
+func (c *Conn) hasCarried(id ident.RequestID) bool {
+	return id != "" && slices.Contains(c.requests, xxhash.Sum64String(string(id)))
+}
+
 // Send writes a request. It reports whether any byte may have reached the
 // target.
 func (c *Conn) Send(r *Request) (sent bool, err error) {
--- a/internal/conn/pool/pool.go
+++ b/internal/conn/pool/pool.go
@@ -8,6 +8,7 @@
 	"io"
 	"math"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	"cactusline.dev/cactusline/internal/conn/sock"
+	"cactusline.dev/cactusline/internal/version/ident"
 )
 
 // Defaults of Config.
@@ -110,17 +112,32 @@
 	return net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: keepAliveProbeInterval, Count: max(1, count)}
 }
 
-// Get returns a connection to address: an idle one that the target should still
-// keep, or else a new one. For an unrepeatable request, it uses no connection
-// that has been idle for longer than safeIdleTime, since it might be lost.
-// Errors are of type *DialError.
-func (p *Pool) Get(ctx context.Context, address string, unrepeatable bool) (*Conn, error) {
+// Use describes what a connection is used for.
+type Use struct {
+	// Unrepeatable requests use no connection that has been idle for longer than
+	// safeIdleTime, since it might be lost.
+	Unrepeatable bool
+	// Request is the ID by which the response is matched, empty if it isn't. It uses no
+	// connection that has carried a request with the same ID, since a target may send the
+	// response to that once more.
+	Request ident.RequestID
+}
+
+// Get returns a connection to address: an idle one that the target should still keep and
+// that suits the use, or else a new one. Errors are of type *DialError.
+func (p *Pool) Get(ctx context.Context, address string, use Use) (*Conn, error) {
 	for {
-		c := p.takeIdle(address, unrepeatable)
+		c := p.takeIdle(address, use)
 		if c == nil {
-			return p.dial(ctx, address)
+			var err error
+			if c, err = p.dial(ctx, address); err != nil {
+				return nil, err
+			}
+			c.recordRequest(use.Request)
+			return c, nil
 		}
 		if stillIdle(c.Conn) {
+			c.recordRequest(use.Request)
 			c.Reused = true
 			connsReused.Inc()
 			return c, nil
@@ -130,33 +147,37 @@
 	}
 }
 
-// takeIdle removes and returns the most recently used idle connection, nil if
-// there is none that may be reused.
-func (p *Pool) takeIdle(address string, unrepeatable bool) *Conn {
+// takeIdle removes and returns the most recently used idle connection that suits the use,
+// nil if there is none that may be reused.
+func (p *Pool) takeIdle(address string, use Use) *Conn {
 	now := p.cfg.Clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[address]
-	if len(conns) == 0 {
+	index := len(conns) - 1
+	for index >= 0 && conns[index].hasCarried(use.Request) {
+		index--
+	}
+	if index < 0 {
 		return nil
 	}
-	c := conns[len(conns)-1]
+	c := conns[index]
 	idle := now.Sub(c.idleSince)
 	if idle > p.maxIdleTime(c) {
-		// The other connections to the address have been idle for even longer,
-		// and are assumed to have the same keep-alive timeout.
-		delete(p.idle, address)
-		for _, stale := range conns {
+		// The connections before it have been idle for even longer, and are assumed to
+		// have the same keep-alive timeout.
+		p.idle[address] = slices.Clone(conns[index+1:])
+		for _, stale := range conns[:index+1] {
 			_ = stale.Close()
 			p.connCounts[address]--
 		}
 		return nil
 	}
-	if unrepeatable && idle > p.safeIdleTime {
+	if use.Unrepeatable && idle > p.safeIdleTime {
 		return nil
 	}
 	c.idleTime = idle
-	p.idle[address] = conns[:len(conns)-1]
+	p.idle[address] = slices.Delete(conns, index, index+1)
 	return c
 }
 
--- a/internal/process/gate/attempt.go
+++ b/internal/process/gate/attempt.go
@@ -118,8 +118,8 @@
 
 // run sends the request to the target and forwards the response to the caller.
 func (e *exchange) run(ctx context.Context) (carry.Result, place.HealthSignal) {
-	unrepeatable := !e.call.route.Repeatable()
-	if e.conn, e.err = e.call.gate.pool.Get(ctx, e.choice.Target.Address, unrepeatable); e.err != nil {
+	use := pool.Use{Unrepeatable: !e.call.route.Repeatable(), Request: e.call.meta.ID}
+	if e.conn, e.err = e.call.gate.pool.Get(ctx, e.choice.Target.Address, use); e.err != nil {
 		if ctx.Err() != nil {
 			return e.contextEnded(ctx)
 		}
