Stay with a core that names a leader out of reach

What callers would see: 503 for all that the document denies, and no loads, at a gate that reaches a follower but not its leader. Cause: the follower's word was obeyed at once, again and again: a dial that failed, the same follower, the same leader; no watch lasted until a confirmation. Change: a leader that was named and could not be watched is left alone for 0.5 s, in which the core that named it confirms.

--- a/internal/conn/watch/endpoints.go
+++ b/internal/conn/watch/endpoints.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -23,6 +24,10 @@
 	ordered []string
 	// leader is the address of the leader, empty if it is unknown.
 	leader string
+	// unreachableLeader is the leader that was named last and could not be watched at
+	// unreachableAt.
+	unreachableLeader string
+	unreachableAt     time.Time
 	// lossSequence is the number of watches lost so far.
 	lossSequence int
 	// lastLoss maps an address to the value of lossSequence at its last loss. It
@@ -68,10 +73,13 @@
 }
 
 // markLost records that the watch of an address was lost, and forgets the
-// leader.
-func (e *endpoints) markLost(address string) {
+// leader. confirmed tells whether a quorum has confirmed anything in the watch.
+func (e *endpoints) markLost(now time.Time, address string, confirmed bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if address == e.leader && !confirmed {
+		e.unreachableLeader, e.unreachableAt = address, now
+	}
 	if e.lastLoss == nil || len(e.lastLoss) > maxLossEntries {
 		e.lastLoss = make(map[string]int)
 	}
@@ -89,9 +97,17 @@
 	e.leader = address
 }
 
-// hasOtherLeader reports whether the leader is known and at another address.
-func (e *endpoints) hasOtherLeader(address string) bool {
+// unreachableLeaderDelay is how long a follower stays with another control process that
+// names a leader which could not be watched. The leader may be unreachable from here alone.
+const unreachableLeaderDelay = 500 * time.Millisecond
+
+// hasOtherLeader reports whether the leader is known, at another address, and did not
+// prove unreachable just now.
+func (e *endpoints) hasOtherLeader(now time.Time, address string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.leader == e.unreachableLeader && now.Sub(e.unreachableAt) < unreachableLeaderDelay {
+		return false
+	}
 	return e.leader != "" && e.leader != address
 }
--- a/internal/conn/watch/follower.go
+++ b/internal/conn/watch/follower.go
@@ -164,7 +164,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		address := f.endpoints.next()
-		began := f.cfg.Clock.Now()
+		began, confirmed := f.cfg.Clock.Now(), f.confirmedStamp.Load()
 		err := f.watchControl(ctx, address)
 		if ctx.Err() != nil {
 			return
@@ -172,7 +172,7 @@
 		if errors.Is(err, errNotLeader) {
 			continue
 		}
-		f.endpoints.markLost(address)
+		f.endpoints.markLost(f.cfg.Clock.Now(), address, f.confirmedStamp.Load() > confirmed)
 		_ = level.Warn(f.cfg.Logger).Log("msg", "control lost", "address", address, "watched", f.cfg.Clock.Now().Sub(began),
 			"confirmed", f.confirmedText(), "err", err)
 		_ = f.cfg.Clock.Sleep(ctx, reconnectDelay)
@@ -228,7 +228,7 @@
 		if err := f.ApplyUpdate(update); err != nil {
 			return err
 		}
-		if f.cfg.FollowLeader && f.endpoints.hasOtherLeader(address) {
+		if f.cfg.FollowLeader && f.endpoints.hasOtherLeader(f.cfg.Clock.Now(), address) {
 			return errNotLeader
 		}
 	}
--- a/internal/process/cmds/search_test.go
+++ b/internal/process/cmds/search_test.go
@@ -60,8 +60,9 @@
 			continue
 		}
 		update := &wire.Update{Controls: c.controls}
-		if leader := c.leader.Load(); leader >= 0 {
-			update.Leader, update.Echo = c.controls[leader], stamp
+		leader := c.leader.Load()
+		if leader >= 0 {
+			update.Leader = c.controls[leader]
 			if version := c.document.Load(); version > sent {
 				body, _ := patch.Diff(nil, fmt.Appendf(nil, `{"version":%d}`, version))
 				update.Document = &wire.Document{Version: version, Patch: body}
@@ -71,6 +72,13 @@
 		if stream.Send(update) != nil {
 			return
 		}
+		if leader >= 0 {
+			// What the update holds is confirmed a little later.
+			time.Sleep(20 * time.Millisecond)
+			if stream.Send(&wire.Update{Leader: update.GetLeader(), Echo: stamp}) != nil {
+				return
+			}
+		}
 	}
 }
 
@@ -145,3 +153,41 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+// Guards against gates that are sent to a leader which they can't reach, again and again,
+// by a core that could tell them the newest document.
+func TestNewestDocumentIsFoundWhileTheLeaderIsUnreachable(t *testing.T) {
+	t.Parallel()
+	cores := []*stubCore{startStubCore(t), startStubCore(t), startStubCore(t)}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	unreachable := listener.Addr().String()
+	_ = listener.Close()
+	addresses := []string{unreachable}
+	for _, core := range cores {
+		addresses = append(addresses, core.address)
+	}
+	for _, core := range cores {
+		core.controls = addresses
+		core.leader.Store(1)
+		core.document.Store(1)
+	}
+	followers := followAll(t, addresses, contactTime)
+	awaitDocument(t, followers, 1, 10*time.Second)
+
+	// The first core goes silent. The others follow a leader that no gate reaches.
+	cores[0].silent.Store(true)
+	for _, core := range cores[1:] {
+		core.leader.Store(0)
+	}
+	time.Sleep(contactTime)
+	for _, core := range cores {
+		core.document.Store(2)
+	}
+	awaitDocument(t, followers, 2, applyTime)
+	time.Sleep(contactTime)
+	for i, follower := range followers {
+		age, _ := follower.ConfirmedAge()
+		assert.Check(t, age < applyTime, "the document of follower %d was confirmed %s ago", i, age)
+	}
+}
