Ping a quiet session when a call ends instead of closing it

Cause: found at reading again: a call that ended before the peer had acknowledged its stream closed a session that was quiet because it was idle, and with it the calls that had just begun beside it, unrepeatable ones too. Change: such a session is pinged, and closed if no reply comes.

--- a/internal/conn/link/client.go
+++ b/internal/conn/link/client.go
@@ -119,17 +119,17 @@
 }
 
 // Guard monitors a stream that a caller waits on. It aborts the stream when ctx
-// ends. It pings the session every PingInterval, and closes it if a ping fails, or if
-// ctx ends and the session has been silent. The returned function stops the monitoring.
+// ends. It pings the session every PingInterval, and once more if ctx ends and nothing has
+// come for long, and closes it if a ping fails. The returned function stops the monitoring.
 func (c *Client) Guard(ctx context.Context, stream *Stream) (stop func()) {
 	done := make(chan struct{})
 	// A ping may block for long and must not delay the abort when ctx ends.
 	stopAbort := context.AfterFunc(ctx, func() {
-		if stream.SessionQuiet() > c.silentAfter() {
-			stream.CloseSession()
-			return
-		}
+		quiet := stream.SessionQuiet()
 		stream.Abort()
+		if quiet > c.silentAfter() {
+			stream.pingOrClose()
+		}
 	})
 	go func() {
 		for {
