Explain denials, pauses, limits and unknown versions

Cause: explain had no cause for rejections by documents that are not confirmed, pauses, limits and software versions, and could not tell a denial by a fresh document from one by an old one. Change: causes for these outcomes, the age of the confirmation, and the fields of watched cores. Measured: the 7 cases of TestExplainNamesCauseOfRejection failed before and pass.

--- a/internal/request/recap/recap.go
+++ b/internal/request/recap/recap.go
@@ -196,13 +196,11 @@
 	case "NoDocument":
 		return "refused: the gate had no routing document yet; check its startup and its control process"
 	case "NoRoute":
-		return fmt.Sprintf("refused: document %v has no route for it", end.Fields["Document"])
+		return fmt.Sprintf("refused: document %v has no route for it", end.Fields["Document"]) + confirmedText(end, "; ")
 	case "NoCustomer":
-		return fmt.Sprintf("refused: document %v has no customer with its key", end.Fields["Document"])
-	case "Quarantined":
-		return quarantineCause(end)
-	case "NotRun":
-		return "refused without running: " + targetErrors(list)
+		return fmt.Sprintf("refused: document %v has no customer with its key", end.Fields["Document"]) + confirmedText(end, "; ")
+	case "NotRun", "Quarantined", "DocumentUnconfirmed", "Paused", "RateLimited", "VersionGone", "OriginUnknown":
+		return "refused without running: " + rejectionCause(end, list)
 	case "Pass":
 		return fmt.Sprintf("%s answered with status %d, after %d attempts", last.Target, last.Status, len(list))
 	case "Unknown":
@@ -217,13 +215,45 @@
 	return ""
 }
 
+// rejectionCause returns why a request was rejected without running.
+func rejectionCause(end *Line, list []attempt) string {
+	switch stringField(end.Fields, "Outcome") {
+	case "Quarantined":
+		return quarantineCause(end)
+	case "DocumentUnconfirmed":
+		return fmt.Sprintf("document %v does not allow it, but a newer one may", end.Fields["Document"]) + confirmedText(end, ": ")
+	case "Paused":
+		return "all targets that it may use have asked for a pause"
+	case "RateLimited":
+		return "all targets that it may use limit their rates"
+	case "VersionGone":
+		return "no target has the software version that began its stream"
+	case "OriginUnknown":
+		return "nobody knows which software version began its stream"
+	}
+	return targetErrors(list)
+}
+
+// confirmedText returns when a quorum last confirmed the document that a request was
+// decided by, after a separator, or "" if the line does not say.
+func confirmedText(end *Line, separator string) string {
+	switch age := stringField(end.Fields, "Confirmed"); age {
+	case "":
+		return ""
+	case "never":
+		return separator + "no quorum has confirmed the document"
+	default:
+		return separator + "a quorum confirmed the document " + age + " before"
+	}
+}
+
 // quarantineCause returns why a quarantined request was refused.
 func quarantineCause(end *Line) string {
 	subject := "the request"
 	if part := stringField(end.Fields, "QuarantinedPart"); part != "" {
 		subject = "part " + part + " of its prompt"
 	}
-	return fmt.Sprintf("refused without running: %s crashed targets; 'cactusline lift %s' ends the quarantine", subject, stringField(end.Fields, "Quarantine"))
+	return fmt.Sprintf("%s crashed targets; 'cactusline lift %s' ends the quarantine", subject, stringField(end.Fields, "Quarantine"))
 }
 
 // crashedOnPart reports whether a line is about a crash with a part of prompts in
@@ -280,8 +310,8 @@
 func fieldText(fields map[string]any) string {
 	var text strings.Builder
 	for _, name := range []string{
-		"Fingerprint", "QuarantinedPart", "Parts", "Outcome", "Status", "Route", "Customer", "Document", "version", "Target", "target", "Result", "Took",
-		"address", "change", "old", "new", "leaving", "Error", "err",
+		"Fingerprint", "QuarantinedPart", "Parts", "Outcome", "Status", "Route", "Customer", "Document", "Confirmed", "version", "Target", "target", "Result", "Took",
+		"For", "address", "watched", "confirmed", "sessionAge", "sessionQuiet", "change", "old", "new", "leaving", "Error", "err",
 	} {
 		if value, found := fields[name]; found && value != nil && value != "" {
 			fmt.Fprintf(&text, " %s=%v", name, value)
--- a/internal/request/recap/recap_test.go
+++ b/internal/request/recap/recap_test.go
@@ -90,3 +90,27 @@
 	assert.NilError(t, report.Write(&out))
 	assert.Assert(t, strings.Contains(out.String(), "TargetCrashed Parts=[0001 00ab] Target=t1"), out.String())
 }
+
+// Each outcome of a gate that rejects a request has a cause.
+func TestExplainNamesCauseOfRejection(t *testing.T) {
+	for outcome, want := range map[string]string{
+		"NoRoute":             "refused: document 7 has no route for it; a quorum confirmed the document 420ms before",
+		"NoCustomer":          "refused: document 7 has no customer with its key; a quorum confirmed the document 420ms before",
+		"DocumentUnconfirmed": "refused without running: document 7 does not allow it, but a newer one may: a quorum confirmed the document 420ms before",
+		"Paused":              "refused without running: all targets that it may use have asked for a pause",
+		"RateLimited":         "refused without running: all targets that it may use limit their rates",
+		"VersionGone":         "refused without running: no target has the software version that began its stream",
+		"OriginUnknown":       "refused without running: nobody knows which software version began its stream",
+	} {
+		t.Run(outcome, func(t *testing.T) {
+			line := `{"Event":"RequestEnded","Outcome":"` + outcome + `","Document":7,"Confirmed":"420ms","Request":"r1","Time":"2026-01-01T00:00:10Z","process":"edge-1","role":"gate"}
+`
+			report, err := recap.Explain("r1", read(t, line))
+			assert.NilError(t, err)
+			assert.Equal(t, report.Cause, want)
+			var out bytes.Buffer
+			assert.NilError(t, report.Write(&out))
+			assert.Assert(t, strings.Contains(out.String(), "Confirmed=420ms"), out.String())
+		})
+	}
+}
