--- a/internal/process/gate/harness_test.go
+++ b/internal/process/gate/harness_test.go
@@ -101,6 +101,8 @@
 
 	mu       sync.Mutex
 	requests []*receivedRequest
+	// paused is not nil while no connections are accepted, and closed at the end of that.
+	paused   <-chan struct{}
 	listener net.Listener
 	conns    []net.Conn
 }
@@ -154,6 +156,22 @@
 	_ = r.conn.Close()
 }
 
+// pauseAccept accepts one more connection at most until the channel is closed.
+func (f *fakeTarget) pauseAccept(until <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.paused = until
+}
+
+func (f *fakeTarget) awaitPause() {
+	f.mu.Lock()
+	paused := f.paused
+	f.mu.Unlock()
+	if paused != nil {
+		<-paused
+	}
+}
+
 func (f *fakeTarget) count() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -190,6 +208,7 @@
 				return
 			}
 			go target.serve(conn)
+			target.awaitPause()
 		}
 	}()
 	return target
