Log the age of a confirmation in one place

Cause: the gate and its follower each made the text. Change: one function, and lines on the gates' reports and on serving without a quorum.

--- a/internal/conn/watch/follower.go
+++ b/internal/conn/watch/follower.go
@@ -152,8 +152,8 @@
 // before it was restarted.
 func (f *Follower) Confirmed() bool { return f.confirmedStamp.Load() != 0 }
 
-// confirmedText returns the result of ConfirmedAge as it is logged.
-func (f *Follower) confirmedText() string {
+// ConfirmedText returns the result of ConfirmedAge as it is logged.
+func (f *Follower) ConfirmedText() string {
 	if age, confirmed := f.ConfirmedAge(); confirmed {
 		return age.String()
 	}
@@ -174,7 +174,7 @@
 		}
 		f.endpoints.markLost(f.cfg.Clock.Now(), address, f.confirmedStamp.Load() > confirmed)
 		_ = level.Warn(f.cfg.Logger).Log("msg", "control lost", "address", address, "watched", f.cfg.Clock.Now().Sub(began),
-			"confirmed", f.confirmedText(), "err", err)
+			"confirmed", f.ConfirmedText(), "err", err)
 		_ = f.cfg.Clock.Sleep(ctx, reconnectDelay)
 	}
 }
--- a/internal/process/gate/log.go
+++ b/internal/process/gate/log.go
@@ -31,7 +31,7 @@
 		fields = append(fields, "Document", uint64(c.routeTable.Version()))
 	}
 	if len(c.attempts) == 0 && (isDenial(status) || outcome == reasonUnconfirmed) {
-		fields = append(fields, "Confirmed", g.confirmedText())
+		fields = append(fields, "Confirmed", g.cfg.Follower.ConfirmedText())
 		metrics.GetOrCreateCounter(fmt.Sprintf("cactusline_denials_total{status=\"%d\"}", status)).Inc()
 	}
 	if c.route != nil {
@@ -61,14 +61,6 @@
 	return status == http.StatusUnauthorized || status == http.StatusForbidden || status == http.StatusNotFound
 }
 
-// confirmedText returns how long ago a quorum confirmed the document, as it is logged.
-func (g *Gate) confirmedText() string {
-	if age, confirmed := g.cfg.Follower.ConfirmedAge(); confirmed {
-		return age.String()
-	}
-	return "never"
-}
-
 // quarantineFields counts a rejection and returns the fields that say what the request
 // was rejected for.
 func (c *call) quarantineFields() []any {
