--- a/internal/process/ctrl/ctrl.go
+++ b/internal/process/ctrl/ctrl.go
@@ -34,6 +34,9 @@
 // Clock provides the time.
 type Clock interface {
 	Now() time.Time
+	// Elapsed returns the time since an unspecified start, including the time for which
+	// the machine was suspended.
+	Elapsed() time.Duration
 	After(d time.Duration) <-chan time.Time
 	Sleep(ctx context.Context, d time.Duration) error
 }
--- a/internal/process/ctrl/hub.go
+++ b/internal/process/ctrl/hub.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,6 +47,8 @@
 	nextConfirmation chan struct{}
 	// lastBarrierStart is the time at which the last successful barrier began.
 	lastBarrierStart time.Time
+	// lastBarrierElapsed is the same as elapsed time.
+	lastBarrierElapsed time.Duration
 	// loadTick is closed when changed loads are to be sent.
 	loadTick chan struct{}
 
@@ -173,10 +176,10 @@
 // and soon after a process has begun to watch, until ctx is done.
 func (h *hub) runConfirmations(ctx context.Context) {
 	for ctx.Err() == nil {
-		began := h.cfg.Clock.Now()
+		began, beganElapsed := h.cfg.Clock.Now(), h.cfg.Clock.Elapsed()
 		if h.barrier(ctx) == nil {
 			h.mu.Lock()
-			h.lastBarrierStart = began
+			h.lastBarrierStart, h.lastBarrierElapsed = began, beganElapsed
 			close(h.nextConfirmation)
 			h.nextConfirmation = make(chan struct{})
 			h.mu.Unlock()
@@ -206,6 +209,16 @@
 	return h.lastBarrierStart, h.nextConfirmation, h.loadTick
 }
 
+// confirmedAge returns how long ago the last successful barrier began.
+func (h *hub) confirmedAge() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.lastBarrierStart.IsZero() {
+		return math.MaxInt64
+	}
+	return h.cfg.Clock.Elapsed() - h.lastBarrierElapsed
+}
+
 // sendUpdates sends a watcher every update until ctx is done or sending fails.
 func (h *hub) sendUpdates(ctx context.Context, w *watcher, stream *link.Stream) {
 	for {
--- a/internal/process/ctrl/metrics.go
+++ b/internal/process/ctrl/metrics.go
@@ -17,10 +17,7 @@
 		return float64(len(c.targetLimits()))
 	})
 	metrics.GetOrCreateGauge("cactusline_streams_known", func() float64 { return float64(c.origins.Len()) })
-	metrics.GetOrCreateGauge("cactusline_quorum_age_seconds", func() float64 {
-		barrierStart, _, _ := c.hub.signals()
-		return c.cfg.Clock.Now().Sub(barrierStart).Seconds()
-	})
+	metrics.GetOrCreateGauge("cactusline_quorum_age_seconds", func() float64 { return c.hub.confirmedAge().Seconds() })
 }
 
 // watcherCount returns the number of processes that watch.
--- a/internal/process/ctrl/sendpermit.go
+++ b/internal/process/ctrl/sendpermit.go
@@ -35,7 +35,7 @@
 	c.sendLimiter.Observe(now, term, permit.DecodeSendLimits(now, message.GetLimits()))
 	reply := new(wire.SendPermitReply)
 	if len(message.GetCandidates()) > 0 {
-		if barrierStart, _, _ := c.hub.signals(); now.Sub(barrierStart) > sendPermitLease {
+		if c.hub.confirmedAge() > sendPermitLease {
 			return &wire.QueryReply{Error: "leadership was not confirmed by a quorum lately", Retry: true}
 		}
 		grant := c.sendLimiter.Take(now, term, decodeSendRequest(message))
--- a/internal/process/ctrl/sendpermit_test.go
+++ b/internal/process/ctrl/sendpermit_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,6 +29,7 @@
 	links      *link.Client
 	address    string
 	control    *ctrl.Control
+	clock      *suspendableClock
 	membership *fakeMembership
 	log        *fakeLog
 }
@@ -48,12 +50,12 @@
 	assert.NilError(t, err)
 	h := &sendPermitHarness{
 		t: t, ctx: ctx, links: link.NewClient(link.Config{Clock: clock.System{}}), address: listener.Addr().String(),
-		membership: new(fakeMembership),
+		membership: new(fakeMembership), clock: new(suspendableClock),
 	}
 	t.Cleanup(func() { _ = h.links.Close() })
 	h.membership.set("self", 1)
 	h.control = ctrl.New(ctrl.Config{
-		VM: "self", Listener: listener, Clock: clock.System{}, Logger: log.NewNopLogger(), Tracer: trace.NewNoop(),
+		VM: "self", Listener: listener, Clock: h.clock, Logger: log.NewNopLogger(), Tracer: trace.NewNoop(),
 		Log: replicated, Store: state, Link: h.links, Group: h.membership, Roster: roster.NewPublisher("self"),
 	})
 	go func() { _ = h.control.Run(ctx) }()
@@ -102,6 +104,27 @@
 	assert.Equal(t, reply.GetLeader(), "192.0.2.1:7000")
 }
 
+// suspendableClock is the system clock of a machine that was suspended for a time.
+type suspendableClock struct {
+	clock.System
+	suspended atomic.Int64
+}
+
+// Elapsed implements ctrl.Clock.
+func (s *suspendableClock) Elapsed() time.Duration {
+	return s.System.Elapsed() + time.Duration(s.suspended.Load())
+}
+
+// Guards against permits of a leader that was suspended while another one took over.
+func TestSuspendedLeaderGrantsNoPermit(t *testing.T) {
+	h := newSendPermitHarness(t)
+	h.waitUntilGranted(askFor("t", 100))
+	h.log.set(func() error { return errors.New("no quorum") })
+	h.clock.suspended.Add(int64(time.Minute))
+	reply, result := h.ask(askFor("t", 100))
+	assert.Assert(t, result.GetTarget() == "" && reply.GetRetry(), "granted after a suspension")
+}
+
 func TestSendPermitsOfANewTermStartAtZero(t *testing.T) {
 	h := newSendPermitHarness(t)
 	h.waitUntilGranted(askFor("t", 1))
