Wait until a target of a test accepts no more before its queue is filled

Change: the harness waits until the target has accepted its last connection. The check is as strict.

--- a/internal/process/gate/harness_test.go
+++ b/internal/process/gate/harness_test.go
@@ -102,7 +102,9 @@
 	mu       sync.Mutex
 	requests []*receivedRequest
 	// paused is not nil while no connections are accepted, and closed at the end of that.
+	// parked is closed once the last one before it is accepted.
 	paused   <-chan struct{}
+	parked   chan struct{}
 	listener net.Listener
 	conns    []net.Conn
 }
@@ -156,18 +158,27 @@
 	_ = r.conn.Close()
 }
 
-// pauseAccept accepts one more connection at most until the channel is closed.
-func (f *fakeTarget) pauseAccept(until <-chan struct{}) {
+// pauseAccept accepts no more connections until the channel is closed.
+func (f *fakeTarget) pauseAccept(t *testing.T, until <-chan struct{}) {
+	t.Helper()
+	parked := make(chan struct{})
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.paused = until
+	f.paused, f.parked = until, parked
+	f.mu.Unlock()
+	// The target waits for a connection already, and pauses after it.
+	conn, err := net.Dial("tcp", f.address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	<-parked
 }
 
 func (f *fakeTarget) awaitPause() {
 	f.mu.Lock()
-	paused := f.paused
+	paused, parked := f.paused, f.parked
+	f.paused = nil
 	f.mu.Unlock()
 	if paused != nil {
+		close(parked)
 		<-paused
 	}
 }
--- a/internal/process/gate/waiting_test.go
+++ b/internal/process/gate/waiting_test.go
@@ -64,7 +64,7 @@
 	t.Helper()
 	raw, err := target.listener.(*net.TCPListener).SyscallConn()
 	assert.NilError(t, err)
-	target.pauseAccept(accept)
+	target.pauseAccept(t, accept)
 	assert.NilError(t, raw.Control(func(fd uintptr) { err = unix.Listen(int(fd), 0) }))
 	assert.NilError(t, err)
 	for range 8 {
