Let half of an even number of voters decide beside a lost disk

Cause: a successor is a fourth voter while the machine that it follows is one. With one voter gone and one disk lost, two of four voters are left, and neither an election nor a change of members is possible. The window lasts until the silent voter is removed; a hand-over at SIGTERM or an earlier removal would only make it shorter, and nothing is left of it to shorten after a SIGKILL.

Change: half of an even number of voters is a quorum, too, if each of them knew, when it gave its support, that one and the same other voter has lost its disk. Evidence is the reply of a process to an announcement: the VM of a member answers with another data folder, after the member was known. Messages carry it on. As quorums of two lists need not meet any more, a change of the list needs a quorum of the old and of the new list until it has committed; the commit is saved with the hard state, told at once, and named in replies to vote requests.

Ruled out: a spare as a learner (with 3 voters, the loss of two of them loses what only these two had), and votes by failure domain (a successor in another domain is as bad).

--- a/internal/process/group/api.go
+++ b/internal/process/group/api.go
@@ -110,16 +110,19 @@
 // MemberStatus is the leader's view of one member. Match is the index of the
 // last entry that the member is known to have synced. LastContact is when the
 // leader last heard from the member; it is zero for the leader itself. Both
-// are zero on followers.
+// are zero on followers. DiskLost tells that the member's disk is known to be lost.
 type MemberStatus struct {
 	Member
 	Learner     bool
 	Match       uint64
 	LastContact time.Time
+	DiskLost    bool
 }
 
 // Status is a member's view of its group. Commit and Applied are the indexes
-// of the last committed and the last applied entry. Newcomers are the VMs that
+// of the last committed and the last applied entry. Leaving are the members that
+// the newest member list no longer holds, but whose votes still count because that
+// list has not committed as far as this member knows. Newcomers are the VMs that
 // have asked to join since this member was opened and that are not in the
 // member list. Failure is the error that stopped the member, or nil.
 type Status struct {
@@ -130,6 +133,7 @@
 	Commit    uint64
 	Applied   uint64
 	Members   []MemberStatus
+	Leaving   []MemberStatus
 	Newcomers []Member
 	Failure   error
 }
--- a/internal/process/group/group.go
+++ b/internal/process/group/group.go
@@ -304,14 +304,12 @@
 		Commit: raftStatus.Commit, Applied: g.lastApplied.get(), Failure: g.failure,
 	}
 	for _, view := range raftStatus.Members {
-		status.Members = append(status.Members, MemberStatus{
-			Member:      memberFromProto(view.Member),
-			Learner:     view.Member.GetLearner(),
-			Match:       view.Match,
-			LastContact: view.LastContact,
-		})
+		status.Members = append(status.Members, newMemberStatus(view))
 		delete(g.newcomers, MemberID(view.Member.GetId()))
 	}
+	for _, view := range raftStatus.Leaving {
+		status.Leaving = append(status.Leaving, newMemberStatus(view))
+	}
 	for _, newcomer := range g.newcomers {
 		status.Newcomers = append(status.Newcomers, newcomer)
 	}
@@ -321,6 +319,16 @@
 	return status
 }
 
+func newMemberStatus(view raft.MemberView) MemberStatus {
+	return MemberStatus{
+		Member:      memberFromProto(view.Member),
+		Learner:     view.Member.GetLearner(),
+		Match:       view.Match,
+		LastContact: view.LastContact,
+		DiskLost:    view.DiskLost,
+	}
+}
+
 // Close stops the member and releases its data folder. A leader first tries,
 // for at most ElectionTimeout, to transfer leadership to the voter with the
 // highest match index.
--- a/internal/process/group/membership.go
+++ b/internal/process/group/membership.go
@@ -71,9 +71,9 @@
 
 // Replace replaces the member old: it adds replacement as a learner, waits
 // until it has caught up, promotes it and removes old. It returns nil only
-// once all these changes have committed and replacement has synced everything
-// that had committed by then. After an error it may be called again; it skips
-// the changes already made.
+// once all these changes have committed, a quorum knows it, and replacement has
+// synced everything that had committed by then. After an error it may be called
+// again; it skips the changes already made.
 func (g *Group) Replace(ctx context.Context, old MemberID, replacement Member) error {
 	if err := g.changeWithRetry(ctx, raft.AddLearner, replacement, raft.AlreadyDone); err != nil {
 		return fmt.Errorf("replace %s: add: %w", old, err)
@@ -87,6 +87,19 @@
 	if err := g.awaitSynced(ctx, replacement.ID); err != nil {
 		return fmt.Errorf("replace %s: wait for %s: %w", old, replacement.ID, err)
 	}
+	if _, err := g.Barrier(ctx); err != nil {
+		return fmt.Errorf("replace %s: tell the members: %w", old, err)
+	}
+	return nil
+}
+
+// ReportDiskLost tells the member that the disk of another member is lost for good.
+// The caller must be certain: nothing that the lost member has acknowledged counts
+// any more.
+func (g *Group) ReportDiskLost(id MemberID) error {
+	if err := g.withNode(func(now time.Time) { g.node.ReportDiskLost(now, string(id)) }); err != nil {
+		return fmt.Errorf("report lost disk of %s: %w", id, err)
+	}
 	return nil
 }
 
--- a/internal/process/member/discovery.go
+++ b/internal/process/member/discovery.go
@@ -67,6 +67,8 @@
 
 // announceReply is the reply to an announcement.
 type announceReply struct {
+	// Self is the process that replies.
+	Self  Process
 	Known []Process
 	// Founder is the VM that must bootstrap the group. It is set only by the
 	// process that chooses the founder.
@@ -209,7 +211,8 @@
 		add(seed)
 	}
 	if d.cfg.Group != nil {
-		for _, member := range d.cfg.Group.Status().Members {
+		status := d.cfg.Group.Status()
+		for _, member := range append(status.Members, status.Leaving...) {
 			add(member.Address)
 		}
 	}
@@ -231,6 +234,7 @@
 		_ = level.Error(d.cfg.Logger).Log("msg", "encode announcement failed", "err", err)
 		return
 	}
+	members := d.membersAt(address)
 	reply := new(wire.QueryReply)
 	call := &wire.Call{Body: &wire.Call_Query{Query: &wire.Query{Kind: queryAnnounce, Argument: argument}}}
 	if err := d.cfg.Link.Ask(ctx, address, call, reply); err != nil {
@@ -242,6 +246,7 @@
 		_ = level.Warn(d.cfg.Logger).Log("msg", "invalid reply to announcement", "address", address, "answer", reply.GetError(), "err", err)
 		return
 	}
+	d.reportLostDisks(members, answer.Self)
 	for _, process := range answer.Known {
 		d.recordProcess(process, false)
 	}
@@ -250,6 +255,32 @@
 	}
 }
 
+// membersAt returns the members of the log at an address.
+func (d *Discovery) membersAt(address string) []group.MemberStatus {
+	if d.cfg.Group == nil {
+		return nil
+	}
+	status := d.cfg.Group.Status()
+	return slices.DeleteFunc(append(status.Members, status.Leaving...), func(m group.MemberStatus) bool { return m.Address != address })
+}
+
+// reportLostDisks reports those of members whose VM now has another data folder.
+// members are the members at the address of the replying process before it was
+// asked. A reply that was sent later proves that the folder of a member is gone,
+// while an announcement may be older than the member.
+func (d *Discovery) reportLostDisks(members []group.MemberStatus, replying Process) {
+	if replying.ID == "" {
+		return
+	}
+	for _, member := range members {
+		if member.VM != replying.VM || member.ID == replying.ID || member.DiskLost {
+			continue
+		}
+		err := d.cfg.Group.ReportDiskLost(member.ID)
+		_ = level.Info(d.cfg.Logger).Log("msg", "disk of member is lost", "member", member.ID, "now", replying.ID, "err", err)
+	}
+}
+
 // Answer returns the reply to an announcement, and nil for other queries.
 func (d *Discovery) Answer(query *wire.Query) *wire.QueryReply {
 	if query.GetKind() != queryAnnounce {
@@ -266,7 +297,7 @@
 			known = append(known, Process{VM: member.VM, ID: member.ID, Address: member.Address})
 		}
 	}
-	result, err := json.Marshal(announceReply{Known: known, Founder: d.chooseFounder()})
+	result, err := json.Marshal(announceReply{Self: d.cfg.Self, Known: known, Founder: d.chooseFounder()})
 	if err != nil {
 		return &wire.QueryReply{Error: err.Error()}
 	}
--- a/internal/process/member/simulation_test.go
+++ b/internal/process/member/simulation_test.go
@@ -206,7 +206,7 @@
 			Member: group.Member{
 				ID: group.MemberID(memberView.Member.GetId()), VM: ident.VMName(memberView.Member.GetVm()), Address: memberView.Member.GetAddress(),
 			},
-			Learner: memberView.Member.GetLearner(), Match: memberView.Match, LastContact: memberView.LastContact,
+			Learner: memberView.Member.GetLearner(), Match: memberView.Match, LastContact: memberView.LastContact, DiskLost: memberView.DiskLost,
 		})
 	}
 	var live []member.Process
@@ -388,7 +388,17 @@
 	text := ""
 	for _, vm := range s.vms {
 		status := vm.node.Status()
-		text += fmt.Sprintf("%s %s up=%v term=%d commit=%d members=%d; ", vm.id, status.Role, s.isUp(vm), status.Term, status.Commit, len(status.Members))
+		text += fmt.Sprintf("%s %s up=%v term=%d commit=%d members:", vm.id, status.Role, s.isUp(vm), status.Term, status.Commit)
+		for _, view := range append(status.Members, status.Leaving...) {
+			text += " " + view.Member.GetId()
+			if view.Member.GetLearner() {
+				text += "(learner)"
+			}
+			if view.DiskLost {
+				text += "(lost)"
+			}
+		}
+		text += "; "
 	}
 	return text
 }
--- a/internal/process/raft/election.go
+++ b/internal/process/raft/election.go
@@ -18,13 +18,13 @@
 // vote for this member, without starting a new term, or, if forced, goes straight
 // to the election. A campaign is forced if the leader transfers leadership.
 func (n *Node) campaign(forced bool) {
-	n.votes = map[string]bool{}
+	n.votes = map[string]vote{}
 	n.leader = ""
 	n.forced = forced
 	n.resetRetryTimer()
 	if !forced {
 		n.role = PreCandidate
-		n.votes[n.cfg.ID] = true
+		n.votes[n.cfg.ID] = vote{}
 		if n.hasVoteQuorum(true) {
 			n.startElection()
 			return
@@ -42,7 +42,7 @@
 	n.term++
 	n.vote = n.cfg.ID
 	n.leader = ""
-	n.votes = map[string]bool{}
+	n.votes = map[string]vote{}
 	n.resetRetryTimer()
 	n.requestVotes(raftpb.MessageKind_VOTE, n.term)
 }
@@ -67,13 +67,14 @@
 // not voted for this member.
 func (n *Node) requestVotes(kind raftpb.MessageKind, term uint64) {
 	n.voteResendAt = n.now.Add(n.cfg.HeartbeatInterval)
-	for _, member := range n.members {
-		if member.GetLearner() || member.GetId() == n.cfg.ID || n.votes[member.GetId()] {
+	for _, member := range n.allMembers() {
+		id := member.GetId()
+		if _, granted := n.votes[id]; granted || member.GetLearner() || id == n.cfg.ID {
 			continue
 		}
 		n.sendAfterSync(&raftpb.Message{
 			Kind:    kind,
-			To:      member.GetId(),
+			To:      id,
 			Term:    term,
 			Index:   n.log.last(),
 			LogTerm: n.log.lastTerm(),
@@ -94,13 +95,22 @@
 		n.vote = m.GetFrom()
 		n.resetElectionTimer()
 	}
-	n.sendAfterSync(&raftpb.Message{Kind: raftpb.MessageKind_VOTE_REPLY, To: m.GetFrom(), Reject: !granted})
+	n.sendAfterSync(n.newVoteReply(raftpb.MessageKind_VOTE_REPLY, m.GetFrom(), granted))
+}
+
+// newVoteReply returns a reply to a vote request. It names the last entry that this
+// member knows to have committed.
+func (n *Node) newVoteReply(kind raftpb.MessageKind, to string, granted bool) *raftpb.Message {
+	return &raftpb.Message{
+		Kind: kind, To: to, Reject: !granted,
+		Commit: n.log.commitIndex, LogTerm: n.termOrZero(n.log.commitIndex),
+	}
 }
 
 func (n *Node) onPreVote(m *raftpb.Message) {
 	granted := m.GetTerm() > n.term && !n.leaderAlive() && n.log.candidateUpToDate(m.GetIndex(), m.GetLogTerm())
 	granted = granted && !n.precedesRival(m)
-	reply := &raftpb.Message{Kind: raftpb.MessageKind_PRE_VOTE_REPLY, To: m.GetFrom(), Reject: !granted}
+	reply := n.newVoteReply(raftpb.MessageKind_PRE_VOTE_REPLY, m.GetFrom(), granted)
 	if granted {
 		reply.Term = m.GetTerm()
 		// Gives the candidate time to win before this member campaigns itself.
@@ -121,12 +131,17 @@
 }
 
 func (n *Node) onVoteReply(m *raftpb.Message) {
+	// Entries with the same index and term end equal logs, so the entry has
+	// committed here, too. That may end a change of members whose leader is gone.
+	if term, ok := n.log.termAt(m.GetCommit()); ok && m.GetCommit() > 0 && term == m.GetLogTerm() {
+		n.setCommit(m.GetCommit())
+	}
 	switch {
 	case n.role == PreCandidate && m.GetKind() == raftpb.MessageKind_PRE_VOTE_REPLY:
 		if m.GetReject() || m.GetTerm() != n.term+1 {
 			return
 		}
-		n.votes[m.GetFrom()] = true
+		n.votes[m.GetFrom()] = vote{knownLost: m.GetLost()}
 		if n.hasVoteQuorum(true) {
 			n.startElection()
 		}
@@ -134,7 +149,7 @@
 		if m.GetReject() {
 			return
 		}
-		n.votes[m.GetFrom()] = true
+		n.votes[m.GetFrom()] = vote{knownLost: m.GetLost()}
 		n.tryBecomeLeader()
 	}
 }
@@ -150,30 +165,15 @@
 // hasVoteQuorum reports whether a quorum of voters has voted for this member.
 // countOwnVote tells whether its own vote counts.
 func (n *Node) hasVoteQuorum(countOwnVote bool) bool {
-	return n.hasQuorum(func(id string) bool {
+	return n.hasQuorum(func(id string) (supports bool, knownLost []string) {
 		if id == n.cfg.ID {
-			return countOwnVote
+			return countOwnVote, n.lostMembers()
 		}
-		return n.votes[id]
+		vote, granted := n.votes[id]
+		return granted, vote.knownLost
 	})
 }
 
-// hasQuorum reports whether matches is true for a majority of the voters.
-func (n *Node) hasQuorum(matches func(id string) bool) bool {
-	voters := 0
-	count := 0
-	for _, member := range n.members {
-		if member.GetLearner() {
-			continue
-		}
-		voters++
-		if matches(member.GetId()) {
-			count++
-		}
-	}
-	return count > voters/2
-}
-
 func (n *Node) becomeLeader() {
 	n.role = Leader
 	n.leader = n.cfg.ID
@@ -205,9 +205,8 @@
 // quorumActive reports whether a quorum has been in contact with this leader
 // within the last election timeout.
 func (n *Node) quorumActive() bool {
-	return n.hasQuorum(func(id string) bool {
-		peer := n.peers[id]
-		return id == n.cfg.ID || (peer != nil && n.now.Sub(peer.lastContact) < n.cfg.ElectionTimeout)
+	return n.hasPeerQuorum(func(peer *progress) bool {
+		return n.now.Sub(peer.lastContact) < n.cfg.ElectionTimeout
 	})
 }
 
@@ -215,7 +214,7 @@
 func (n *Node) sendHeartbeats() {
 	n.heartbeatAt = n.now.Add(n.cfg.HeartbeatInterval)
 	n.reads.heartbeatRound++
-	for _, member := range n.members {
+	for _, member := range n.allMembers() {
 		peer := n.peers[member.GetId()]
 		if peer == nil {
 			continue
--- a/internal/process/raft/members.go
+++ b/internal/process/raft/members.go
@@ -52,9 +52,10 @@
 }
 
 // ProposeMemberChange appends a changed member list, which takes effect
-// immediately. A change is rejected while the previous one has not committed
-// and until an entry of the leader's own term has committed. Both rules ensure
-// that the quorums of successive member lists overlap.
+// immediately: until it has committed, a quorum of the previous list is needed
+// beside one of the new list. A change is rejected while the previous one has not
+// committed and until an entry of the leader's own term has committed, so that no
+// more than two lists are in effect.
 func (n *Node) ProposeMemberChange(now time.Time, change Change) (index, term uint64, result ChangeResult) {
 	n.now = now
 	switch {
@@ -126,6 +127,44 @@
 // loadMembers puts the newest member list in the log into effect.
 func (n *Node) loadMembers() {
 	n.members, n.membersIndex = n.membersAt(n.log.last())
+	n.previousMembers = nil
+	if n.membersIndex > n.log.commitIndex {
+		n.previousMembers, _ = n.membersAt(n.membersIndex - 1)
+	}
+	n.loadVoters()
+	n.forgetLost()
+}
+
+// endMemberChange drops the previous member list once the newest one has
+// committed. The leader tells the others at once, because without it they still
+// need a quorum of the previous list until they know.
+func (n *Node) endMemberChange() {
+	if n.previousMembers == nil || n.membersIndex > n.log.commitIndex {
+		return
+	}
+	n.previousMembers = nil
+	n.loadVoters()
+	n.forgetLost()
+	if n.role == Leader {
+		n.updatePeers()
+		n.sendHeartbeats()
+	}
+}
+
+// allMembers returns the members of the newest list and, until that has committed,
+// those that only the previous one holds, whose votes and entries may be needed.
+func (n *Node) allMembers() []*raftpb.Member {
+	all := slices.Clip(n.members)
+	for _, member := range n.previousMembers {
+		if !n.isMember(member.GetId()) {
+			all = append(all, member)
+		}
+	}
+	return all
+}
+
+func (n *Node) isMember(id string) bool {
+	return slices.ContainsFunc(n.members, func(m *raftpb.Member) bool { return m.GetId() == id })
 }
 
 // reloadMembersIfIn reloads the member list if entries contains a new one.
@@ -156,8 +195,9 @@
 
 // updatePeers makes peers hold the progress of exactly the other members.
 func (n *Node) updatePeers() {
-	peers := make(map[string]*progress, len(n.members))
-	for _, member := range n.members {
+	all := n.allMembers()
+	peers := make(map[string]*progress, len(all))
+	for _, member := range all {
 		id := member.GetId()
 		if id == n.cfg.ID {
 			continue
--- a/internal/process/raft/raft.go
+++ b/internal/process/raft/raft.go
@@ -76,11 +76,16 @@
 	now    time.Time
 
 	members      []*raftpb.Member
-	membersIndex uint64               // index of the entry that holds members
-	peers        map[string]*progress // on the leader, for each other member
+	membersIndex uint64 // index of the entry that holds members
+	// previousMembers is the member list before members until that has committed,
+	// and nil from then on.
+	previousMembers []*raftpb.Member
+	voters          [][]string           // of each member list in effect
+	peers           map[string]*progress // on the leader, for each other member
+	lost            map[string]bool      // members whose disks are known to be lost
 
-	votes         map[string]bool
-	forced        bool // the leader asked for this campaign, to transfer leadership
+	votes         map[string]vote // by the voter that granted it
+	forced        bool            // the leader asked for this campaign, to transfer leadership
 	leaderContact time.Time
 	// nextCampaignAt is when the next campaign starts.
 	nextCampaignAt time.Time
@@ -107,7 +112,7 @@
 // New returns a member that continues from state. A member whose state is
 // empty has no member list and waits until a leader sends one.
 func New(now time.Time, cfg Config, state State) *Node {
-	n := &Node{cfg: cfg, now: now, peers: map[string]*progress{}}
+	n := &Node{cfg: cfg, now: now, peers: map[string]*progress{}, lost: map[string]bool{}}
 	n.log = newEntryLog(state.Snapshot, state.Entries)
 	hard := state.HardState
 	if hard == nil {
@@ -155,6 +160,7 @@
 	if m.GetTo() != n.cfg.ID {
 		return
 	}
+	n.recordLost(m.GetLost())
 	if !n.updateTerm(m) {
 		return
 	}
@@ -267,6 +273,7 @@
 	if m.GetTerm() == 0 {
 		m.Term = n.term
 	}
+	m.Lost = n.lostMembers()
 	return m
 }
 
--- a/internal/process/raft/read.go
+++ b/internal/process/raft/read.go
@@ -92,10 +92,7 @@
 }
 
 func (n *Node) roundConfirmed(round uint64) bool {
-	return n.hasQuorum(func(id string) bool {
-		peer := n.peers[id]
-		return id == n.cfg.ID || (peer != nil && peer.ackedRound >= round)
-	})
+	return n.hasPeerQuorum(func(peer *progress) bool { return peer.ackedRound >= round })
 }
 
 func (n *Node) finishRead(id, index uint64) {
--- a/internal/process/raft/ready.go
+++ b/internal/process/raft/ready.go
@@ -83,10 +83,14 @@
 }
 
 // takeChangedHardState returns the hard state to save if the term or the vote has
-// changed since the last Ready, and nil otherwise. A change of the commit index
-// alone does not need a write.
+// changed since the last Ready, or a member list has committed, and nil otherwise.
+// Without a record that the newest member list has committed, a member that
+// restarts would need a quorum of the previous one, too. Any other change of the
+// commit index needs no write.
 func (n *Node) takeChangedHardState() *raftpb.HardState {
-	if n.lastReadyHardState.GetTerm() == n.term && n.lastReadyHardState.GetVote() == n.vote {
+	last := n.lastReadyHardState
+	listCommitted := last.GetCommit() < n.membersIndex && n.membersIndex <= n.log.commitIndex && n.membersIndex > n.log.baseIndex
+	if last.GetTerm() == n.term && last.GetVote() == n.vote && !listCommitted {
 		return nil
 	}
 	n.assert(n.term >= n.lastReadyHardState.GetTerm(), "terms rise", "after %d", n.lastReadyHardState.GetTerm())
@@ -147,6 +151,7 @@
 	Member      *raftpb.Member
 	Match       uint64
 	LastContact time.Time
+	DiskLost    bool // the member's disk is known to be lost
 }
 
 // Status is a copy of the state of a Node.
@@ -159,6 +164,7 @@
 	LastIndex        uint64
 	OwnTermCommitted bool // an entry of the leader's own term has committed
 	Members          []MemberView
+	Leaving          []MemberView // members of the previous list only, until the newest list has committed
 }
 
 // Status returns the current state of the node.
@@ -168,15 +174,25 @@
 		Commit: n.log.commitIndex, LastIndex: n.log.last(),
 		OwnTermCommitted: n.role == Leader && n.ownTermCommitted(),
 	}
-	for _, member := range n.members {
-		view := MemberView{Member: member}
-		if n.role == Leader {
-			view.Match = n.matchOf(member.GetId())
-			if peer := n.peers[member.GetId()]; peer != nil {
-				view.LastContact = peer.lastContact
-			}
+	for _, member := range n.allMembers() {
+		view := n.viewMember(member)
+		if n.isMember(member.GetId()) {
+			status.Members = append(status.Members, view)
+		} else {
+			status.Leaving = append(status.Leaving, view)
 		}
-		status.Members = append(status.Members, view)
 	}
 	return status
 }
+
+func (n *Node) viewMember(member *raftpb.Member) MemberView {
+	id := member.GetId()
+	view := MemberView{Member: member, DiskLost: n.lost[id]}
+	if n.role == Leader {
+		view.Match = n.matchOf(id)
+		if peer := n.peers[id]; peer != nil {
+			view.LastContact = peer.lastContact
+		}
+	}
+	return view
+}
--- a/internal/process/raft/replicate.go
+++ b/internal/process/raft/replicate.go
@@ -15,6 +15,7 @@
 	lastContact   time.Time
 	lastSent      time.Time // when entries or a snapshot were last sent
 	snapshotIndex uint64    // index of the snapshot being sent, zero if none is
+	knownLost     []string  // members whose disks this member, at its last reply, knew to be lost
 }
 
 // Propose appends an entry on the leader and returns its index and term. It
@@ -41,7 +42,7 @@
 
 // replicate sends each other member the entries that have not been sent to it.
 func (n *Node) replicate() {
-	for _, member := range n.members {
+	for _, member := range n.allMembers() {
 		if peer := n.peers[member.GetId()]; peer != nil {
 			n.sendEntries(member.GetId(), peer)
 		}
@@ -144,6 +145,13 @@
 	}
 	n.assert(index <= n.log.last(), "log matching", "commit %d beyond last entry %d", index, n.log.last())
 	n.log.commitIndex = min(index, n.log.last())
+	n.endMemberChange()
+}
+
+// recordContact records a reply of the member.
+func (p *progress) recordContact(now time.Time, reply *raftpb.Message) {
+	p.lastContact = now
+	p.knownLost = reply.GetLost()
 }
 
 func (n *Node) onAppendReply(m *raftpb.Message) {
@@ -151,7 +159,7 @@
 	if n.role != Leader || peer == nil {
 		return
 	}
-	peer.lastContact = n.now
+	peer.recordContact(n.now, m)
 	if m.GetReject() {
 		if m.GetIndex() > peer.match && m.GetIndex() < peer.next {
 			peer.next = max(peer.match, min(m.GetHint(), m.GetIndex()-1)) + 1
@@ -178,18 +186,7 @@
 	if n.role != Leader {
 		return
 	}
-	matches := make([]uint64, 0, len(n.members))
-	for _, member := range n.members {
-		if !member.GetLearner() {
-			matches = append(matches, n.matchOf(member.GetId()))
-		}
-	}
-	if len(matches) == 0 {
-		return
-	}
-	slices.Sort(matches)
-	// The highest index that is durable on a majority of the voters.
-	index := matches[(len(matches)-1)/2]
+	index := n.quorumIndex()
 	term, ok := n.log.termAt(index)
 	if ok && term == n.term {
 		n.setCommit(index)
@@ -225,7 +222,7 @@
 	if n.role != Leader || peer == nil {
 		return
 	}
-	peer.lastContact = n.now
+	peer.recordContact(n.now, m)
 	peer.ackedRound = max(peer.ackedRound, m.GetRound())
 	n.confirmReads()
 	n.rewindUnacknowledged(peer)
