Answer or reject what a stopping gate cannot finish

It can happen here: awaitTimelyWakeups takes requests for as long as the process wakes late, up to the end of the grace period, and when http.Server.Shutdown gives up, the process ends with whatever is in flight.

Change: from 400 ms after the drain on, a request whose deadline is after the end of the grace period gets 503 as not run. What is still in flight 500 ms before the end of the grace period is answered 504 (outcome unknown); a stream that has begun is broken off. Shutdown is asked once more at its end, because it looks only every 500 ms.

--- a/internal/process/gate/attempt.go
+++ b/internal/process/gate/attempt.go
@@ -237,7 +237,7 @@
 	switch {
 	case errors.Is(e.err, errTargetSilent):
 		return carry.ResponseLost, place.Unreachable
-	case errors.Is(e.err, errDeadlineExceeded):
+	case errors.Is(e.err, errDeadlineExceeded), errors.Is(e.err, errStopping):
 		// Without a connection the request was not sent, so the caller can be told
 		// that it was not run.
 		if e.conn == nil {
@@ -251,6 +251,9 @@
 // connectSignal returns what a failure to connect shows of the target. A timeout shows
 // nothing if the deadline left too little time.
 func (e *exchange) connectSignal() place.HealthSignal {
+	if errors.Is(e.err, errStopping) {
+		return place.Inconclusive
+	}
 	var netErr net.Error
 	timedOut := errors.Is(e.err, errDeadlineExceeded) || errors.As(e.err, &netErr) && netErr.Timeout()
 	if timedOut && e.call.gate.cfg.Clock.Now().Sub(e.startedAt) < unreachableAfter {
--- a/internal/process/gate/gate.go
+++ b/internal/process/gate/gate.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -55,8 +54,13 @@
 	// its document is the newest. After that it serves by the document anyway.
 	maxUnconfirmedWait = 3 * time.Second
 	// shutdownMargin is the part of the grace period that is reserved for the exit
-	// of the process.
+	// of the process, and answerMargin the part before it in which requests that are
+	// still in flight are answered.
 	shutdownMargin = 300 * time.Millisecond
+	answerMargin   = 200 * time.Millisecond
+	// lateAfterDrain is how long after the drain a request may arrive and outlast the
+	// grace period. It covers requests that the process had not read yet.
+	lateAfterDrain = 400 * time.Millisecond
 )
 
 // Clock tells the time and sleeps.
@@ -137,6 +141,8 @@
 	// passed, and never reset.
 	mayServe atomic.Bool
 	stopping atomic.Bool
+	// shutdown is nil until the process stops.
+	shutdown atomic.Pointer[shutdownTimes]
 
 	// lastReport holds the loads that were reported last.
 	lastReport struct {
@@ -307,12 +313,15 @@
 
 // Run serves callers and readiness checks until ctx ends. It then shuts down
 // gracefully: the readiness check fails, and after DrainDelay it stops accepting
-// connections and waits for the requests in flight until GracePeriod ends.
+// connections and waits for the requests in flight until GracePeriod ends. Requests
+// that are in flight then are answered as of unknown outcome.
 func (g *Gate) Run(ctx context.Context, callerListener, readinessListener net.Listener) error {
 	g.registerMetrics()
 	readinessServer := &http.Server{Handler: g.readinessHandler(), ReadHeaderTimeout: defaultHeaderTimeout}
 	go func() { _ = readinessServer.Serve(readinessListener) }()
-	go g.server.serve(callerListener, g)
+	requestCtx, endRequests := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer endRequests(nil)
+	go g.server.serve(requestCtx, callerListener, g)
 	// Reports continue while the process stops, for the requests in flight.
 	reportCtx, stopReports := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopReports()
@@ -323,20 +332,7 @@
 		go g.reportRateLimits(reportCtx)
 	}
 	<-ctx.Done()
-	_ = level.Info(g.cfg.Logger).Log("msg", "stopping", "grace", g.cfg.GracePeriod)
-	// ctx has ended, so the shutdown needs a context of its own.
-	shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), g.cfg.GracePeriod-shutdownMargin)
-	defer cancel()
-	g.stopping.Store(true)
-	_ = g.cfg.Clock.Sleep(shutdownCtx, g.cfg.DrainDelay)
-	awaitTimelyWakeups(shutdownCtx, g.cfg.Clock)
-	err := g.server.shutdown(shutdownCtx)
-	_ = readinessServer.Close()
-	_ = level.Info(g.cfg.Logger).Log("msg", "stopped", "err", err)
-	if err != nil {
-		return fmt.Errorf("shutdown with requests in flight: %w", err)
-	}
-	return nil
+	return g.stop(ctx, readinessServer, endRequests)
 }
 
 func (g *Gate) readinessHandler() http.Handler {
--- a/internal/process/gate/harness_test.go
+++ b/internal/process/gate/harness_test.go
@@ -280,7 +280,10 @@
 	t.Helper()
 	links := link.NewClient(link.Config{Clock: clock.System{}})
 	t.Cleanup(func() { _ = links.Close() })
-	cfg.Compile, cfg.Dialect, cfg.Clock = compile, testDialect{}, clock.System{}
+	cfg.Compile, cfg.Dialect = compile, testDialect{}
+	if cfg.Clock == nil {
+		cfg.Clock = clock.System{}
+	}
 	if cfg.Logger == nil {
 		cfg.Logger = log.NewNopLogger()
 	}
--- a/internal/process/gate/response.go
+++ b/internal/process/gate/response.go
@@ -94,8 +94,13 @@
 	c.respondErrorRetryAfter(http.StatusServiceUnavailable, reasonUnconfirmed, randomRetryAfter()+startupRetryAfter)
 }
 
-// reasonUnconfirmed is the reason of a rejection by a document that may be out of date.
-const reasonUnconfirmed = "DocumentUnconfirmed"
+const (
+	// reasonUnconfirmed is the reason of a rejection by a document that may be out of date.
+	reasonUnconfirmed = "DocumentUnconfirmed"
+	// reasonStopping is the reason of a rejection, or of an unknown outcome, by a process
+	// that stops.
+	reasonStopping = "Stopping"
+)
 
 // finishQuarantined ends a request that must not run until the given time.
 func (c *call) finishQuarantined(ctx context.Context, until time.Time) {
@@ -137,10 +142,17 @@
 	case carry.ReportUnknown:
 		c.respondError(http.StatusBadGateway, "Unknown")
 	case carry.ReportTimeout:
-		c.respondError(http.StatusGatewayTimeout, "Expired")
+		reason := "Expired"
+		if errors.Is(context.Cause(ctx), errStopping) {
+			reason = reasonStopping
+		}
+		c.respondError(http.StatusGatewayTimeout, reason)
 	default: // carry.Abort
 		reason := "Broken"
-		if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, errDeadlineExceeded) {
+		switch cause := context.Cause(ctx); {
+		case errors.Is(cause, errStopping):
+			reason = reasonStopping
+		case cause != nil && !errors.Is(cause, errDeadlineExceeded):
 			reason = "CallerLeft"
 		}
 		c.gate.logRequestEnded(c, 0, reason)
--- a/internal/process/gate/serve.go
+++ b/internal/process/gate/serve.go
@@ -44,6 +44,10 @@
 	if !c.admit() || !c.readRequestBody() {
 		return
 	}
+	if g.isLate(c.deadline) {
+		c.respondError(http.StatusServiceUnavailable, reasonStopping)
+		return
+	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), c.deadline, errDeadlineExceeded)
 	defer cancel()
 	defer c.releaseBuffers()
--- a/internal/process/gate/server.go
+++ b/internal/process/gate/server.go
@@ -28,6 +28,7 @@
 	clock Clock
 
 	mu       sync.Mutex
+	ctx      context.Context // of all requests
 	handler  http.Handler
 	listener net.Listener
 	limits   route.Limits
@@ -66,10 +67,10 @@
 func (s *serverWithLimits) Addr() net.Addr { return s.addr }
 
 // serve accepts connections until the listener is closed and passes each to the
-// current server.
-func (cs *callerServer) serve(listener net.Listener, handler http.Handler) {
+// current server. The contexts of all requests are derived from ctx.
+func (cs *callerServer) serve(ctx context.Context, listener net.Listener, handler http.Handler) {
 	cs.mu.Lock()
-	cs.handler, cs.listener = handler, listener
+	cs.ctx, cs.handler, cs.listener = ctx, handler, listener
 	cs.startServer()
 	cs.mu.Unlock()
 	for {
@@ -115,6 +116,7 @@
 		Handler:           cs.handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
+		BaseContext:       func(net.Listener) context.Context { return cs.ctx },
 	}
 	if cs.limits.MaxHeader > 0 {
 		s.server.MaxHeaderBytes = int(cs.limits.MaxHeader) + headerOverheadBytes
@@ -149,7 +151,13 @@
 	errs := make([]error, len(servers))
 	var wg sync.WaitGroup
 	for i, s := range servers {
-		wg.Go(func() { errs[i] = s.server.Shutdown(ctx) })
+		wg.Go(func() {
+			if errs[i] = s.server.Shutdown(ctx); errs[i] != nil {
+				// Shutdown looks for connections in use at intervals of up to 500 ms. Another
+				// call looks at once.
+				errs[i] = s.server.Shutdown(ctx)
+			}
+		})
 	}
 	wg.Wait()
 	return errors.Join(errs...)
