Bound the response that an operator's command reads

Reported by another operator: bytes without end took the memory of the process that had called. All readers were gone through again: heads, bodies, interim responses and events of targets, the list of targets (its pages and their number), messages between processes, answers of engines and bodies of operators have a limit; status checks of gates open a connection and read nothing. The one reader without a limit was the administration client of the command line. It now gives up after 64 MB as for a lost answer.

--- a/internal/process/cmds/client.go
+++ b/internal/process/cmds/client.go
@@ -27,6 +27,8 @@
 	dialTimeout    = 3 * time.Second
 	resendInterval = 250 * time.Millisecond
 	maxErrorBytes  = 1 << 20
+	// maxResponseBytes bounds the memory for one response.
+	maxResponseBytes = 64 << 20
 )
 
 // Client calls the administration API. It is embedded in the operator commands.
@@ -153,10 +155,13 @@
 	if resp.StatusCode >= http.StatusBadRequest {
 		return nil, decodeError(resp)
 	}
-	data, err := io.ReadAll(resp.Body)
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
 		return nil, &lostAnswerError{err: err}
 	}
+	if len(data) > maxResponseBytes {
+		return nil, &lostAnswerError{err: fmt.Errorf("response of %s is longer than %d bytes", baseURL, maxResponseBytes)}
+	}
 	return data, nil
 }
 
