Show lost disks and leaving members, and log a missing leader

Cause: after the loss of a quorum, status and logs did not tell which voters it is made of, which of them are out of contact and whose disk is lost, so an operator could not see which machine has to come back.

Change: a process that has known no leader for 5 s logs the voters, the silent ones, the lost and the leaving ones, every 5 s. The members in `status` have DiskLost and Leaving. The transport of the log reaches leaving members as well.

--- a/internal/process/admin/status.go
+++ b/internal/process/admin/status.go
@@ -53,6 +53,11 @@
 	// Match is the index of the last log entry known to be synced by the member;
 	// only the leader knows it.
 	Match uint64 `json:",omitempty"`
+	// DiskLost is set if the disk of the member is known to be lost.
+	DiskLost bool `json:",omitempty"`
+	// Leaving is set if the newest member list does not hold the member, but it still
+	// votes because that list has not committed as far as the answering process knows.
+	Leaving bool `json:",omitempty"`
 	// Failure is the error after which the process stopped taking part in the
 	// group.
 	Failure string `json:",omitempty"`
@@ -136,13 +141,11 @@
 		s.Control.Failure = status.Failure.Error()
 	}
 	for _, m := range status.Members {
-		member := Member{ID: m.ID, VM: m.VM, Address: m.Address, State: raft.Follower.String(), Match: m.Match}
-		if m.Learner {
-			member.State = "Learner"
-		}
-		if m.ID == status.Leader {
-			member.State = raft.Leader.String()
-		}
+		s.Members = append(s.Members, newMember(m, status.Leader))
+	}
+	for _, m := range status.Leaving {
+		member := newMember(m, status.Leader)
+		member.Leaving = true
 		s.Members = append(s.Members, member)
 	}
 	for _, m := range status.Newcomers {
@@ -150,6 +153,17 @@
 	}
 }
 
+func newMember(m group.MemberStatus, leader group.MemberID) Member {
+	member := Member{ID: m.ID, VM: m.VM, Address: m.Address, State: raft.Follower.String(), Match: m.Match, DiskLost: m.DiskLost}
+	if m.Learner {
+		member.State = "Learner"
+	}
+	if m.ID == leader {
+		member.State = raft.Leader.String()
+	}
+	return member
+}
+
 func (s *Status) addState(state State) {
 	s.Ledger.Full, s.Ledger.Compacted = state.LedgerKeyCounts()
 	s.Audit = state.AuditHead()
--- a/internal/process/cmds/background.go
+++ b/internal/process/cmds/background.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"errors"
+	"slices"
 	"fmt"
 	"time"
 
@@ -31,13 +32,13 @@
 // newChangeID returns a random change ID.
 func newChangeID() ident.ChangeID { return ident.ChangeID(rand.Text()) }
 
-// updatePeers updates the transport with the addresses of the members and of the VMs
-// that ask to join, until ctx ends.
+// updatePeers updates the transport with the addresses of the members, also those that
+// are leaving, and of the VMs that ask to join, until ctx ends.
 func updatePeers(ctx context.Context, peers *ctrl.PeerTransport, raftGroup *group.Group) {
 	for (clock.System{}).Sleep(ctx, peerUpdateInterval) == nil {
 		status := raftGroup.Status()
 		members := status.Newcomers
-		for _, member := range status.Members {
+		for _, member := range slices.Concat(status.Leaving, status.Members) {
 			members = append(members, member.Member)
 		}
 		peers.UpdateMembers(members)
--- a/internal/process/cmds/print.go
+++ b/internal/process/cmds/print.go
@@ -136,6 +136,18 @@
 	return printJSON(env, newRecords)
 }
 
+// memberState describes the state of a member of the control group.
+func memberState(m *admin.Member) string {
+	state := m.State
+	if m.DiskLost {
+		state += ", disk lost"
+	}
+	if m.Leaving {
+		state += ", leaving"
+	}
+	return state
+}
+
 // printStatus prints the state of the fleet as tables.
 func printStatus(env *commandEnv, status *admin.Status) error {
 	_, _ = fmt.Fprintf(env.stdout, "revision %d, quorum %s, leader %s, term %d, ledger keys %d (%d compacted), audit head %d:%s\n",
@@ -146,7 +158,7 @@
 	}
 	t := newTable("\nCONTROL", "STATE", "ADDRESS", "SYNCED")
 	for _, m := range status.Members {
-		t.row(m.ID, m.State, m.Address, m.Match)
+		t.row(m.ID, memberState(&m), m.Address, m.Match)
 	}
 	for _, m := range status.Newcomers {
 		t.row(m.ID, "asks to join", m.Address, "")
--- a/internal/process/gate/stop_test.go
+++ b/internal/process/gate/stop_test.go
@@ -29,15 +29,23 @@
 	return &rawConn{t: h.t, conn: conn, reader: bufio.NewReader(conn)}
 }
 
-// exchange sends a request that states its timeout and returns the response.
-func (c *rawConn) exchange(path string, timeout time.Duration) (*http.Response, error) {
+// answer is the head of a response.
+type answer struct {
+	status     int
+	retryAfter string
+	closes     bool
+}
+
+// exchange sends a request that states its timeout and returns the answer.
+func (c *rawConn) exchange(path string, timeout time.Duration) (answer, error) {
 	_, err := fmt.Fprintf(c.conn, "POST %s HTTP/1.1\r\nHost: h\r\nId: r%s\r\nWait: %s\r\nContent-Length: 0\r\n\r\n", path, path, timeout)
 	assert.NilError(c.t, err)
 	response, err := http.ReadResponse(c.reader, nil)
-	if err == nil {
-		_ = response.Body.Close()
+	if err != nil {
+		return answer{}, err
 	}
-	return response, err
+	_ = response.Body.Close()
+	return answer{status: response.StatusCode, retryAfter: response.Header.Get("Retry-After"), closes: response.Close}, nil
 }
 
 func documentWithTimeout(timeout time.Duration) func(h *harness) {
@@ -75,17 +83,17 @@
 			late, inTime := h.dial(), h.dial()
 			h.stop()
 			time.Sleep(time.Second)
-			response, err := late.exchange(path, 10*time.Second)
+			got, err := late.exchange(path, 10*time.Second)
 			assert.NilError(t, err)
-			assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
-			assert.Assert(t, response.Header.Get("Retry-After") != "")
-			assert.Assert(t, response.Close)
+			assert.Equal(t, got.status, http.StatusServiceUnavailable)
+			assert.Assert(t, got.retryAfter != "")
+			assert.Assert(t, got.closes)
 			assert.Equal(t, target.count(), 0)
 
 			// What ends in time is served.
-			response, err = inTime.exchange("/once/short", 500*time.Millisecond)
+			got, err = inTime.exchange("/once/short", 500*time.Millisecond)
 			assert.NilError(t, err)
-			assert.Equal(t, response.StatusCode, http.StatusOK)
+			assert.Equal(t, got.status, http.StatusOK)
 		})
 	}
 }
@@ -104,9 +112,9 @@
 			documentWithTimeout(time.Minute)(h)
 			conn := h.dial()
 			go func() { <-started; h.stop() }()
-			response, err := conn.exchange(path, 30*time.Second)
+			got, err := conn.exchange(path, 30*time.Second)
 			assert.NilError(t, err)
-			assert.Equal(t, response.StatusCode, want)
+			assert.Equal(t, got.status, want)
 			assert.NilError(t, <-h.stopped)
 		})
 	}
--- a/internal/process/member/reconciler.go
+++ b/internal/process/member/reconciler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -25,6 +26,9 @@
 	// learners are held back; it is a few heartbeats. A promotion may raise the
 	// quorum. With one voter down, the quorum may then need all other voters.
 	holdPromotionAfter = 300 * time.Millisecond
+	// leaderlessLogInterval is the time without a leader until this is logged, and between
+	// two log lines about it.
+	leaderlessLogInterval = 5 * time.Second
 	// removeAfter is how long a voter must be silent before it is removed without
 	// a replacement, if enough voters are left.
 	removeAfter = 2500 * time.Millisecond
@@ -62,16 +66,21 @@
 // process is the leader.
 type Reconciler struct {
 	cfg ReconcilerConfig
+	// leaderlessSince is when this process last knew a leader or logged that there is none.
+	leaderlessSince time.Time
 }
 
 // NewReconciler returns a Reconciler. Run starts it.
-func NewReconciler(cfg ReconcilerConfig) *Reconciler { return &Reconciler{cfg: cfg} }
+func NewReconciler(cfg ReconcilerConfig) *Reconciler {
+	return &Reconciler{cfg: cfg, leaderlessSince: cfg.Clock.Now()}
+}
 
 // Run reconciles the members until ctx is done.
 func (r *Reconciler) Run(ctx context.Context) {
 	for r.cfg.Clock.Sleep(ctx, reconcileInterval) == nil {
 		status := r.cfg.Membership.Status()
 		r.cfg.UpdatePeers(r.transportPeers(status))
+		r.logLeaderless(&status)
 		if status.Leader != status.ID {
 			continue
 		}
@@ -82,14 +91,51 @@
 	}
 }
 
-// transportPeers returns the members and all other known processes with a data
-// folder.
+// logLeaderless logs at intervals that the group has no leader, with the voters that a
+// quorum is made of, those of them that are out of contact and those whose disks are lost.
+func (r *Reconciler) logLeaderless(status *group.Status) {
+	now := r.cfg.Clock.Now()
+	if status.Leader != "" || len(status.Members) == 0 {
+		r.leaderlessSince = now
+		return
+	}
+	if now.Sub(r.leaderlessSince) < leaderlessLogInterval {
+		return
+	}
+	r.leaderlessSince = now
+	live := r.cfg.Live()
+	var voters, silent, lost, leaving []group.MemberID
+	for i, member := range slices.Concat(status.Members, status.Leaving) {
+		if member.Learner {
+			continue
+		}
+		voters = append(voters, member.ID)
+		if i >= len(status.Members) {
+			leaving = append(leaving, member.ID)
+		}
+		switch {
+		case member.DiskLost:
+			lost = append(lost, member.ID)
+		case !slices.ContainsFunc(live, func(p Process) bool { return p.ID == member.ID }):
+			silent = append(silent, member.ID)
+		}
+	}
+	_ = level.Warn(r.cfg.Logger).Log(
+		"msg", "no leader, so nothing can be changed or confirmed", "voters", fmt.Sprint(voters),
+		"silent", fmt.Sprint(silent), "diskLost", fmt.Sprint(lost), "leaving", fmt.Sprint(leaving),
+	)
+}
+
+// transportPeers returns the members, those that are leaving, and all other known
+// processes with a data folder.
 func (r *Reconciler) transportPeers(status group.Status) []group.Member {
 	var list []group.Member
 	seen := make(map[ident.VMName]bool)
-	for _, member := range status.Members {
-		list = append(list, member.Member)
-		seen[member.VM] = true
+	for _, member := range slices.Concat(status.Members, status.Leaving) {
+		if !seen[member.VM] {
+			list = append(list, member.Member)
+			seen[member.VM] = true
+		}
 	}
 	for _, process := range r.cfg.Known() {
 		if process.ID != "" && !seen[process.VM] {
