--- a/internal/process/cmds/background.go
+++ b/internal/process/cmds/background.go
@@ -4,8 +4,8 @@
 	"context"
 	"crypto/rand"
 	"errors"
-	"slices"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log"
