Leave out a target whose name can't be recorded, not the whole list

Cause: the versions of all listed targets are recorded by one command, which the store rejects as a whole if one name has more than 512 bytes, at each read of the list.

Change: AdmitTargets leaves such a target out, by the rule of the store itself.

--- a/internal/process/ctrl/software.go
+++ b/internal/process/ctrl/software.go
@@ -102,6 +102,7 @@
 // AdmitTargets records the software versions of targets that the platform lists, so that
 // a quorum knows each version before a gate can begin a stream there, and returns the
 // targets whose versions are recorded. While there is no quorum, these are the known ones.
+// A target whose service or version can't be recorded is left out and holds up no others.
 func (c *Control) AdmitTargets(ctx context.Context, list []roster.Target) []roster.Target {
 	listed := listedSoftware(list)
 	recorded := c.cfg.Store.Software()
@@ -126,7 +127,8 @@
 func listedSoftware(list []roster.Target) []store.Software {
 	var listed []store.Software
 	for _, target := range list {
-		if software := (store.Software{Service: target.Service, Version: target.Version}); !slices.Contains(listed, software) {
+		software := store.Software{Service: target.Service, Version: target.Version}
+		if software.Valid() && !slices.Contains(listed, software) {
 			listed = append(listed, software)
 		}
 	}
--- a/internal/process/ctrl/software_test.go
+++ b/internal/process/ctrl/software_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"strings"
 	"testing"
 	"time"
 
@@ -99,6 +100,24 @@
 	assert.DeepEqual(t, restored.Software(), []store.Software{{Service: "s", Version: "v1"}, {Service: "s", Version: "v2"}})
 }
 
+// Guards against one target with a name that is too long to be recorded, which keeps all
+// others from being listed.
+func TestLongNameKeepsNoOtherTargetFromTheList(t *testing.T) {
+	long := strings.Repeat("x", 600)
+	for name, odd := range map[string]roster.Target{
+		"service":    {Name: "odd", Service: ident.ServiceName(long), Version: "v1"},
+		"version":    {Name: "odd", Service: "s", Version: ident.SoftwareVersion(long)},
+		"no service": {Name: "odd", Version: "v1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newSoftwareHarness(t)
+			admitted := h.control.AdmitTargets(h.ctx, []roster.Target{odd, {Name: "sound", Service: "s", Version: "v1"}})
+			assert.Equal(t, len(admitted), 1)
+			assert.Equal(t, admitted[0].Name, ident.TargetName("sound"))
+		})
+	}
+}
+
 func TestVersionStaysPossibleAfterItLeftTheList(t *testing.T) {
 	h := newSoftwareHarness(t)
 	h.admit("v1")
--- a/internal/version/store/software.go
+++ b/internal/version/store/software.go
@@ -22,6 +22,11 @@
 	maxSoftwareText = 512
 )
 
+// Valid reports whether the service and the version can be recorded.
+func (s Software) Valid() bool {
+	return s.Service != "" && len(s.Service) <= maxSoftwareText && len(s.Version) <= maxSoftwareText
+}
+
 // Software returns the versions that gates may have been told of, in order. The caller
 // must not modify the list.
 func (s *Store) Software() []Software {
@@ -40,7 +45,7 @@
 	removed := softwareFromProto(body.GetRemoved())
 	next := slices.DeleteFunc(slices.Clone(s.software), func(held Software) bool { return slices.Contains(removed, held) })
 	for _, added := range softwareFromProto(body.GetAdded()) {
-		if added.Service == "" || len(added.Service) > maxSoftwareText || len(added.Version) > maxSoftwareText {
+		if !added.Valid() {
 			return invalidResult("service must be set, and names must have at most 512 bytes")
 		}
 		if !slices.Contains(next, added) {
