--- a/internal/process/ctrl/software_test.go
+++ b/internal/process/ctrl/software_test.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
