--- a/internal/process/engine/engine_test.go
+++ b/internal/process/engine/engine_test.go
@@ -236,6 +236,29 @@
 	}
 }
 
+// Guards against an engine that accepts connections although it crashed before it began to
+// serve.
+func TestServeRefusesConnectionsAfterEarlierCrash(t *testing.T) {
+	e := engine.New(engine.Config{RestartDelay: 200 * time.Millisecond})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	e.Crash()
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- e.Serve(ctx, listener) }()
+	refused := false
+	for e.Down() && !refused {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		if refused = errors.Is(err, syscall.ECONNREFUSED); err == nil {
+			assert.NilError(t, conn.Close())
+		}
+		sleep(time.Millisecond)
+	}
+	assert.Assert(t, refused)
+	stop()
+	assert.NilError(t, <-done)
+}
+
 func TestServeRefusesConnectionsWhileDown(t *testing.T) {
 	e := engine.New(engine.Config{RestartDelay: 100 * time.Millisecond})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/process/engine/listen.go
+++ b/internal/process/engine/listen.go
@@ -13,12 +13,19 @@
 const headerTimeout = 10 * time.Second
 
 // Serve serves connections from the listener until ctx ends, and closes it.
-// After a crash it closes all connections and the port for RestartDelay, then
-// listens on the same address again. Run must run concurrently.
+// After a crash, also one before the call, it closes all connections and the port
+// for RestartDelay, then listens on the same address again. Run must run
+// concurrently.
 func (e *Engine) Serve(ctx context.Context, listener net.Listener) error {
 	address := listener.Addr()
 	for {
 		crashed := e.crashSignal()
+		if e.Down() {
+			// The crash came before its signal was taken.
+			closed := make(chan struct{})
+			close(closed)
+			crashed = closed
+		}
 		if err := e.serveUntil(ctx, crashed, listener); err != nil || ctx.Err() != nil {
 			return err
 		}
