--- a/internal/process/load/load_test.go
+++ b/internal/process/load/load_test.go
@@ -81,13 +81,13 @@
 	assert.Assert(t, requests > 20, "%d requests", requests)
 	// The first kind gets the first request of each five, so that its count is
 	// rounded up; the counts of the later kinds are rounded accordingly.
-	assert.Equal(t, report.Count(load.Served), requests/5)
-	assert.Equal(t, report.Count(load.Late), (requests+4)/5)
-	assert.Equal(t, report.Count(load.Refused), (requests+3)/5)
-	assert.Equal(t, report.Count(load.Failed), (requests+2)/5+(requests+1)/5)
-	assert.Assert(t, router.multiTurn.Load() > 0, "no chat had a second turn")
 	var text bytes.Buffer
 	assert.NilError(t, report.Print(&text))
+	assert.Equal(t, report.Count(load.Served), requests/5, text.String())
+	assert.Equal(t, report.Count(load.Late), (requests+4)/5, text.String())
+	assert.Equal(t, report.Count(load.Refused), (requests+3)/5, text.String())
+	assert.Equal(t, report.Count(load.Failed), (requests+2)/5+(requests+1)/5, text.String())
+	assert.Assert(t, router.multiTurn.Load() > 0, "no chat had a second turn")
 	for _, want := range []string{"served", "refused", "stream not ended", "status 503, unknown", "first token"} {
 		assert.Assert(t, strings.Contains(text.String(), want), "%q is missing in:\n%s", want, text.String())
 	}
