--- a/internal/process/gate/stop_test.go
+++ b/internal/process/gate/stop_test.go
@@ -98,6 +98,17 @@
 	}
 }
 
+// Guards against a process that always wakes late and takes requests up to the end of the
+// grace period.
+func TestBusyProcessStopsBeforeTheEndOfGrace(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t, gate.Config{GracePeriod: 3 * time.Second, Clock: busyClock{}})
+	started := time.Now()
+	h.stop()
+	assert.NilError(t, <-h.stopped)
+	assert.Assert(t, time.Since(started) < 2*time.Second, "%s", time.Since(started))
+}
+
 // Guards against requests that are cut without an answer at the end of the grace period.
 func TestRequestInFlightAtEndOfGraceIsAnswered(t *testing.T) {
 	for path, want := range map[string]int{
