Review case 9: no control group after the founder is lost at the first start

Cause: the process at the first seed forms a group of which it is the only voter, and the others are added and promoted one at a time. If it is lost for good before the last of three is a voter, there is no quorum, and no process may found another group.

Case: seven machines start for the first time, the seeds are the three with a disk; the first is removed after 0.25 s, and another one with an empty disk takes its place 1 s later.

--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -34,6 +34,9 @@
 	MaxStretch = 5 * time.Second
 )
 
+// roles are those of the deploy file.
+var roles = []string{"core", "gate"}
+
 // Machine is a VM that runs a gate and a core.
 type Machine struct {
 	// Name and Zone are as in the settings.
@@ -97,7 +100,7 @@
 
 // Start starts the processes of a machine with the commands of the deploy file.
 func (f *Fleet) Start(m *Machine, bootstrap bool) error {
-	for _, role := range []string{"core", "gate"} {
+	for _, role := range roles {
 		path, err := f.writeSettings(m, role, bootstrap)
 		if err != nil {
 			return err
@@ -184,6 +187,39 @@
 	return m.signal(syscall.SIGCONT)
 }
 
+// Replace starts a machine with an empty disk, at another address and under another name, in
+// the place of one that was removed.
+func (f *Fleet) Replace(removed *Machine, name string) (*Machine, error) {
+	added := &Machine{Name: name, Zone: removed.Zone, Disk: removed.Disk, number: len(f.Machines) + 1}
+	for i, m := range f.Machines {
+		if m == removed {
+			f.Machines[i] = added
+		}
+	}
+	return added, f.Start(added, false)
+}
+
+// Reseed writes the settings files of all machines that run anew, as after a change of the
+// seeds, and signals it.
+func (f *Fleet) Reseed(seeds []*Machine) error {
+	f.Seeds = seeds
+	f.Record.Addf("the settings name other seeds")
+	for _, m := range f.Machines {
+		if len(m.processes) == 0 {
+			continue
+		}
+		for _, role := range roles {
+			if _, err := f.writeSettings(m, role, false); err != nil {
+				return err
+			}
+		}
+		if err := m.signal(syscall.SIGHUP); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Kill kills the processes of a machine. Its disk stays as it is.
 func (f *Fleet) Kill(m *Machine) {
 	for _, p := range m.processes {
