--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -8,3 +8,4 @@
 		go build -o "target/review-${dir#review/}" "./$dir"
 	fi
 done
+go build -o target/review-calm ./review/rig/calm
--- a/review/rig/case.go
+++ b/review/rig/case.go
@@ -38,12 +38,12 @@
 	panic("no machine " + name)
 }
 
-// Run runs a case on a small fleet, prints its outcome and ends the process with its exit
-// code. The folder is that of the record. The case returns what breaks the rule, or an
-// error if it couldn't run.
-func Run(folder string, play func(f *Fleet) (broken []string, err error)) {
+// Run runs a case on a fleet, prints its outcome and ends the process with its exit code. The
+// folder is that of the record. The case returns what breaks the rule, or an error if it
+// couldn't run.
+func Run(folder string, f *Fleet, play func(f *Fleet) (broken []string, err error)) {
 	code := exitHeld
-	broken, err := runFleet(folder, play)
+	broken, err := runFleet(folder, f, play)
 	switch {
 	case err != nil:
 		fmt.Println("could not run:", err)
@@ -59,7 +59,7 @@
 	os.Exit(code)
 }
 
-func runFleet(folder string, play func(f *Fleet) ([]string, error)) (broken []string, err error) {
+func runFleet(folder string, f *Fleet, play func(f *Fleet) ([]string, error)) (broken []string, err error) {
 	record, err := NewRecord(folder)
 	if err != nil {
 		return nil, err
@@ -67,7 +67,6 @@
 	defer func() { _ = record.Close() }()
 	platform := NewPlatform(record)
 	defer platform.Close()
-	f := SmallFleet()
 	f.Record, f.Catalog = record, platform.Address()
 	if err := f.Open(); err != nil {
 		return nil, err
