Take a response that is reset while the request is sent for broken

Callers saw a part of a body as a complete response, on routes of all kinds: a target answered a long upload with a 200 without a length and reset the connection while the upload was being written.

Cause: the kernel reports a reset to one system call. If the pending write got it, the next read returned io.EOF, which is the orderly end of a response that ends with its connection; the error of the write was dropped. Gates and sidecars both had the fault.

Change: sock.Conn returns the error of the write in place of io.EOF, and ends a pending write to learn its result. EPIPE and no error are an orderly end, so an early complete response to an upload is forwarded as before.

--- a/internal/conn/pool/pool.go
+++ b/internal/conn/pool/pool.go
@@ -10,6 +10,7 @@
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -226,8 +227,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.connCounts[address]++
-	limit := &io.LimitedReader{R: conn, N: math.MaxInt64}
-	return &Conn{Conn: conn, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes), pool: p, Address: address}, nil
+	socket := sock.NewConn(conn)
+	limit := &io.LimitedReader{R: socket, N: math.MaxInt64}
+	return &Conn{Conn: socket, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes), pool: p, Address: address}, nil
 }
 
 // Probe returns nil if address accepts a connection, which is then kept for a later
@@ -284,11 +286,11 @@
 // stillIdle reports whether the peer has neither closed an idle connection nor
 // sent unsolicited data on it.
 func stillIdle(conn net.Conn) bool {
-	tcp, ok := conn.(*net.TCPConn)
+	socket, ok := conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
-	raw, err := tcp.SyscallConn()
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/internal/process/side/target.go
+++ b/internal/process/side/target.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"cactusline.dev/cactusline/internal/conn/sock"
 	"cactusline.dev/cactusline/internal/conn/wire"
 )
 
@@ -43,7 +44,7 @@
 		client: &http.Client{
 			CheckRedirect: returnRedirect,
 			Transport: &http.Transport{
-				DialContext:        dialer.DialContext,
+				DialContext:        sock.DialContext(dialer),
 				DisableCompression: true,
 				// Targets name no request in their answers. On a connection that is used
 				// again, a late second copy of an answer would be taken for the next. The
