Refuse responses whose status is none

Callers got responses with status 600 to 999 as they were. Those below 200, such as 000, were skipped like interim responses, so that a response hidden in their body was forwarded, or nothing until the deadline. Sidecars reported them as answers of requests that had run.

Cause: http.ReadResponse takes three characters that strconv.Atoi reads as a number, and nobody looked again.

Change: package http1 checks the status line (HTTP/1.x, 100 to 599 and not 101) before net/http reads the head. Gates read by its Reader, sidecars through its Conn. A malformed response is an unknown outcome, is retried only where the request may run more than once, and ejects its target; its connection is closed. Two counters show broken responses.

--- a/internal/conn/pool/conn.go
+++ b/internal/conn/pool/conn.go
@@ -4,12 +4,10 @@
 package pool
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -22,11 +20,11 @@
 	"github.com/cespare/xxhash/v2"
 
 	"cactusline.dev/cactusline/internal/conn/guard"
+	"cactusline.dev/cactusline/internal/conn/http1"
 	"cactusline.dev/cactusline/internal/version/ident"
 )
 
 const (
-	readBufferBytes = 4 << 10
 	// maxInlineBodyBytes is the longest body that is written before the
 	// response is read. It fits the smallest send buffer, so that a target that
 	// responds early and stops reading can't block the write.
@@ -38,9 +36,6 @@
 	maxUnmatchedResponses = 3
 	// maxUnmatchedBodyBytes limits the body of a skipped response.
 	maxUnmatchedBodyBytes = 256 << 10
-	// maxHeadBytes limits the status line and header of one response. A target in
-	// trouble may send them without end.
-	maxHeadBytes = 64 << 10
 	// maxRequests bounds the IDs that a connection remembers. The attempts at one request
 	// are made within its deadline, in which a connection carries fewer requests.
 	maxRequests = 256
@@ -49,10 +44,8 @@
 // Conn is a connection to a target. It carries one exchange at a time.
 type Conn struct {
 	net.Conn
-	reader *bufio.Reader
-	// limit is below reader, and bounds what is read from the connection.
-	limit *io.LimitedReader
-	pool  *Pool
+	reader *http1.Reader
+	pool   *Pool
 	// Address is the address of the target.
 	Address string
 	// Reused is true if the connection has carried an exchange before.
@@ -207,32 +200,10 @@
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
 }
 
-// HeadTooLongError reports that a target sent a status line and header of more than
-// maxHeadBytes.
-type HeadTooLongError struct {
-	Address string
-}
-
-// Error implements the error interface.
-func (e *HeadTooLongError) Error() string {
-	return fmt.Sprintf("target %s sent a response header of more than %d bytes", e.Address, maxHeadBytes)
-}
-
-// readHead reads a response up to its body.
-func (c *Conn) readHead(request *http.Request) (*http.Response, error) {
-	c.limit.N = maxHeadBytes
-	defer func() { c.limit.N = math.MaxInt64 }()
-	response, err := http.ReadResponse(c.reader, request)
-	if err != nil && c.limit.N <= 0 {
-		return nil, &HeadTooLongError{Address: c.Address}
-	}
-	return response, err
-}
-
 // readFinalResponse skips interim responses and returns the final one.
 func (c *Conn) readFinalResponse(request *http.Request) (*http.Response, error) {
 	for range maxInterimResponses {
-		response, err := c.readHead(request)
+		response, err := c.reader.ReadResponse(request)
 		if err != nil {
 			return nil, fmt.Errorf("read response: %w", err)
 		}
--- a/internal/conn/pool/pool.go
+++ b/internal/conn/pool/pool.go
@@ -1,12 +1,9 @@
 package pool
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"math"
 	"net"
 	"slices"
 	"sync"
@@ -16,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sys/unix"
 
+	"cactusline.dev/cactusline/internal/conn/http1"
 	"cactusline.dev/cactusline/internal/conn/sock"
 	"cactusline.dev/cactusline/internal/version/ident"
 )
@@ -228,8 +226,7 @@
 	defer p.mu.Unlock()
 	p.connCounts[address]++
 	socket := sock.NewConn(conn)
-	limit := &io.LimitedReader{R: socket, N: math.MaxInt64}
-	return &Conn{Conn: socket, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes), pool: p, Address: address}, nil
+	return &Conn{Conn: socket, reader: http1.NewReader(socket), pool: p, Address: address}, nil
 }
 
 // Probe returns nil if address accepts a connection, which is then kept for a later
--- a/internal/process/gate/attempt.go
+++ b/internal/process/gate/attempt.go
@@ -11,6 +11,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"cactusline.dev/cactusline/internal/conn/http1"
 	"cactusline.dev/cactusline/internal/conn/pool"
 	"cactusline.dev/cactusline/internal/request/carry"
 	"cactusline.dev/cactusline/internal/request/place"
@@ -266,7 +267,10 @@
 		return e.contextEnded(ctx)
 	}
 	signal := place.Unreachable
-	if e.reused {
+	switch {
+	case http1.IsMalformed(e.err):
+		countBroken(reasonMalformed)
+	case e.reused:
 		// The target may just have closed an idle connection.
 		signal = place.Inconclusive
 	}
@@ -276,6 +280,17 @@
 	return carry.ResponseLost, signal
 }
 
+// Reasons why a response is broken.
+const (
+	reasonMalformed  = "Malformed"
+	reasonIncomplete = "Incomplete"
+)
+
+// countBroken counts a response of a target that is malformed or incomplete.
+func countBroken(reason string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("cactusline_broken_responses_total{reason=%q}", reason)).Inc()
+}
+
 // contextEnded returns the result of an exchange whose context has ended.
 func (e *exchange) contextEnded(ctx context.Context) (carry.Result, place.HealthSignal) {
 	e.err = context.Cause(ctx)
--- a/internal/process/gate/events.go
+++ b/internal/process/gate/events.go
@@ -94,6 +94,7 @@
 	if ctx.Err() != nil {
 		return e.contextEnded(ctx)
 	}
+	countBroken(reasonIncomplete)
 	if !e.call.streamStarted {
 		return carry.ResponseLost, place.Failing
 	}
--- a/internal/process/gate/response.go
+++ b/internal/process/gate/response.go
@@ -31,6 +31,7 @@
 		if ctx.Err() != nil {
 			return e.contextEnded(ctx)
 		}
+		countBroken(reasonIncomplete)
 		return carry.ResponseLost, place.Failing
 	}
 	buffered := &bufferedResponse{status: response.StatusCode, header: endToEndHeader(response.Header), body: body}
--- a/internal/process/side/faults_test.go
+++ b/internal/process/side/faults_test.go
@@ -35,11 +35,16 @@
 // sidecar. All other paths return an empty response.
 func startPlainTarget(t *testing.T, handler http.HandlerFunc) *plainTarget {
 	t.Helper()
-	p := &plainTarget{fleet: newFleet(t, permit.Limit{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("/work", handler)
-	p.server = httptest.NewServer(mux)
+	return startTargetServer(t, httptest.NewServer(mux))
+}
+
+// startTargetServer starts the sidecar of the target t, which server serves.
+func startTargetServer(t *testing.T, server *httptest.Server) *plainTarget {
+	t.Helper()
+	p := &plainTarget{fleet: newFleet(t, permit.Limit{}), server: server}
 	t.Cleanup(p.server.CloseClientConnections)
 	address, err := url.Parse(p.server.URL)
 	assert.NilError(t, err)
--- /dev/null
+++ b/internal/process/side/malformed_test.go
@@ -0,0 +1,64 @@
+package side_test
+
+import (
+	"encoding/pem"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cactusline.dev/cactusline/internal/conn/wire"
+)
+
+// checkMalformed checks that answers with malformed heads are taken for broken.
+func checkMalformed(t *testing.T, answers []string) {
+	t.Helper()
+	next := make(chan string, 1)
+	p := startRawTarget(t, func(conn *net.TCPConn) { _, _ = io.WriteString(conn, <-next) })
+	for i, answer := range answers {
+		next <- answer
+		result := receiveResult(p.submitAttempt(&wire.Submit{Attempt: fmt.Sprint("a", i)}))
+		assertUnknown(t, result, fmt.Sprintf("%q", answer))
+	}
+}
+
+// Guards against answers that are passed on although their status is none.
+func TestAnswerWithInvalidStatusIsBroken(t *testing.T) {
+	var answers []string
+	for _, status := range []string{"000", "099", "-00", "600", "999", "101", "20"} {
+		answers = append(answers, "HTTP/1.1 "+status+" X\r\nContent-Length: 6\r\n\r\nanswer")
+	}
+	checkMalformed(t, answers)
+}
+
+// Guards against a target that is reached by TLS and whose answers are not checked.
+func TestAnswersByTLSAreChecked(t *testing.T) {
+	var malformed atomic.Bool
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !malformed.Load() {
+			_, _ = io.WriteString(w, "answer")
+			return
+		}
+		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			_, _ = io.WriteString(conn, "HTTP/1.1 000 OK\r\nContent-Length: 6\r\n\r\nanswer")
+			_ = conn.Close()
+		}
+	}))
+	authority := filepath.Join(t.TempDir(), "authority.pem")
+	block := &pem.Block{Type: "CERTIFICATE", Bytes: server.Certificate().Raw}
+	assert.NilError(t, os.WriteFile(authority, pem.EncodeToMemory(block), 0o600))
+	t.Setenv("SSL_CERT_FILE", authority)
+	p := startTargetServer(t, server)
+	result, status := p.readAnswer(p.submitAttempt(&wire.Submit{Attempt: "whole"}))
+	assert.Equal(t, status, int32(http.StatusOK))
+	assert.Equal(t, string(result.body), "answer")
+	malformed.Store(true)
+	assertUnknown(t, receiveResult(p.submitAttempt(&wire.Submit{Attempt: "malformed"})), "by TLS")
+}
--- a/internal/process/side/metrics.go
+++ b/internal/process/side/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"cactusline.dev/cactusline/internal/conn/http1"
 	"cactusline.dev/cactusline/internal/conn/wire"
 )
 
@@ -28,6 +29,15 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf("cactusline_target_refused_total{target=%q,reason=%q}", s.cfg.TargetName, reason)).Inc()
 }
 
+// countBroken counts an answer that is malformed or incomplete, or did not come.
+func (s *Sidecar) countBroken(err error) {
+	reason := "Incomplete"
+	if http1.IsMalformed(err) {
+		reason = "Malformed"
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf("cactusline_target_broken_answers_total{target=%q,reason=%q}", s.cfg.TargetName, reason)).Inc()
+}
+
 // countInvariantBroken counts a violated invariant.
 func (s *Sidecar) countInvariantBroken() {
 	metrics.GetOrCreateCounter(fmt.Sprintf("cactusline_target_invariants_broken_total{target=%q}", s.cfg.TargetName)).Inc()
--- a/internal/process/side/run.go
+++ b/internal/process/side/run.go
@@ -185,7 +185,11 @@
 // the failure of a canceled attempt says nothing about the target.
 func (s *Sidecar) handleFailure(ctx context.Context, r *run, length uint64, err error) *wire.End {
 	end := &wire.End{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Length: length, Error: err.Error()}
-	if ctx.Err() == nil && (s.down.Load() || !s.target.responds()) {
+	if ctx.Err() != nil {
+		return end
+	}
+	s.countBroken(err)
+	if s.down.Load() || !s.target.responds() {
 		end.TargetCrashed = true
 		s.recordCrash(r.fingerprint)
 	}
--- a/internal/process/side/target.go
+++ b/internal/process/side/target.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -13,6 +14,7 @@
 	"strings"
 	"time"
 
+	"cactusline.dev/cactusline/internal/conn/http1"
 	"cactusline.dev/cactusline/internal/conn/sock"
 	"cactusline.dev/cactusline/internal/conn/wire"
 )
@@ -38,13 +40,14 @@
 }
 
 func newTargetClient(baseURL *url.URL) *targetClient {
-	dialer := &net.Dialer{Timeout: targetDialTimeout}
+	dial := sock.DialContext(&net.Dialer{Timeout: targetDialTimeout})
 	return &targetClient{
 		baseURL: baseURL,
 		client: &http.Client{
 			CheckRedirect: returnRedirect,
 			Transport: &http.Transport{
-				DialContext:        sock.DialContext(dialer),
+				DialContext:        http1.CheckResponses(dial),
+				DialTLSContext:     http1.CheckResponses(secure(dial)),
 				DisableCompression: true,
 				// Targets name no request in their answers. On a connection that is used
 				// again, a late second copy of an answer would be taken for the next. The
@@ -55,6 +58,25 @@
 	}
 }
 
+// secure returns a function that dials with dial and authenticates the server.
+func secure(dial http1.DialFunc) http1.DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, fmt.Errorf("address of target: %w", err)
+		}
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		secured := tls.Client(conn, &tls.Config{ServerName: host, MinVersion: tls.VersionTLS12})
+		if err := secured.HandshakeContext(ctx); err != nil {
+			return nil, errors.Join(fmt.Errorf("handshake with target: %w", err), conn.Close())
+		}
+		return secured, nil
+	}
+}
+
 // attemptURL returns the URL of an attempt: the target's base URL followed by
 // the path as the caller escaped it, neither cleaned nor decoded.
 func (t *targetClient) attemptURL(submit *wire.Submit) (string, error) {
@@ -119,8 +141,9 @@
 	return errors.As(err, &opErr) && opErr.Op == "dial"
 }
 
-// responds reports whether the target answers a HEAD request, with any status. A
-// target that accepts connections and then breaks them does not respond.
+// responds reports whether the target answers a HEAD request, with any status or a
+// malformed answer. A target that accepts connections and then breaks them does not
+// respond.
 func (t *targetClient) responds() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), targetDialTimeout)
 	defer cancel()
@@ -131,7 +154,7 @@
 	req.Close = true
 	resp, err := t.client.Do(req)
 	if err != nil {
-		return false
+		return http1.IsMalformed(err)
 	}
 	_ = resp.Body.Close()
 	return true
