--- a/internal/conn/http1/reader_test.go
+++ b/internal/conn/http1/reader_test.go
@@ -2,17 +2,24 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net/http"
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"cactusline.dev/cactusline/internal/conn/http1"
 )
 
+// refusalLimit bounds the time until a malformed line is refused.
+const refusalLimit = 200 * time.Millisecond
+
+var errNotRefused = errors.New("not refused in time")
+
 var request = &http.Request{Method: http.MethodPost}
 
 // readAll reads responses until an error, with their bodies.
@@ -75,6 +82,7 @@
 func checkRefused(t *testing.T, start string) {
 	t.Helper()
 	arrived, sent := io.Pipe()
+	defer time.AfterFunc(refusalLimit, func() { _ = sent.CloseWithError(errNotRefused) }).Stop()
 	go func() { _, _ = io.WriteString(sent, start) }()
 	_, err := http1.NewReader(arrived).ReadResponse(request)
 	assert.Check(t, http1.IsMalformed(err), "%q: %v", start, err)
@@ -86,9 +94,11 @@
 	assert.Assert(t, http1.IsMalformed(err), "%v", err)
 }
 
-// Whatever is accepted is read as net/http reads it, and has a status.
+// Whatever is accepted is read as net/http reads it, and has a status and no field that could
+// be taken for another.
 func FuzzReadResponse(f *testing.F) {
 	f.Add([]byte(soundResponses))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length : 1\r\n\r\n12"))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		text := string(data)
 		response, err := http1.NewReader(strings.NewReader(text)).ReadResponse(request)
@@ -100,5 +110,8 @@
 		assert.Equal(t, response.StatusCode, want.StatusCode)
 		assert.DeepEqual(t, response.Header, want.Header)
 		assert.Assert(t, response.StatusCode >= 100 && response.StatusCode <= 599)
+		for name := range response.Header {
+			assert.Assert(t, name != "" && !strings.ContainsAny(name, " \t\r\n\x00"), "%q", name)
+		}
 	})
 }
--- a/internal/process/gate/malformed_test.go
+++ b/internal/process/gate/malformed_test.go
@@ -68,6 +68,23 @@
 	}
 }
 
+// Guards against responses with a line in their header that different readers take for
+// different fields, so that it is forwarded or the body is not the target's.
+func TestResponseWithInvalidFieldNameIsBroken(t *testing.T) {
+	for _, line := range []string{
+		"Content-Length : 3", "Content-Length\t: 3", " Content-Length: 3", "\tContent-Length: 3", "Content Length: 3",
+		"Transfer-Encoding : chunked", "X-Odd : 1", "X Odd: 1", "X\x00Odd: 1", "X\x01Odd: 1", "X\x0bOdd: 1", "X\x7fOdd: 1", "X-Odd\r: 1",
+		": 1", " : 1", "X-Odd", "X(Odd): 1", "X\x80Odd: 1", " ",
+	} {
+		for _, path := range routesOfAllKinds {
+			t.Run(fmt.Sprintf("%q%s", line, path), func(t *testing.T) {
+				checkMalformedHead(t, path, "HTTP/1.1 200 OK\r\nId: ID\r\n"+line+"\r\n\r\nBODY")
+				checkMalformedHead(t, path, "HTTP/1.1 200 OK\r\n"+line+"\r\nId: ID\r\nContent-Length: 6\r\n\r\nBODY")
+			})
+		}
+	}
+}
+
 // Guards against a target that is taken to have closed an idle connection, although it sent a
 // malformed response on it.
 func TestMalformedResponseOnKeptConnectionIsAFailure(t *testing.T) {
--- a/internal/process/side/malformed_test.go
+++ b/internal/process/side/malformed_test.go
@@ -38,6 +38,16 @@
 	checkMalformed(t, answers)
 }
 
+// Guards against answers with a line in their header that different readers take for
+// different fields.
+func TestAnswerWithInvalidFieldNameIsBroken(t *testing.T) {
+	var answers []string
+	for _, line := range []string{"Content-Length : 3", " Content-Length: 3", "Content Length: 3", "X\x01Odd: 1", ": 1", "Transfer-Encoding : chunked"} {
+		answers = append(answers, "HTTP/1.1 200 OK\r\nX-Field: 1\r\n"+line+"\r\n\r\nanswer")
+	}
+	checkMalformed(t, answers)
+}
+
 // Guards against a target that is reached by TLS and whose answers are not checked.
 func TestAnswersByTLSAreChecked(t *testing.T) {
 	var malformed atomic.Bool
@@ -47,7 +57,7 @@
 			return
 		}
 		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
-			_, _ = io.WriteString(conn, "HTTP/1.1 000 OK\r\nContent-Length: 6\r\n\r\nanswer")
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length : 3\r\n\r\nanswer")
 			_ = conn.Close()
 		}
 	}))
