Take a status that is none for an unknown outcome in commands

An operator's command that changed something and got an answer with status 000, 099 or 101 ended with success, and with status 600 as if it had been refused, though nothing was acknowledged.

Cause: every status below 400 was success and every other one a refusal.

Evidence: before, TestBrokenAnswerToAChangeIsNoSuccess failed for these four; the other three of its cases passed before and pass now.

--- a/internal/process/cmds/client.go
+++ b/internal/process/cmds/client.go
@@ -152,8 +152,12 @@
 		return nil, &lostAnswerError{err: err}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode >= http.StatusBadRequest {
+	switch resp.StatusCode / 100 {
+	case 2:
+	case 4, 5:
 		return nil, decodeError(resp)
+	default:
+		return nil, &lostAnswerError{err: fmt.Errorf("unexpected status %q", resp.Status)}
 	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
