Count a stream that breaks after its last event as failed in the load tool

The load tool counted an answer as served that ended with its last event but then broke off: its chunks had no end, or its length was not reached. A report could thus hide responses that look complete and are not.

Cause: it stopped reading at the last event.

Change: it reads to the end of the response; latencies are taken at the last event, as before.

Evidence: before, TestBrokenAnswersAreFailures failed for both of these and passed for its four other cases, which the load tool handled; now all pass.

--- a/internal/process/load/turn.go
+++ b/internal/process/load/turn.go
@@ -93,17 +93,18 @@
 	res := result{outcome: Failed, cause: "stream not ended"}
 	lastToken := start
 	doneLine := strings.TrimSpace(chat.DoneEvent)
+	done := false
 	scanner := bufio.NewScanner(response.Body)
 	for scanner.Scan() {
 		line := scanner.Text()
-		if !strings.HasPrefix(line, chat.EventPrefix) {
+		if !strings.HasPrefix(line, chat.EventPrefix) || done {
 			continue
 		}
 		now := t.cfg.Clock.Now()
 		if line == doneLine {
+			done = true
 			res.total = now.Sub(start)
-			res.outcome, res.cause = t.classify(res), ""
-			return res
+			continue
 		}
 		if res.firstToken == 0 {
 			res.firstToken = now.Sub(start)
@@ -112,6 +113,11 @@
 		}
 		lastToken = now
 	}
+	if scanner.Err() != nil {
+		res.cause = "stream broken"
+	} else if done {
+		res.outcome, res.cause = t.classify(res), ""
+	}
 	return res
 }
 
