Take a rejection that breaks off for an unknown outcome

Callers were told that a request had not run, or it was sent to another target, on the word of a response that broke off after its header.

Cause: the header decided before the body was read, and the error of the body was dropped.

Change: a rejection counts once it is whole; a broken one is a lost response.

Evidence: before, TestBrokenRejectionIsNoPromise failed for a cut body, chunks without an end and a bad chunk, on routes for requests that may run once and on streams; whole rejections passed before and pass now.

--- a/internal/process/gate/attempt.go
+++ b/internal/process/gate/attempt.go
@@ -327,13 +327,7 @@
 // not continue.
 func (e *exchange) forwardResponse(ctx context.Context, response *http.Response) (carry.Result, place.HealthSignal) {
 	if e.call.gate.cfg.Dialect.ParseResponse(response.Header).NotRun {
-		if e.err = drainBody(response); e.err != nil {
-			return carry.Refused, place.Inconclusive
-		}
-		if response.StatusCode == http.StatusMisdirectedRequest {
-			return carry.Refused, place.Unreachable
-		}
-		return carry.Refused, place.Inconclusive
+		return e.discardRejection(ctx, response)
 	}
 	if e.call.route.Kind == route.Stream && response.StatusCode == http.StatusOK {
 		return e.relayEvents(ctx, response)
@@ -347,3 +341,17 @@
 	}
 	return e.forwardBuffered(ctx, response)
 }
+
+// discardRejection reads the rest of a response that says that the request has not run. One
+// that breaks off says nothing.
+func (e *exchange) discardRejection(ctx context.Context, response *http.Response) (carry.Result, place.HealthSignal) {
+	e.err = drainBody(response)
+	switch {
+	case e.err != nil && !errors.Is(e.err, errResponseTooLong) && ctx.Err() == nil:
+		countBroken(reasonIncomplete)
+		return carry.ResponseLost, place.Failing
+	case e.err == nil && response.StatusCode == http.StatusMisdirectedRequest:
+		return carry.Refused, place.Unreachable
+	}
+	return carry.Refused, place.Inconclusive
+}
