Try again to open a core's folder that could not be opened

A core whose disk had been full ended by itself, and its machine had no part in changes until it was started again, if its folder could not be opened at the first try once its disk took bytes again.

Cause: the listener for links stayed open when the folder did not open, so that the next life found its address in use; and an error of the audit folder was taken for one that no retry can mend.

Change: the listener is closed whenever a life of the process ends, and an error of the audit folder is one of the disk.

Evidence: before, TestCoreIsBackOnceItsFolderCanBeOpened found the core ended; it passes now. TestChangesAreAcceptedAfterDisksWereFullInTurn for cores (six full disks in turn) passed before and stays as a test.

--- a/internal/process/cmds/core.go
+++ b/internal/process/cmds/core.go
@@ -127,6 +127,7 @@
 	if err != nil {
 		return err
 	}
+	defer func() { _ = linkListener.Close() }()
 	links := platformLinks(settings)
 	controlClient := remote.NewClient(remote.Config{Addresses: settings.Seeds, Link: links, Clock: clock.System{}})
 	defer func() { _ = links.Close() }()
@@ -177,7 +178,7 @@
 func (p *coreProcess) open() error {
 	auditDir, err := audit.OpenFolder(p.settings.DataDir + "/" + auditDirName)
 	if err != nil {
-		return fmt.Errorf("open audit directory: %w", err)
+		return &memberFailedError{cause: fmt.Errorf("open audit directory: %w", err)}
 	}
 	state := store.New(store.Config{AuditSink: auditDir, ExportedAuditIndex: auditDir.Head().Index})
 	raftGroup, err := group.Open(group.Config{
