Let control processes take part again after their disks were full

Operators got no answer for good once the disks of two of three cactusline control processes had been full for 2 s, one after the other, though all processes ran and all disks had room.

Cause: a member of the replicated log stops at a failed write and takes part again when its folder is opened anew. Cores do that by themselves, control did not, so that each full disk cost a vote for good.

Change: control is supervised as a core is. It waits until its disk takes a synced write, opens its folder, again if that fails, and serves at the same addresses.

--- a/cmd/cactusline/fleet_test.go
+++ b/cmd/cactusline/fleet_test.go
@@ -81,8 +81,9 @@
 	output, err := os.OpenFile(filepath.Join(p.folder, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	assert.NilError(p.t, err)
 	p.cmd = exec.Command(binary, p.args...)
-	p.cmd.Stdout = output
-	p.cmd.Stderr = output
+	// The log goes through a pipe, so that it is kept while the process can't write files.
+	pipe := struct{ io.Writer }{output}
+	p.cmd.Stdout, p.cmd.Stderr = pipe, pipe
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	assert.NilError(p.t, p.cmd.Start())
 	exited := make(chan struct{})
--- /dev/null
+++ b/cmd/cactusline/fulldisk_test.go
@@ -0,0 +1,60 @@
+package main_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+	"gotest.tools/v3/assert"
+
+	"cactusline.dev/cactusline/internal/version/ident"
+	"cactusline.dev/cactusline/internal/version/record"
+)
+
+const (
+	// fullDiskTime is how long a disk takes no more bytes, and fullDiskGap how long after it
+	// the next one fills.
+	fullDiskTime = 2 * time.Second
+	fullDiskGap  = time.Second
+)
+
+// setDiskFull makes each write of the process to a file fail, or succeed again.
+func (p *process) setDiskFull(full bool) {
+	p.t.Helper()
+	limit := &unix.Rlimit{Cur: unix.RLIM_INFINITY, Max: unix.RLIM_INFINITY}
+	if full {
+		limit.Cur = 0
+	}
+	assert.NilError(p.t, unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_FSIZE, limit, nil))
+}
+
+// Guards against changes that are refused, or stay without an answer, after the disks of
+// the control processes were full one after another.
+func TestChangesAreAcceptedAfterDisksWereFullInTurn(t *testing.T) {
+	f := startFleet(t, fleetConfig{controls: 3, untraced: true})
+	changes := 0
+	change := func() {
+		t.Helper()
+		changes++
+		name := fmt.Sprint("new-", changes)
+		f.submit(&record.Customer{Name: ident.CustomerName(name), Keys: []record.KeyHash{record.HashKey(name)}})
+	}
+	for i, control := range f.controls {
+		control.setDiskFull(true)
+		for began := time.Now(); time.Since(began) < fullDiskTime; time.Sleep(100 * time.Millisecond) {
+			change()
+		}
+		control.setDiskFull(false)
+		t.Log("disk", i, "was full, changes", changes)
+		time.Sleep(fullDiskGap)
+	}
+	change()
+	// Each of them counts again: any other one may be lost.
+	for _, control := range f.controls {
+		control.kill()
+		change()
+		control.start()
+		time.Sleep(fullDiskGap)
+	}
+}
--- a/internal/process/cmds/control.go
+++ b/internal/process/cmds/control.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"path/filepath"
 
@@ -51,27 +50,49 @@
 	if err != nil {
 		return err
 	}
-	linkListener, err := listen("listen", string(c.Listen))
+	tracer, err := env.tracer(string(c.VM), "control")
 	if err != nil {
 		return err
 	}
-	adminListener, err := listen("admin", string(c.Admin))
+	defer closeTracer(tracer)
+	tlsCfg, err := c.Links.open(logger)
 	if err != nil {
 		return err
 	}
-	tracer, err := env.tracer(string(c.VM), "control")
+	restarted := false
+	return supervise(env.ctx, supervisor{
+		run: func(ctx context.Context) error {
+			err := c.listenAndServe(ctx, logger, tracer, tlsCfg)
+			if restarted {
+				err = retryOpen(err)
+			}
+			restarted = true
+			return err
+		},
+		checkDisk: func() error { return checkDiskWritable(c.Data) },
+		clock:     clock.System{},
+		logger:    logger,
+	})
+}
+
+// listenAndServe runs the control process until ctx ends or its member of the replicated
+// log fails.
+func (c *ControlCommand) listenAndServe(ctx context.Context, logger log.Logger, tracer *trace.Tracer, tlsCfg linkTLS) error {
+	linkListener, err := listen("listen", string(c.Listen))
 	if err != nil {
 		return err
 	}
-	defer closeTracer(tracer)
-	tlsCfg, err := c.Links.open(logger)
+	defer func() { _ = linkListener.Close() }()
+	adminListener, err := listen("admin", string(c.Admin))
 	if err != nil {
 		return err
 	}
-	return c.serve(env.ctx, logger, tracer, tlsCfg, linkListener, adminListener)
+	defer func() { _ = adminListener.Close() }()
+	return c.serve(ctx, logger, tracer, tlsCfg, linkListener, adminListener)
 }
 
-// serve runs the control process until ctx ends.
+// serve runs the control process on its listeners until ctx ends or its member of the
+// replicated log fails. The error is a *memberFailedError then.
 func (c *ControlCommand) serve(ctx context.Context, logger log.Logger, tracer *trace.Tracer, tlsCfg linkTLS, linkListener, adminListener net.Listener) error {
 	members := membersFromPeers(c.Peer)
 	if len(members) == 0 {
@@ -83,7 +104,7 @@
 	peers := ctrl.NewPeerTransport(ctrl.PeerTransportConfig{Self: c.VM, Members: members, Link: links, Clock: clock.System{}})
 	storage, err := c.openStorage(logger, members, peers)
 	if err != nil {
-		return fmt.Errorf("open %s: %w", c.Data, err)
+		return &openError{folder: c.Data, cause: err}
 	}
 	control := ctrl.New(ctrl.Config{
 		VM:               c.VM,
@@ -114,11 +135,19 @@
 	server, err := c.adminServer(logger, bounds, control, storage)
 	if err != nil {
 		storage.close(logger)
-		return errors.Join(err, linkListener.Close(), adminListener.Close())
+		return err
 	}
 	_ = level.Info(logger).Log("msg", "administration API serving", "address", adminListener.Addr())
 	go func() { _ = server.Serve(runCtx, adminListener) }()
-	return control.Run(runCtx)
+	memberFailure := watchMember(runCtx, storage.raftGroup, cancel)
+	if err := control.Run(runCtx); err != nil {
+		return err
+	}
+	if cause := memberFailure(); cause != nil {
+		storage.close(logger)
+		return &memberFailedError{cause: cause}
+	}
+	return nil
 }
 
 // controlStorage is the persistent state of a control process.
--- a/internal/process/cmds/core.go
+++ b/internal/process/cmds/core.go
@@ -246,7 +246,7 @@
 	if err := serveOperator(runCtx, p.bounds, operator, p.settings.OperatorAddress, api.CoreHandler()); err != nil {
 		return err
 	}
-	memberFailure := p.watchMember(runCtx, cancel)
+	memberFailure := watchMember(runCtx, p.storage.raftGroup, cancel)
 	if err := p.control.Run(runCtx); err != nil {
 		return err
 	}
@@ -257,30 +257,6 @@
 	return nil
 }
 
-// watchMember calls cancel when this process's member of the replicated log has
-// failed, for example because its disk rejects writes. The returned function returns the cause of
-// the failure, or nil.
-func (p *coreProcess) watchMember(ctx context.Context, cancel context.CancelFunc) (memberFailure func() error) {
-	var failure atomic.Pointer[error]
-	go func() {
-		for (clock.System{}).Sleep(ctx, memberCheckInterval) == nil {
-			if err := p.storage.raftGroup.Status().Failure; err != nil {
-				failure.Store(&err)
-				cancel()
-			}
-		}
-	}()
-	return func() error {
-		if err := failure.Load(); err != nil {
-			return *err
-		}
-		return nil
-	}
-}
-
-// memberCheckInterval is the interval between checks whether the member has failed.
-const memberCheckInterval = 100 * time.Millisecond
-
 // isCatalogReader reports whether this process reads the platform's list of targets:
 // the leader does, and while no leader is known, each process with watchers.
 func (p *coreProcess) isCatalogReader() bool {
--- a/internal/process/cmds/supervise.go
+++ b/internal/process/cmds/supervise.go
@@ -6,10 +6,15 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+
+	"cactusline.dev/cactusline/internal/process/clock"
+	"cactusline.dev/cactusline/internal/process/group"
+	"cactusline.dev/cactusline/internal/process/walog"
 )
 
 // diskRetryInterval is the interval between checks of a failed disk.
@@ -29,6 +34,30 @@
 // Unwrap returns the cause.
 func (e *memberFailedError) Unwrap() error { return e.cause }
 
+// openError reports that a data directory could not be opened.
+type openError struct {
+	folder string
+	cause  error
+}
+
+// Error implements error.
+func (e *openError) Error() string { return fmt.Sprintf("open %s: %v", e.folder, e.cause) }
+
+// Unwrap returns the cause.
+func (e *openError) Unwrap() error { return e.cause }
+
+// retryOpen returns a *memberFailedError if err is of a data directory that could not be
+// opened and may be later, since its disk was full again. It returns other errors as they are.
+func retryOpen(err error) error {
+	var open *openError
+	var corrupt *walog.CorruptError
+	var locked *walog.LockedError
+	if !errors.As(err, &open) || errors.As(err, &corrupt) || errors.As(err, &locked) {
+		return err
+	}
+	return &memberFailedError{cause: open}
+}
+
 // supervisor restarts a control process from its disk when its member of the
 // replicated log has failed, once the disk accepts writes again.
 type supervisor struct {
@@ -65,6 +94,30 @@
 	}
 }
 
+// watchMember calls cancel when a member of the replicated log has failed, for example
+// because its disk rejects writes. The returned function returns the cause of the failure,
+// or nil.
+func watchMember(ctx context.Context, raftGroup *group.Group, cancel context.CancelFunc) (memberFailure func() error) {
+	var failure atomic.Pointer[error]
+	go func() {
+		for (clock.System{}).Sleep(ctx, memberCheckInterval) == nil {
+			if err := raftGroup.Status().Failure; err != nil {
+				failure.Store(&err)
+				cancel()
+			}
+		}
+	}()
+	return func() error {
+		if err := failure.Load(); err != nil {
+			return *err
+		}
+		return nil
+	}
+}
+
+// memberCheckInterval is the interval between checks whether the member has failed.
+const memberCheckInterval = 100 * time.Millisecond
+
 // moveToDamaged moves the files of a directory to its subdirectory damaged, replacing
 // those moved before.
 func moveToDamaged(dir string) error {
