Keep SIGHUP from ending a core that waits for its disk

A core whose disk was full ended with code 129 when new settings were announced, and so did gates and cores in the moments in which they start or stop.

Cause: SIGHUP was taken only while the settings are followed; otherwise its default ends the process.

Change: both roles take it from their start to their end.

Evidence: before, TestHangupEndsNoProcess found the core ended by signal 1; it passes now, 2 of 2.

--- a/internal/process/cmds/core.go
+++ b/internal/process/cmds/core.go
@@ -56,6 +56,7 @@
 
 // Run executes the command.
 func (c *CoreCommand) Run(env *commandEnv) error {
+	surviveHangups()
 	settings, err := readSettings(c.Settings)
 	if err != nil {
 		return err
--- a/internal/process/cmds/gate.go
+++ b/internal/process/cmds/gate.go
@@ -59,6 +59,7 @@
 
 // Run executes the command.
 func (c *GateCommand) Run(env *commandEnv) error {
+	surviveHangups()
 	settings, err := readSettings(c.Settings)
 	if err != nil {
 		return err
--- a/internal/process/cmds/settings.go
+++ b/internal/process/cmds/settings.go
@@ -85,6 +85,9 @@
 	})
 }
 
+// surviveHangups keeps SIGHUP from ending this process while followSettings does not run.
+func surviveHangups() { signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP) }
+
 // followSettings calls apply with the settings at first and whenever the file has
 // changed, until ctx ends. It polls the file, and rereads it at once on SIGHUP. If the
 // file can't be read, the current settings stay.
