--- a/internal/conn/http1/reader_test.go
+++ b/internal/conn/http1/reader_test.go
@@ -30,7 +30,7 @@
 			return texts, err
 		}
 		body, err := io.ReadAll(response.Body)
-		if err != nil {
+		if err = errors.Join(err, response.Body.Close()); err != nil {
 			return texts, err
 		}
 		texts = append(texts, response.Status+" "+response.Header.Get("Field")+" "+string(body))
@@ -84,13 +84,13 @@
 	arrived, sent := io.Pipe()
 	defer time.AfterFunc(refusalLimit, func() { _ = sent.CloseWithError(errNotRefused) }).Stop()
 	go func() { _, _ = io.WriteString(sent, start) }()
-	_, err := http1.NewReader(arrived).ReadResponse(request)
+	_, err := http1.NewReader(arrived).ReadResponse(request) //nolint:bodyclose // it has no body
 	assert.Check(t, http1.IsMalformed(err), "%q: %v", start, err)
 }
 
 func TestLongHeadIsRefused(t *testing.T) {
 	endless := io.MultiReader(strings.NewReader("HTTP/1.1 200 OK\r\n"), strings.NewReader(strings.Repeat("Field: value\r\n", http1.MaxHeadBytes)))
-	_, err := http1.NewReader(endless).ReadResponse(request)
+	_, err := http1.NewReader(endless).ReadResponse(request) //nolint:bodyclose // it has no body
 	assert.Assert(t, http1.IsMalformed(err), "%v", err)
 }
 
@@ -101,11 +101,11 @@
 	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length : 1\r\n\r\n12"))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		text := string(data)
-		response, err := http1.NewReader(strings.NewReader(text)).ReadResponse(request)
+		response, err := http1.NewReader(strings.NewReader(text)).ReadResponse(request) //nolint:bodyclose // nothing is behind it
 		if err != nil {
 			return
 		}
-		want, err := http.ReadResponse(bufio.NewReader(strings.NewReader(text)), request)
+		want, err := http.ReadResponse(bufio.NewReader(strings.NewReader(text)), request) //nolint:bodyclose // nothing is behind it
 		assert.NilError(t, err)
 		assert.Equal(t, response.StatusCode, want.StatusCode)
 		assert.DeepEqual(t, response.Header, want.Header)
@@ -115,3 +115,27 @@
 		}
 	})
 }
+
+// A line of the header that readers may take for different fields is refused when it arrives.
+func TestMalformedFieldIsRefusedAtOnce(t *testing.T) {
+	for _, line := range []string{
+		"Field : 1", "Field\t: 1", " Field: 1", "\tField: 1", "Fi eld: 1", "Fi\x00eld: 1", "Fi\x1feld: 1", "Fi\x7feld: 1", "Field\r: 1", "Fi\xc3\xa9ld: 1",
+		": 1", "Field", "(Field): 1", " ", "\r", "Field: a\x00b", "Field: a\rb", "Field: a\x7fb",
+	} {
+		checkRefused(t, "HTTP/1.1 200 OK\r\nFirst: 1\r\n"+line+"\r\n")
+		checkRefused(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n")
+	}
+}
+
+// A body whose length is stated in two ways is refused.
+func TestAmbiguousLengthIsRefused(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 1\r\ntransfer-encoding: chunked\r\n\r\n",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, chunked\r\n\r\n",
+	} {
+		checkRefused(t, head)
+	}
+}
