Test the rest of what a control process and a sidecar do after faults

Cause: with some checks of this issue switched off, one at a time on a scratch copy, all tests passed: a sidecar's look at a target whose answers are all malformed, control's second try to open its folder, and SIGHUP at gates.

Change: TestMalformedAnswersAreNoCrash and TestControlIsBackOnceItsFolderCanBeOpened cover the first two. Gates follow their settings from start to end, so taking SIGHUP there as well is removed again.

--- a/cmd/cactusline/fulldisk_test.go
+++ b/cmd/cactusline/fulldisk_test.go
@@ -1,7 +1,10 @@
 package main_test
 
 import (
+	"encoding/json"
 	"fmt"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -58,3 +61,47 @@
 		time.Sleep(fullDiskGap)
 	}
 }
+
+// Guards against a control process that ends since its data folder could not be opened at
+// first after its disk was full, and against one that hides a folder that can't be opened when
+// it starts.
+func TestControlIsBackOnceItsFolderCanBeOpened(t *testing.T) {
+	f := startFleet(t, fleetConfig{controls: 1, untraced: true})
+	control := f.controls[0]
+	audit := filepath.Join(f.folder, "data-"+control.name, "audit")
+	control.setDiskFull(true)
+	assert.Assert(t, postRecords(f.adminAddresses[0], "lost", customerRecord(t, "lost")) != nil)
+	assert.NilError(t, os.Rename(audit, audit+"-away"))
+	assert.NilError(t, os.WriteFile(audit, nil, 0o600))
+	control.setDiskFull(false)
+	time.Sleep(fullDiskTime)
+	select {
+	case <-control.exited:
+		t.Fatalf("control has ended: %v", control.exitErr)
+	default:
+	}
+	assert.NilError(t, os.Remove(audit))
+	assert.NilError(t, os.Rename(audit+"-away", audit))
+	f.submit(&record.Customer{Name: "new", Keys: []record.KeyHash{record.HashKey("new")}})
+
+	control.stop()
+	assert.NilError(t, os.Rename(audit, audit+"-away"))
+	assert.NilError(t, os.WriteFile(audit, nil, 0o600))
+	control.start()
+	select {
+	case <-control.exited:
+		assert.Assert(t, control.exitErr != nil)
+	case <-time.After(startTimeout):
+		t.Fatal("control runs without its folder")
+	}
+}
+
+// customerRecord returns a change that creates a customer.
+func customerRecord(t *testing.T, name ident.CustomerName) []byte {
+	t.Helper()
+	r, err := record.New(&record.Customer{Name: name, Keys: []record.KeyHash{record.HashKey(string(name))}})
+	assert.NilError(t, err)
+	body, err := json.Marshal([]*record.Record{r})
+	assert.NilError(t, err)
+	return body
+}
--- a/internal/process/cmds/gate.go
+++ b/internal/process/cmds/gate.go
@@ -59,7 +59,6 @@
 
 // Run executes the command.
 func (c *GateCommand) Run(env *commandEnv) error {
-	surviveHangups()
 	settings, err := readSettings(c.Settings)
 	if err != nil {
 		return err
--- a/internal/process/cmds/settings.go
+++ b/internal/process/cmds/settings.go
@@ -85,7 +85,8 @@
 	})
 }
 
-// surviveHangups keeps SIGHUP from ending this process while followSettings does not run.
+// surviveHangups keeps SIGHUP from ending this process while followSettings does not run, as
+// between two lives of a core.
 func surviveHangups() { signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP) }
 
 // followSettings calls apply with the settings at first and whenever the file has
--- a/internal/process/side/malformed_test.go
+++ b/internal/process/side/malformed_test.go
@@ -48,6 +48,19 @@
 	checkMalformed(t, answers)
 }
 
+// Guards against a crash that is reported of a target that answers, though all of its answers
+// are malformed.
+func TestMalformedAnswersAreNoCrash(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			_, _ = io.WriteString(conn, "HTTP/1.1 000 X\r\nContent-Length: 6\r\n\r\nanswer")
+			_ = conn.Close()
+		}
+	}))
+	p := startTargetServer(t, server)
+	assertUnknown(t, receiveResult(p.submitAttempt(&wire.Submit{Attempt: "a"})), "malformed")
+}
+
 // Guards against a target that is reached by TLS and whose answers are not checked.
 func TestAnswersByTLSAreChecked(t *testing.T) {
 	var malformed atomic.Bool
