Let a request that may be a bystander of crashes run on trial early

Callers of a request that does no harm got 503 Quarantined, with a Retry-After of up to a minute, if it had been in flight at three crashes that another request caused.

Cause: control judged each request by the number of its own crashes.

Now a request whose crashes are all those of one other request may run on trial 2 s after the last one, and its completion clears it. Trials stay one at a time, so that a bystander does not run beside the cause, and the request with more crashes waits for its minute. Gates follow control's time, as their own crashes say nothing of requests at other gates. Trials and completions are commands of format 7; older formats keep their rules.

--- a/internal/process/gate/crash_test.go
+++ b/internal/process/gate/crash_test.go
@@ -303,6 +303,34 @@
 	waitFor(t, "completion", func() bool { _, completed := control.reported(); return len(completed) == 1 })
 }
 
+// Guards against a request that stays rejected for the crashes that its gate saw itself,
+// while control grants it an early trial, and after that.
+func TestEarlyTrialClearsRequestHeldForOwnCrashes(t *testing.T) {
+	control := new(fakeControl)
+	h := newHarness(t, gate.Config{Control: control})
+	h.putDocument(testDocument())
+	for i := range poison.MaxDirectCrashes {
+		h.setTargets(newCrashingTarget(t, fmt.Sprint("t", i)))
+		_, _, err := h.sendAndRead("/once/a", "poison")
+		assert.NilError(t, err)
+		waitFor(t, "report", func() bool { crashes, _ := control.reported(); return len(crashes) > i })
+	}
+	h.setTargets(newFakeTarget(t, "sound", respondOK))
+	status, _, err := h.sendAndRead("/once/a", "poison")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+
+	crashes, _ := control.reported()
+	h.setVerdict(crashes[0].GetFingerprints()[0], poison.VerdictQuarantined, time.Now().Add(-time.Second))
+	control.grantTrial()
+	for range 3 {
+		status, _, err := h.sendAndRead("/once/a", "poison")
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusOK)
+	}
+	assert.Equal(t, control.askedTrials(), 1)
+}
+
 // Guards against a trial that ends at a target that can't be reached, with another one
 // left. Which of the two is chosen first depends on their names.
 func TestTrialGoesOnAtAnotherTarget(t *testing.T) {
--- a/internal/process/gate/suspect.go
+++ b/internal/process/gate/suspect.go
@@ -51,7 +51,7 @@
 func (s *suspects) recordCompletion(now time.Time, fingerprint ident.Fingerprint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.tracker.RecordCompletion(now, fingerprint)
+	s.tracker.Forget(fingerprint)
 	s.local.Replace(s.tracker.ActiveVerdicts(now))
 	s.fleet.Apply([]poison.VerdictChange{{Fingerprint: fingerprint}})
 }
@@ -80,14 +80,13 @@
 }
 
 // quarantineEnd returns when the quarantine of a request ends, and false if the request
-// is not quarantined at the given time.
+// is not quarantined at the given time. Control's quarantine decides if there is one, since
+// control has compared the crashes with those of the requests at other gates.
 func (s *suspects) quarantineEnd(now time.Time, fingerprint ident.Fingerprint) (time.Time, bool) {
-	end, quarantined := s.fleet.QuarantineEnd(now, fingerprint)
-	localEnd, quarantinedHere := s.local.QuarantineEnd(now, fingerprint)
-	if quarantinedHere && (!quarantined || localEnd.After(end)) {
-		end = localEnd
+	if s.fleet.Quarantined(fingerprint) {
+		return s.fleet.QuarantineEnd(now, fingerprint)
 	}
-	return end, quarantined || quarantinedHere
+	return s.local.QuarantineEnd(now, fingerprint)
 }
 
 // wasQuarantined reports whether a request is or was quarantined and has not completed
--- a/internal/request/poison/tracker.go
+++ b/internal/request/poison/tracker.go
@@ -116,6 +116,11 @@
 	if !ok || t.verdict(now, entry) == VerdictQuarantined {
 		return nil
 	}
+	return t.clear(now, entry)
+}
+
+// clear clears an entry of all crashes and returns the verdict that it changed, if any.
+func (t *Tracker) clear(now time.Time, entry *Entry) []VerdictChange {
 	before := entry.Verdict()
 	entry.merge(Entry{Cleared: now})
 	return t.appendChange(nil, entry, before)
@@ -184,13 +189,19 @@
 }
 
 // ActiveVerdicts returns all verdicts other than VerdictNone, ordered by
-// fingerprint, to fill an empty VerdictSet.
+// fingerprint, to fill an empty VerdictSet. That of a quarantined request expires when an
+// early trial may begin.
 func (t *Tracker) ActiveVerdicts(now time.Time) []VerdictChange {
 	var changes []VerdictChange
 	for fingerprint, entry := range t.entries {
-		if t.Verdict(now, fingerprint) != VerdictNone {
-			changes = append(changes, t.change(entry))
+		if t.Verdict(now, fingerprint) == VerdictNone {
+			continue
+		}
+		change := t.change(entry)
+		if change.Verdict == VerdictQuarantined {
+			change.Expires = t.earlyTrialStart(entry)
 		}
+		changes = append(changes, change)
 	}
 	slices.SortFunc(changes, compareChanges)
 	return changes
--- a/internal/version/store/codec.go
+++ b/internal/version/store/codec.go
@@ -13,16 +13,18 @@
 // The rules of a format never change; new rules need a new format, which may
 // be proposed only once every replica supports it.
 const (
-	Format = formatEvacuation
+	Format = formatEarlyTrial
 
 	// formatBase is the format of all commands but GateReport, RecordSoftware and
-	// Evacuate, and formatGateReport that of a GateReport without parts of prompts.
-	// Older programs apply them too.
+	// Evacuate, and formatGateReport that of a GateReport of crashes without parts of
+	// prompts. Older programs apply them too. From formatEarlyTrial on, trials in a
+	// GateReport may be early, and its completed requests may have been on such a trial.
 	formatBase       = 2
 	formatGateReport = 3
 	formatPartReport = 4
 	formatSoftware   = 5
 	formatEvacuation = 6
+	formatEarlyTrial = 7
 )
 
 // maxCommandBytes limits the size of one encoded command.
@@ -95,6 +97,9 @@
 
 // gateReportFormat returns the oldest format that has a report.
 func gateReportFormat(report *cmdpb.GateReport) uint32 {
+	if len(report.GetTrials()) > 0 || len(report.GetCompleted()) > 0 {
+		return formatEarlyTrial
+	}
 	hasParts := func(crash *cmdpb.TargetCrash) bool { return len(crash.GetParts()) > 0 }
 	if len(report.GetSurvivals()) > 0 || slices.ContainsFunc(report.GetCrashes(), hasParts) {
 		return formatPartReport
--- a/internal/version/store/crash.go
+++ b/internal/version/store/crash.go
@@ -56,6 +56,10 @@
 			return invalidResult("age of a survival must not be negative")
 		}
 	}
+	recordCompletion, beginTrial := s.crashes.RecordTrialCompletion, s.crashes.BeginEarlyTrial
+	if c.GetFormat() < formatEarlyTrial {
+		recordCompletion, beginTrial = s.crashes.RecordCompletion, s.crashes.BeginTrial
+	}
 	result := &cmdpb.Result{Status: cmdpb.Status_STATUS_OK}
 	for _, crash := range body.GetCrashes() {
 		report := poison.DirectCrash{Target: ident.TargetName(crash.GetTarget()), At: s.now.Add(-time.Duration(crash.GetAge()))}
@@ -70,13 +74,13 @@
 		})
 	}
 	for _, fingerprint := range body.GetCompleted() {
-		s.recordVerdicts(result, c, s.crashes.RecordCompletion(s.now, ident.Fingerprint(fingerprint)), audit.Event{
+		s.recordVerdicts(result, c, recordCompletion(s.now, ident.Fingerprint(fingerprint)), audit.Event{
 			Kind: audit.KindQuarantine, Subject: fingerprintSubject(fingerprint), Detail: "completed",
 		})
 	}
 	s.recordSurvivals(result, c, body.GetSurvivals())
 	for _, fingerprint := range body.GetTrials() {
-		if !s.crashes.BeginTrial(s.now, ident.Fingerprint(fingerprint)) {
+		if !beginTrial(s.now, ident.Fingerprint(fingerprint)) {
 			continue
 		}
 		result.GrantedTrials = append(result.GrantedTrials, fingerprint)
--- a/internal/version/store/helpers_test.go
+++ b/internal/version/store/helpers_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"cactusline.dev/cactusline/internal/process/audit"
@@ -36,6 +37,15 @@
 	return r.applyEntry(entry)
 }
 
+// applyFormat applies a command in an older format.
+func (r *replica) applyFormat(c *cmdpb.Command, format uint32) *cmdpb.Result {
+	r.t.Helper()
+	c.Time, c.Format = r.now.UnixNano(), format
+	entry, err := proto.Marshal(c)
+	assert.NilError(r.t, err)
+	return r.applyEntry(entry)
+}
+
 func (r *replica) applyEntry(entry []byte) *cmdpb.Result {
 	r.t.Helper()
 	r.index++
--- a/internal/version/store/store_test.go
+++ b/internal/version/store/store_test.go
@@ -312,6 +312,24 @@
 	}
 }
 
+// A bystander runs early on trial by the reports of programs that know of early trials,
+// and only by those.
+func TestGateReportsBeginEarlyTrials(t *testing.T) {
+	r := newReplica(t, store.Config{})
+	r.apply(gateReport([]string{"t1", "t2", "t3", "t4"}, 3*time.Second, 7))
+	r.apply(gateReport([]string{"t1", "t2", "t3"}, 3*time.Second, 8))
+	trial := &cmdpb.Command{Body: &cmdpb.Command_GateReport{GateReport: &cmdpb.GateReport{Trials: []uint64{7, 8}}}}
+	completion := &cmdpb.Command{Body: &cmdpb.Command_GateReport{GateReport: &cmdpb.GateReport{Completed: []uint64{8}}}}
+	assert.Equal(t, len(r.applyFormat(trial, 3).GetGrantedTrials()), 0)
+	assert.DeepEqual(t, r.apply(trial).GetGrantedTrials(), []uint64{8})
+
+	assert.Equal(t, len(r.applyFormat(completion, 3).GetVerdicts()), 0)
+	assert.Equal(t, len(r.apply(completion).GetVerdicts()), 1)
+	verdicts, _ := r.store.Verdicts()
+	assert.Equal(t, len(verdicts), 1)
+	assert.Equal(t, verdicts[0].GetFingerprint(), uint64(7))
+}
+
 // partCrash returns the report of a crash with one part of prompts in flight.
 func partCrash(target string, part uint64) *cmdpb.Command {
 	return &cmdpb.Command{Body: &cmdpb.Command_GateReport{GateReport: &cmdpb.GateReport{Crashes: []*cmdpb.TargetCrash{{
