Test that a part and its request are no bystanders of each other

With the exclusion of parts taken out, no test failed, so that a request could have run early because of its own parts, which are in flight at all its crashes. TestPartAndItsRequestAreNoBystandersOfEachOther fails then.

--- a/internal/request/poison/direct_test.go
+++ b/internal/request/poison/direct_test.go
@@ -186,6 +186,22 @@
 	assert.Assert(t, !tracker.BeginEarlyTrial(at(30), 8))
 }
 
+// Guards against early trials of a request because of its own parts, which are in flight at
+// all its crashes, and of a part because of a request with it.
+func TestPartAndItsRequestAreNoBystandersOfEachOther(t *testing.T) {
+	const request, part = 7, 100
+	tracker := poison.NewTracker(poison.Config{})
+	for i, second := range []int{0, 1, 2, 3, 6} {
+		crash := directCrash(ident.TargetName(fmt.Sprint("target-", i)), second, request)
+		crash.Parts = []poison.PartInFlight{{Part: poison.Part{ID: 1, Depth: 1}, Fingerprint: part, Sent: at(second)}}
+		tracker.RecordDirectCrash(at(second), crash)
+		if second == 2 {
+			assert.Assert(t, !tracker.BeginEarlyTrial(at(4), request), "its part is no other request")
+		}
+	}
+	assert.Assert(t, !tracker.BeginEarlyTrial(at(30), part), "a trial has crashed its target")
+}
+
 // gateModel is a fleet of gates that send requests to targets without sidecars. Its
 // reports and verdicts take up to maxReportDelay, as during an election.
 type gateModel struct {
--- a/internal/request/poison/trial.go
+++ b/internal/request/poison/trial.go
@@ -76,13 +76,11 @@
 }
 
 // mayBeBystander reports whether a request was quarantined for direct crashes that are all
-// those of one other request as well, so that the other one may be their cause.
+// those of one other request as well, so that the other one may be their cause. The crashes
+// of a quarantined part count against nothing else.
 func (t *Tracker) mayBeBystander(entry *Entry) bool {
-	if entry.isPart() || len(entry.Crashes) < MaxDirectCrashes {
-		return false
-	}
 	for _, other := range t.entries {
-		if other != entry && !other.isPart() && len(other.Crashes) >= len(entry.Crashes) && other.hasAllDirect(entry) {
+		if other != entry && !other.isPart() && other.hasAllDirect(entry) {
 			return true
 		}
 	}
