--- a/review/rig-3/poison.go
+++ b/review/rig-3/poison.go
@@ -62,11 +62,11 @@
 // that begins to run it and that shares a part of its prompt with some of them.
 func runPoisonCase(r *rig) (broken bool, err error) {
 	c := &poisonCase{rig: r}
-	replicas, err := r.startReplicas("llm", poisonReplicas, c.handle)
+	replicas, err := r.startReplicas("llm", 0, poisonReplicas, c.handle)
 	if err != nil {
 		return false, err
 	}
-	if err := r.serveList(replicas); err != nil {
+	if err := r.serveList(replicas, otherWriter{}); err != nil {
 		return false, err
 	}
 	if err := r.start(poisonMachines); err != nil {
--- a/review/rig-3/replica.go
+++ b/review/rig-3/replica.go
@@ -1,12 +1,15 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -37,10 +40,10 @@
 	down      bool
 }
 
-// startReplicas starts count replicas of a service.
-func (r *rig) startReplicas(service string, count int, handle func(p *replica, w http.ResponseWriter, r *http.Request)) ([]*replica, error) {
+// startReplicas starts count replicas of a service, whose numbers begin with first.
+func (r *rig) startReplicas(service string, first, count int, handle func(p *replica, w http.ResponseWriter, r *http.Request)) ([]*replica, error) {
 	replicas := make([]*replica, 0, count)
-	for number := range count {
+	for number := first; number < first+count; number++ {
 		p := &replica{rig: r, number: number, service: service, handle: handle}
 		if err := p.start(); err != nil {
 			return nil, err
@@ -164,26 +167,58 @@
 	}
 }
 
+// otherWriter is another writer of the provider's list. The zero value writes nothing.
+type otherWriter struct {
+	// entries returns its entries, nil for none.
+	entries func() []map[string]any
+	// unreadable stands after the first entry of the list if it isn't empty.
+	unreadable string
+}
+
 // serveList serves the provider's list of replicas until the process ends. A crashed replica
-// stays on the list, and a new incarnation is listed after listLag.
-func (r *rig) serveList(replicas []*replica) error {
+// stays on the list, and a new incarnation is listed after listLag. The list is sorted by the
+// ID and the service of the entries, and one that lacks them comes first.
+func (r *rig) serveList(replicas []*replica, other otherWriter) error {
 	listener, err := net.Listen("tcp", r.providerAddress())
 	if err != nil {
 		return fmt.Errorf("start provider: %w", err)
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /replicas", func(w http.ResponseWriter, _ *http.Request) {
-		entries := make([]map[string]any, 0, len(replicas))
+		var entries []map[string]any
 		for _, p := range replicas {
 			entries = append(entries, p.listEntry())
 		}
+		if other.entries != nil {
+			entries = append(entries, other.entries()...)
+		}
+		slices.SortStableFunc(entries, func(a, b map[string]any) int {
+			return cmp.Or(strings.Compare(textField(a, "id"), textField(b, "id")), strings.Compare(textField(a, "service"), textField(b, "service")))
+		})
+		var texts []string
+		for _, entry := range entries {
+			text, err := json.Marshal(entry)
+			if err != nil {
+				panic(err) // an entry holds only values that can be encoded
+			}
+			texts = append(texts, string(text))
+		}
+		if other.unreadable != "" {
+			texts = slices.Insert(texts, 1, other.unreadable)
+		}
 		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(map[string]any{"instances": entries, "next": nil}) // the caller may have left
+		_, _ = fmt.Fprintf(w, `{"instances":[%s],"next":null}`, strings.Join(texts, ",")) // the caller may have left
 	})
 	go func() { _ = (&http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}).Serve(listener) }()
 	return nil
 }
 
+// textField returns a field of an entry, empty if it is missing.
+func textField(entry map[string]any, name string) string {
+	text, _ := entry[name].(string)
+	return text
+}
+
 func (p *replica) listEntry() map[string]any {
 	p.mu.Lock()
 	defer p.mu.Unlock()
