Show that an entry with capitalized fields is taken for a replica

Cause: entries of the list are decoded without regard to capitals, so that one without any of the eight fields, but with ID, Service, Addr and so on, counts as complete. It comes before the entry of the replica whose ID it bears, and the first entry of an ID holds. Case: review/11, a script with 6 machines, two services of 3 replicas and one such entry, 5 s after the traffic began.

--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -17,6 +17,7 @@
 
 // cases are the cases by their numbers.
 var cases = map[string]func(r *rig) (broken bool, err error){
+	"11": runRouteCase,
 	"14": runPoisonCase,
 }
 
