Show that one entry that is cut short hides the whole list

Cause: a string that is not closed takes the entries after it for its own, and the page is refused as malformed.

--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -18,6 +18,7 @@
 // cases are the cases by their numbers.
 var cases = map[string]func(r *rig) (broken bool, err error){
 	"11": runRouteCase,
+	"12": runUnreadableCase,
 	"14": runPoisonCase,
 }
 
