Show that entries of an unnamed service hide the replicas

Cause: the first entry of an ID holds, also if it names a service that no config names. Case: review/13, a script with 6 machines and 3 replicas, which another writer lists once more under a service of its own.

--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(r *rig) (broken bool, err error){
 	"11": runRouteCase,
 	"12": runUnreadableCase,
+	"13": runMonitorCase,
 	"14": runPoisonCase,
 }
 
