Decide in one place which service a listed target belongs to

Cause: Catalog.Targets kept the first entry of an ID. Evidence: the core logs "target listed" with that service for the three IDs and none for their own; only the order of the entries decides.

A service that the routing document names goes before one that it doesn't; a target stays with the service that it has, so that a document that comes to name the other writer's service moves nothing; without a history the recorded software versions decide, else the target is not published and the core warns. A target whose own entry is gone isn't taken over for a minute, as it may still run requests.

--- a/internal/process/cmds/core.go
+++ b/internal/process/cmds/core.go
@@ -159,7 +159,7 @@
 		FallbackQuery: func(_ context.Context, query *wire.Query) *wire.QueryReply {
 			return answerDiscoveryQuery(p.discovery, query)
 		},
-		OriginLog: streams, Roster: p.publisher, RedirectAddresses: p.discovery.ReplicaAddresses, DeadPeerTimeout: platformDeadPeerTimeout, MinVoters: 2*settings.ToleratedLosses + 1,
+		OriginLog: streams, Roster: p.publisher, DocumentServices: platform.DocumentServices, RedirectAddresses: p.discovery.ReplicaAddresses, DeadPeerTimeout: platformDeadPeerTimeout, MinVoters: 2*settings.ToleratedLosses + 1,
 	})
 	p.control.RecordOrigins(held)
 	p.streams = streams
--- a/internal/process/ctrl/ctrl.go
+++ b/internal/process/ctrl/ctrl.go
@@ -105,6 +105,9 @@
 	WeightFetchLimit permit.Limit
 	// Roster publishes the targets of the platform; nil if records list them.
 	Roster *roster.Publisher
+	// DocumentServices returns the services that a routing document names; nil if there are
+	// no routing documents.
+	DocumentServices func(document []byte) ([]ident.ServiceName, error)
 	// OriginLog keeps the origins of streams; nil if they are held in memory only.
 	OriginLog OriginLog
 	// RedirectAddresses returns the addresses of control processes to which
@@ -130,6 +133,7 @@
 	sendLimiter    *permit.SendLimiter
 	origins        *origin.Table
 	absences       absences
+	claims         targetClaims
 	clockSkews     clockSkews
 	server         *link.Server
 
--- a/internal/process/ctrl/sendpermit_test.go
+++ b/internal/process/ctrl/sendpermit_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -42,6 +43,15 @@
 	return h
 }
 
+// splitServices returns the services of a document that is a list of them.
+func splitServices(document []byte) ([]ident.ServiceName, error) {
+	var services []ident.ServiceName
+	for name := range strings.FieldsSeq(string(document)) {
+		services = append(services, ident.ServiceName(name))
+	}
+	return services, nil
+}
+
 // newControlHarness runs a control process with a log and its state.
 func newControlHarness(t *testing.T, replicated ctrl.Log, state *store.Store) *sendPermitHarness {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -56,7 +66,7 @@
 	h.membership.set("self", 1)
 	h.control = ctrl.New(ctrl.Config{
 		VM: "self", Listener: listener, Clock: h.clock, Logger: log.NewNopLogger(), Tracer: trace.NewNoop(),
-		Log: replicated, Store: state, Link: h.links, Group: h.membership, Roster: roster.NewPublisher("self"),
+		Log: replicated, Store: state, Link: h.links, Group: h.membership, Roster: roster.NewPublisher("self"), DocumentServices: splitServices,
 	})
 	go func() { _ = h.control.Run(ctx) }()
 	return h
--- a/internal/process/ctrl/software.go
+++ b/internal/process/ctrl/software.go
@@ -99,11 +99,13 @@
 	return now.Sub(since)
 }
 
-// AdmitTargets records the software versions of targets that the platform lists, so that
-// a quorum knows each version before a gate can begin a stream there, and returns the
-// targets whose versions are recorded. While there is no quorum, these are the known ones.
+// AdmitTargets returns what may be published of the entries that the platform lists: one for
+// each target, as resolveClaims decides. It records the software versions of these targets,
+// so that a quorum knows each version before a gate can begin a stream there, and leaves out
+// the targets whose versions are not recorded. While there is no quorum, the known ones are.
 // A target whose service or version can't be recorded is left out and holds up no others.
-func (c *Control) AdmitTargets(ctx context.Context, list []roster.Target) []roster.Target {
+func (c *Control) AdmitTargets(ctx context.Context, entries []roster.Target) []roster.Target {
+	list := c.resolveClaims(entries)
 	listed := listedSoftware(list)
 	recorded := c.cfg.Store.Software()
 	term, leads, leader := c.leadership()
--- a/internal/process/ctrl/software_test.go
+++ b/internal/process/ctrl/software_test.go
@@ -100,6 +100,33 @@
 	assert.DeepEqual(t, restored.Software(), []store.Software{{Service: "s", Version: "v1"}, {Service: "s", Version: "v2"}})
 }
 
+// Guards against targets that get no requests while another writer lists them under a service
+// of its own, and against their loss when a document comes to name that service.
+func TestEntriesOfAnotherWriterTakeNoTargets(t *testing.T) {
+	h := newSoftwareHarness(t)
+	admit := func() []ident.ServiceName {
+		services := []ident.ServiceName{}
+		for _, target := range h.control.AdmitTargets(h.ctx, []roster.Target{
+			{Name: "i-1", Service: "monitor", Version: "v1"}, {Name: "i-1", Service: "app", Version: "v1"},
+		}) {
+			services = append(services, target.Service)
+		}
+		return services
+	}
+	put := func(version ident.Version, services string) {
+		assert.NilError(t, h.control.PutDocument(h.ctx, store.Document{Version: version, Body: []byte(services)}))
+	}
+	put(1, "app")
+	assert.DeepEqual(t, admit(), []ident.ServiceName{"app"})
+	// Nothing is recorded of the other entry.
+	assert.DeepEqual(t, h.applied.state.Software(), []store.Software{{Service: "app", Version: "v1"}})
+	put(2, "app monitor")
+	assert.DeepEqual(t, admit(), []ident.ServiceName{"app"})
+	put(3, "monitor")
+	// No document names the other service.
+	assert.DeepEqual(t, admit(), []ident.ServiceName{"monitor"})
+}
+
 // Guards against one target with a name that is too long to be recorded, which keeps all
 // others from being listed.
 func TestLongNameKeepsNoOtherTargetFromTheList(t *testing.T) {
