Keep the crashes of a request that a part of its prompt explains

Cause: the fourth crash quarantines the part that the request shares with sound ones, and the verdict deleted the crashes from the request, which the third crash had quarantined. Two seconds later a sound request with the part completes on trial, the part is released, and nothing is known of the request any more. Evidence: the audit log has the verdict on the request taken back by the report that quarantines the part, then the survival of the part, and nothing else.

Change: a crash that a quarantined part explains stays with the requests that were in flight, names the part and counts for nothing until the part is survived, lifted, or found sound by a report of a crash; then it counts again unless another quarantined part explains it too. Other parts still lose it. The rule is that of format 8 of the replicated log; older reports keep theirs.

TestGateReportHasOldestFormat wants format 8 for reports of crashes, as their rule is a new one; it checks no less.

--- a/internal/request/poison/direct.go
+++ b/internal/request/poison/direct.go
@@ -34,21 +34,30 @@
 func (t *Tracker) RecordDirectCrash(now time.Time, crash DirectCrash) []VerdictChange {
 	t.Expire(now)
 	diff := make(verdictDiff)
-	report := Crash{Target: crash.Target, Direct: true, At: crash.At}
-	explained := t.isExplained(report)
+	report := Crash{Target: crash.Target, Direct: true, At: crash.At, ExplainedBy: t.explanation(crash.Target, crash.At)}
 	for _, fingerprint := range sortedUnique(crash.InFlight) {
 		entry := t.entry(fingerprint)
 		diff.note(t, entry)
-		if crash.At.After(entry.Cleared) && !explained {
+		if crash.At.After(entry.Cleared) {
 			entry.addDirectCrash(report)
 		}
 	}
-	t.recordPartCrashes(now, report, crash.Parts, explained, diff)
+	t.recordPartCrashes(now, report, crash.Parts, diff)
 	changes := diff.changes(t)
 	t.evictExcess()
 	return changes
 }
 
+// RecordDirectCrashByPart is RecordDirectCrash by the rule of earlier releases, which forget
+// that requests were in flight at a crash once a quarantined part explains it.
+func (t *Tracker) RecordDirectCrashByPart(now time.Time, crash DirectCrash) []VerdictChange {
+	changes := t.RecordDirectCrash(now, crash)
+	for _, entry := range t.entries {
+		entry.Crashes = slices.DeleteFunc(entry.Crashes, func(c Crash) bool { return c.ExplainedBy != 0 })
+	}
+	return changes
+}
+
 // verdictDiff holds the verdicts on entries before a change.
 type verdictDiff map[ident.Fingerprint]VerdictChange
 
@@ -89,13 +98,13 @@
 	return c.Direct && other.Direct && c.Target == other.Target && c.At.Sub(other.At).Abs() < minRestartTime
 }
 
-// directCrashTimes returns the times of the direct crashes in ascending order. All of
-// them count, also if a target restarts under the same name, since a restarted target
+// directCrashTimes returns the times of the direct crashes that no part explains, in
+// ascending order. All of them count, also if a target restarts under the same name, since a restarted target
 // is another instance.
 func (e *Entry) directCrashTimes() []time.Time {
 	var times []time.Time
 	for _, crash := range e.Crashes {
-		if crash.Direct {
+		if crash.Direct && crash.ExplainedBy == 0 {
 			times = append(times, crash.At)
 		}
 	}
--- a/internal/request/poison/part.go
+++ b/internal/request/poison/part.go
@@ -50,33 +50,53 @@
 	}
 	diff := make(verdictDiff)
 	diff.note(t, entry)
-	entry.recordSurvival(at)
+	t.recordSurvival(entry, at, diff)
 	return diff.changes(t)
 }
 
 // recordSurvival drops the crashes of requests that were sent before a part was
-// survived, and releases the part if too few are left.
-func (e *Entry) recordSurvival(at time.Time) {
-	if !at.After(e.Cleared) {
+// survived, and releases the part if too few are left. What it explained then counts
+// against the requests that were in flight.
+func (t *Tracker) recordSurvival(entry *Entry, at time.Time, diff verdictDiff) {
+	if !at.After(entry.Cleared) {
 		return
 	}
-	e.Cleared = at
-	e.Crashes = slices.DeleteFunc(e.Crashes, func(c Crash) bool { return !e.counts(c) })
-	if len(e.Crashes) < MaxPartCrashes {
-		e.QuarantinedAt = time.Time{}
+	entry.Cleared = at
+	entry.Crashes = slices.DeleteFunc(entry.Crashes, func(c Crash) bool { return !entry.counts(c) })
+	if len(entry.Crashes) < MaxPartCrashes && entry.quarantined() {
+		entry.QuarantinedAt = time.Time{}
+		t.withdrawExplanation(entry.Fingerprint, diff)
+	}
+}
+
+// withdrawExplanation ends the explanation of crashes by a part that is not quarantined any
+// more. Another quarantined part that was in flight explains them in its place.
+func (t *Tracker) withdrawExplanation(part ident.Fingerprint, diff verdictDiff) {
+	for _, entry := range t.entries {
+		if !slices.ContainsFunc(entry.Crashes, func(c Crash) bool { return c.ExplainedBy == part }) {
+			continue
+		}
+		diff.note(t, entry)
+		for i := range entry.Crashes {
+			if crash := &entry.Crashes[i]; crash.ExplainedBy == part {
+				crash.ExplainedBy = t.explanation(crash.Target, crash.At)
+			}
+		}
 	}
 }
 
 // recordPartCrashes records a crash for the parts that were in flight, and quarantines
 // those that are its likeliest cause. A crash that a quarantined part explains counts
 // against that part alone.
-func (t *Tracker) recordPartCrashes(now time.Time, crash Crash, parts []PartInFlight, explained bool, diff verdictDiff) {
+func (t *Tracker) recordPartCrashes(now time.Time, crash Crash, parts []PartInFlight, diff verdictDiff) {
+	explained := crash.ExplainedBy != 0
+	crash.ExplainedBy = 0
 	entries := make([]*Entry, 0, len(parts))
 	for _, part := range parts {
 		entry := t.entry(part.Fingerprint)
 		diff.note(t, entry)
 		entry.Part = part.Part
-		entry.recordSurvival(part.Survived)
+		t.recordSurvival(entry, part.Survived, diff)
 		crash.Sent = part.Sent
 		if entry.counts(crash) && (entry.quarantined() || !explained) {
 			entry.addDirectCrash(crash)
@@ -147,26 +167,36 @@
 	return slices.ContainsFunc(e.Crashes, crash.isSameDirect)
 }
 
-// isExplained reports whether a quarantined part was in flight at a direct crash, which
-// is then no evidence against anything else.
-func (t *Tracker) isExplained(crash Crash) bool {
-	for _, entry := range t.entries {
+// explanation returns the quarantined part that was in flight at a direct crash, 0 if there
+// was none. The crash is then no evidence against anything else.
+func (t *Tracker) explanation(target ident.TargetName, at time.Time) ident.Fingerprint {
+	var found ident.Fingerprint
+	crash := Crash{Target: target, Direct: true, At: at}
+	for fingerprint, entry := range t.entries {
 		if entry.quarantined() && entry.hasDirect(crash) {
-			return true
+			found = max(found, fingerprint)
 		}
 	}
-	return false
+	return found
 }
 
-// explainCrashes takes the crashes of a quarantined part off all that is not
-// quarantined.
+// explainCrashes explains the crashes of a quarantined part. They no longer count against
+// the requests that were in flight, and are taken off other parts.
 func (t *Tracker) explainCrashes(cause *Entry, diff verdictDiff) {
 	for _, entry := range t.entries {
 		if entry.quarantined() || !slices.ContainsFunc(entry.Crashes, cause.hasDirect) {
 			continue
 		}
 		diff.note(t, entry)
-		entry.Crashes = slices.DeleteFunc(entry.Crashes, cause.hasDirect)
+		if entry.isPart() {
+			entry.Crashes = slices.DeleteFunc(entry.Crashes, cause.hasDirect)
+			continue
+		}
+		for i := range entry.Crashes {
+			if crash := &entry.Crashes[i]; crash.ExplainedBy == 0 && cause.hasDirect(*crash) {
+				crash.ExplainedBy = cause.Fingerprint
+			}
+		}
 	}
 }
 
--- a/internal/request/poison/part_test.go
+++ b/internal/request/poison/part_test.go
@@ -118,6 +118,74 @@
 	}
 }
 
+// recordCrash records a crash at which a request with the shared and the bad part was in
+// flight.
+func recordCrash(tracker *poison.Tracker, second int, request ident.Fingerprint) {
+	tracker.RecordDirectCrash(at(second), poison.DirectCrash{
+		Target: ident.TargetName(fmt.Sprint("t", second)), At: at(second), InFlight: []ident.Fingerprint{request}, Parts: inFlight(second, sharedPart, badPart),
+	})
+}
+
+// Guards against a request that crashes targets again, because a part of its prompt took its
+// crashes off it and turned out sound.
+func TestCrashesOfARequestCountAgainOnceItsPartIsSurvived(t *testing.T) {
+	const request, other = 50, 51
+	for name, release := range map[string]func(*poison.Tracker) []poison.VerdictChange{
+		"survived": func(tracker *poison.Tracker) []poison.VerdictChange {
+			return tracker.RecordSurvival(at(7), badPart, at(7))
+		},
+		"lifted": func(tracker *poison.Tracker) []poison.VerdictChange { return tracker.Forget(badPart) },
+		"survived, known from a crash": func(tracker *poison.Tracker) []poison.VerdictChange {
+			parts := inFlight(7, sharedPart, badPart)
+			parts[1].Survived = at(7).Add(time.Millisecond)
+			return tracker.RecordDirectCrash(at(8), poison.DirectCrash{Target: "t8", At: at(8), Parts: parts})
+		},
+		"survived, after a snapshot": func(tracker *poison.Tracker) []poison.VerdictChange {
+			entries := tracker.Entries()
+			for _, entry := range entries {
+				tracker.Forget(entry.Fingerprint)
+			}
+			tracker.Merge(entries)
+			return tracker.RecordSurvival(at(7), badPart, at(7))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := poison.NewTracker(poison.Config{})
+			for second := range poison.MaxDirectCrashes {
+				recordCrash(tracker, second, request)
+			}
+			recordCrash(tracker, 3, other)
+			recordCrash(tracker, 4, other)
+			assert.Equal(t, tracker.Verdict(at(4), badPart), poison.VerdictQuarantined)
+			assert.Equal(t, tracker.Verdict(at(4), request), poison.VerdictNone, "the part explains its crashes")
+			changes := release(tracker)
+			assert.Assert(t, slices.ContainsFunc(changes, func(c poison.VerdictChange) bool { return c.Fingerprint == request }))
+			assert.Equal(t, tracker.Verdict(at(8), request), poison.VerdictQuarantined)
+			assert.Equal(t, tracker.Verdict(at(8), other), poison.VerdictSuspect)
+			assert.Assert(t, tracker.Verdict(at(8), badPart) < poison.VerdictQuarantined)
+		})
+	}
+}
+
+// Guards against a verdict on what ran beside one of two deadly parts, when the other one
+// turns out sound.
+func TestAnotherPartGoesOnExplainingCrashes(t *testing.T) {
+	const request, otherPart = 50, 60
+	tracker := poison.NewTracker(poison.Config{})
+	for second := range 5 {
+		tracker.RecordDirectCrash(at(second), poison.DirectCrash{
+			Target: ident.TargetName(fmt.Sprint("t", second)), At: at(second), InFlight: []ident.Fingerprint{request},
+			Parts: []poison.PartInFlight{
+				{Part: poison.Part{ID: 2, Depth: 2}, Fingerprint: badPart, Sent: at(second)},
+				{Part: poison.Part{ID: 6, Depth: 2}, Fingerprint: otherPart, Sent: at(second)},
+			},
+		})
+	}
+	assert.Equal(t, tracker.Verdict(at(5), badPart), poison.VerdictQuarantined)
+	tracker.RecordSurvival(at(6), otherPart, at(6))
+	assert.Equal(t, tracker.Verdict(at(6), request), poison.VerdictNone)
+}
+
 // Guards against a verdict on a part whose survival only the gates that report its
 // crashes know of.
 func TestSurvivalInCrashReportCounts(t *testing.T) {
@@ -212,13 +280,15 @@
 }
 
 type partRequest struct {
-	gate    int
-	second  ident.Fingerprint
-	target  int
-	sent    time.Time
-	begins  time.Time
-	ends    time.Time
-	outcome int
+	gate   int
+	second ident.Fingerprint
+	// fingerprint is that of the request, 0 if there is none like it.
+	fingerprint ident.Fingerprint
+	target      int
+	sent        time.Time
+	begins      time.Time
+	ends        time.Time
+	outcome     int
 }
 
 type soundOutcome struct {
@@ -229,6 +299,7 @@
 
 const (
 	firstSecondPart   ident.Fingerprint = 100
+	poisonSecondPart  ident.Fingerprint = 200
 	modelSurvival                       = 250 * time.Millisecond
 	modelRestart                        = 3 * time.Second
 	modelContact                        = 3 * time.Second
@@ -263,13 +334,23 @@
 		m.sound = append(m.sound, soundOutcome{at: m.now, second: second})
 		outcome = len(m.sound) - 1
 	}
-	for _, part := range []ident.Fingerprint{sharedPart, second} {
-		if _, quarantined := m.set.QuarantineEnd(m.now, part); quarantined {
+	m.admit([]ident.Fingerprint{sharedPart, second}, func() { m.run(second, 0, outcome) })
+}
+
+// sendPoison sends the request that crashes its targets, which has a sound second part.
+func (m *partModel) sendPoison() {
+	m.admit([]ident.Fingerprint{modelPoison, sharedPart, poisonSecondPart}, func() { m.run(poisonSecondPart, modelPoison, -1) })
+}
+
+// admit runs a request unless a verdict on one of its subjects keeps it from running.
+func (m *partModel) admit(subjects []ident.Fingerprint, run func()) {
+	for _, subject := range subjects {
+		if _, quarantined := m.set.QuarantineEnd(m.now, subject); quarantined {
 			return
 		}
 	}
-	for _, part := range []ident.Fingerprint{sharedPart, second} {
-		if !m.set.Quarantined(part) {
+	for _, subject := range subjects {
+		if !m.set.Quarantined(subject) {
 			continue
 		}
 		if m.now.Sub(m.askedAt) < time.Second/4 || !m.anyTargetUp() {
@@ -277,20 +358,21 @@
 		}
 		m.askedAt = m.now
 		m.report(func() {
-			if m.tracker.BeginEarlyTrial(m.now, part) {
-				m.run(second, outcome)
+			if m.tracker.BeginEarlyTrial(m.now, subject) {
+				run()
 			}
 		})
 		return
 	}
-	m.run(second, outcome)
+	run()
 }
 
 func (m *partModel) anyTargetUp() bool {
 	return slices.ContainsFunc(m.upAt, func(upAt time.Time) bool { return !m.now.Before(upAt) })
 }
 
-func (m *partModel) run(second ident.Fingerprint, outcome int) {
+// run runs a request at a target that is up. The fingerprint is 0 if there is none like it.
+func (m *partModel) run(second, fingerprint ident.Fingerprint, outcome int) {
 	target := m.rng.IntN(len(m.upAt))
 	for range m.upAt {
 		if !m.now.Before(m.upAt[target]) {
@@ -301,12 +383,12 @@
 	if m.now.Before(m.upAt[target]) {
 		return
 	}
-	if second == badPart {
+	if second == badPart || fingerprint == modelPoison {
 		m.deadlySends = append(m.deadlySends, m.now)
 	}
 	begins := m.now.Add(time.Duration(20+m.rng.IntN(200)) * time.Millisecond)
 	m.running = append(m.running, &partRequest{
-		gate: m.rng.IntN(modelGates), second: second, target: target, sent: m.now, begins: begins,
+		gate: m.rng.IntN(modelGates), second: second, fingerprint: fingerprint, target: target, sent: m.now, begins: begins,
 		ends: begins.Add(time.Duration(50+m.rng.IntN(2000)) * time.Millisecond), outcome: outcome,
 	})
 }
@@ -329,6 +411,9 @@
 			{Part: poison.Part{ID: 1, Depth: 1}, Fingerprint: sharedPart, Sent: r.sent, Survived: m.survivals[r.gate][sharedPart]},
 			{Part: poison.Part{ID: ident.PartID(r.second), Depth: 2}, Fingerprint: r.second, Sent: r.sent, Survived: m.survivals[r.gate][r.second]},
 		}}
+		if r.fingerprint != 0 {
+			crash.InFlight = []ident.Fingerprint{r.fingerprint}
+		}
 		m.report(func() { m.tracker.RecordDirectCrash(m.now, crash) })
 	}
 	m.running = kept
@@ -360,7 +445,7 @@
 	m.now = m.now.Add(modelStep)
 	m.applyReports()
 	for _, r := range slices.Clone(m.running) {
-		if r.second == badPart && !m.now.Before(r.begins) && slices.Contains(m.running, r) {
+		if (r.second == badPart || r.fingerprint == modelPoison) && !m.now.Before(r.begins) && slices.Contains(m.running, r) {
 			m.crash(r.target)
 		}
 	}
@@ -457,6 +542,36 @@
 	}
 }
 
+// Guards against a request that crashes its targets again each time it comes back, because
+// its crashes are forgotten when a part of its prompt that sound requests share turns out
+// sound. It comes each 5 s, to two gates that try two targets each.
+func TestRandomisedPoisonRequestStopsBesideSoundOnesOfItsPart(t *testing.T) {
+	seeds.Run(t, seeds.Range{First: 1, Last: 16}, func(t *testing.T, seed uint64) {
+		m := newPartModel(seed, 0)
+		m.deadlyEvery = 1 << 40
+		for step := range int(2 * time.Minute / modelStep) {
+			m.step()
+			if step%int(1500*time.Millisecond/modelStep) == 0 {
+				m.send(poisonSecondPart)
+			}
+			if sinceReturn := step % int(5*time.Second/modelStep); sinceReturn < 4 && m.now.Sub(baseTime) > deadlyFrom {
+				m.sendPoison()
+			}
+		}
+		assert.Assert(t, len(m.crashes) >= 3)
+		late := 0
+		for _, at := range m.deadlySends {
+			if at.Sub(m.crashes[2]) > modelContact {
+				late++
+			}
+		}
+		assert.Check(t, late <= modelLateRequests, "%d sent late, %d crashes", late, len(m.crashes))
+		before, _ := m.begunShare(baseTime, baseTime.Add(deadlyFrom))
+		after, count := m.begunShare(m.crashes[2].Add(2*modelContact), m.now)
+		assert.Check(t, after >= 0.9*before, "%.2f of %d sound requests begin, %.2f before", after, count, before)
+	})
+}
+
 // Half of the targets or all of them crash at one time, again and again, for another
 // reason than a request. A part that is quarantined for it is released within twice the
 // contact time and the delay of a report.
--- a/internal/request/poison/tracker.go
+++ b/internal/request/poison/tracker.go
@@ -167,8 +167,14 @@
 	return changes
 }
 
-// Forget removes all that is known of a fingerprint.
-func (t *Tracker) Forget(fingerprint ident.Fingerprint) { delete(t.entries, fingerprint) }
+// Forget removes all that is known of a fingerprint, and returns the verdicts that this
+// changed, that on the fingerprint in any case. What a part explained counts again.
+func (t *Tracker) Forget(fingerprint ident.Fingerprint) []VerdictChange {
+	delete(t.entries, fingerprint)
+	diff := make(verdictDiff)
+	t.withdrawExplanation(fingerprint, diff)
+	return append([]VerdictChange{{Fingerprint: fingerprint}}, diff.changes(t)...)
+}
 
 // Entries returns copies of all entries, ordered by fingerprint.
 func (t *Tracker) Entries() []Entry {
--- a/internal/request/poison/trial.go
+++ b/internal/request/poison/trial.go
@@ -76,9 +76,12 @@
 }
 
 // mayBeBystander reports whether a request was quarantined for direct crashes that are all
-// those of one other request as well, so that the other one may be their cause. The crashes
-// of a quarantined part count against nothing else.
+// those of one other request as well, so that the other one may be their cause. A part is
+// in flight with its requests, and has trials of its own.
 func (t *Tracker) mayBeBystander(entry *Entry) bool {
+	if entry.isPart() {
+		return false
+	}
 	for _, other := range t.entries {
 		if other != entry && !other.isPart() && other.hasAllDirect(entry) {
 			return true
@@ -87,8 +90,8 @@
 	return false
 }
 
-// hasAllDirect reports whether all crashes of another entry are direct ones that count
-// against the entry too.
+// hasAllDirect reports whether all crashes that count against another entry are direct ones
+// at which the entry was in flight too.
 func (e *Entry) hasAllDirect(other *Entry) bool {
-	return !slices.ContainsFunc(other.Crashes, func(c Crash) bool { return !e.hasDirect(c) })
+	return !slices.ContainsFunc(other.Crashes, func(c Crash) bool { return c.ExplainedBy == 0 && !e.hasDirect(c) })
 }
--- a/internal/request/poison/verdict.go
+++ b/internal/request/poison/verdict.go
@@ -48,6 +48,9 @@
 	// Sent is when the newest request in flight was sent that has the part of an entry
 	// for a part; zero in other entries.
 	Sent time.Time
+	// ExplainedBy is the quarantined part of prompts that is held to be the cause of the
+	// crash, 0 if there is none. It counts against nothing else while that lasts.
+	ExplainedBy ident.Fingerprint
 }
 
 // Entry is the record of one fingerprint.
@@ -103,7 +106,7 @@
 	var targets [MaxCrashes]ident.TargetName
 	count := 0
 	for _, crash := range e.Crashes {
-		if match(crash) && !slices.Contains(targets[:count], crash.Target) {
+		if crash.ExplainedBy == 0 && match(crash) && !slices.Contains(targets[:count], crash.Target) {
 			targets[count] = crash.Target
 			count++
 		}
@@ -161,6 +164,7 @@
 	} else {
 		e.Crashes[i].At = later(e.Crashes[i].At, crash.At)
 		e.Crashes[i].Sent = later(e.Crashes[i].Sent, crash.Sent)
+		e.Crashes[i].ExplainedBy = max(e.Crashes[i].ExplainedBy, crash.ExplainedBy)
 	}
 	slices.SortFunc(e.Crashes, compareCrashes)
 	if len(e.Crashes) > MaxCrashes {
--- a/internal/version/store/codec.go
+++ b/internal/version/store/codec.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -13,18 +12,20 @@
 // The rules of a format never change; new rules need a new format, which may
 // be proposed only once every replica supports it.
 const (
-	Format = formatEarlyTrial
+	Format = formatKeptCrashes
 
 	// formatBase is the format of all commands but GateReport, RecordSoftware and
-	// Evacuate, and formatGateReport that of a GateReport of crashes without parts of
-	// prompts. Older programs apply them too. From formatEarlyTrial on, trials in a
+	// Evacuate. Older programs apply it too. From formatEarlyTrial on, trials in a
 	// GateReport may be early, and its completed requests may have been on such a trial.
-	formatBase       = 2
-	formatGateReport = 3
-	formatPartReport = 4
-	formatSoftware   = 5
-	formatEvacuation = 6
-	formatEarlyTrial = 7
+	// From formatKeptCrashes on, the crashes in it are kept for the requests in flight also
+	// where a quarantined part of prompts explains them.
+	formatBase        = 2
+	formatGateReport  = 3
+	formatPartReport  = 4
+	formatSoftware    = 5
+	formatEvacuation  = 6
+	formatEarlyTrial  = 7
+	formatKeptCrashes = 8
 )
 
 // maxCommandBytes limits the size of one encoded command.
@@ -97,11 +98,12 @@
 
 // gateReportFormat returns the oldest format that has a report.
 func gateReportFormat(report *cmdpb.GateReport) uint32 {
-	if len(report.GetTrials()) > 0 || len(report.GetCompleted()) > 0 {
+	switch {
+	case len(report.GetCrashes()) > 0:
+		return formatKeptCrashes
+	case len(report.GetTrials()) > 0 || len(report.GetCompleted()) > 0:
 		return formatEarlyTrial
-	}
-	hasParts := func(crash *cmdpb.TargetCrash) bool { return len(crash.GetParts()) > 0 }
-	if len(report.GetSurvivals()) > 0 || slices.ContainsFunc(report.GetCrashes(), hasParts) {
+	case len(report.GetSurvivals()) > 0:
 		return formatPartReport
 	}
 	return formatGateReport
--- a/internal/version/store/crash.go
+++ b/internal/version/store/crash.go
@@ -60,6 +60,10 @@
 	if c.GetFormat() < formatEarlyTrial {
 		recordCompletion, beginTrial = s.crashes.RecordCompletion, s.crashes.BeginTrial
 	}
+	recordCrash := s.crashes.RecordDirectCrash
+	if c.GetFormat() < formatKeptCrashes {
+		recordCrash = s.crashes.RecordDirectCrashByPart
+	}
 	result := &cmdpb.Result{Status: cmdpb.Status_STATUS_OK}
 	for _, crash := range body.GetCrashes() {
 		report := poison.DirectCrash{Target: ident.TargetName(crash.GetTarget()), At: s.now.Add(-time.Duration(crash.GetAge()))}
@@ -69,7 +73,7 @@
 		for _, part := range crash.GetParts() {
 			report.Parts = append(report.Parts, s.decodePart(part))
 		}
-		s.recordVerdicts(result, c, s.crashes.RecordDirectCrash(s.now, report), audit.Event{
+		s.recordVerdicts(result, c, recordCrash(s.now, report), audit.Event{
 			Kind: audit.KindCrash, Subject: crash.GetTarget(), Detail: fmt.Sprintf("seen by a gate, %d in flight", len(report.InFlight)),
 		})
 	}
@@ -146,9 +150,7 @@
 	if s.crashes.Verdict(s.now, fingerprint) == poison.VerdictNone {
 		return &cmdpb.Result{Status: cmdpb.Status_STATUS_NOT_FOUND, Detail: "nothing is held against the request"}
 	}
-	s.crashes.Forget(fingerprint)
-	// The zero Verdict is poison.VerdictNone.
-	changes := []poison.VerdictChange{{Fingerprint: fingerprint}}
+	changes := s.crashes.Forget(fingerprint)
 	return s.verdictResult(c, changes, audit.Event{
 		Kind: audit.KindQuarantine, Request: c.GetChange(), Subject: fingerprintSubject(body.GetFingerprint()), Detail: "cleared",
 	})
@@ -245,6 +247,7 @@
 			encoded.Sites = append(encoded.Sites, &cmdpb.CrashSite{
 				Target: string(site.Target), Incarnation: uint64(site.Incarnation),
 				Number: site.Number, Alone: site.Alone, At: unixNanos(site.At), Direct: site.Direct, Sent: unixNanos(site.Sent),
+				ExplainedBy: uint64(site.ExplainedBy),
 			})
 		}
 		out = append(out, encoded)
@@ -266,7 +269,7 @@
 			entry.Crashes = append(entry.Crashes, poison.Crash{
 				Target: ident.TargetName(site.GetTarget()), Incarnation: ident.Incarnation(site.GetIncarnation()),
 				Number: site.GetNumber(), Alone: site.GetAlone(), At: timeFromUnixNanos(site.GetAt()), Direct: site.GetDirect(),
-				Sent: timeFromUnixNanos(site.GetSent()),
+				Sent: timeFromUnixNanos(site.GetSent()), ExplainedBy: ident.Fingerprint(site.GetExplainedBy()),
 			})
 		}
 		out = append(out, entry)
--- a/internal/version/store/snapshot.go
+++ b/internal/version/store/snapshot.go
@@ -47,6 +47,9 @@
 
 // snapshotFormat returns the oldest format that can hold the state.
 func (s *Store) snapshotFormat() uint32 {
+	if slices.ContainsFunc(s.crashes.Entries(), func(e poison.Entry) bool { return slices.ContainsFunc(e.Crashes, isExplained) }) {
+		return formatKeptCrashes
+	}
 	if len(s.evacuations.list) > 0 {
 		return formatEvacuation
 	}
@@ -65,6 +68,8 @@
 	return format
 }
 
+func isExplained(crash poison.Crash) bool { return crash.ExplainedBy != 0 }
+
 // saveRecords adds the records, their history and the highest retired versions
 // to a snapshot.
 func (s *Store) saveRecords(snapshot *cmdpb.Snapshot) {
--- a/internal/version/store/store_test.go
+++ b/internal/version/store/store_test.go
@@ -370,14 +370,41 @@
 	assert.Equal(t, r.apply(&cmdpb.Command{Body: &cmdpb.Command_GateReport{GateReport: survival}}).GetStatus(), cmdpb.Status_STATUS_INVALID)
 }
 
+// A request whose crashes a quarantined part explains is held again by each replica once the
+// part is survived, by the reports of programs that keep these crashes, and only by those.
+func TestGateReportsKeepExplainedCrashes(t *testing.T) {
+	for format, want := range map[uint32]int{8: 1, 7: 0} {
+		r := newReplica(t, store.Config{})
+		for i, request := range []uint64{7, 7, 7, 8, 9} {
+			crash := partCrash(fmt.Sprint("t", i), 100)
+			crash.GetGateReport().GetCrashes()[0].Fingerprints = []uint64{request}
+			r.applyFormat(crash, format)
+		}
+		restored := newReplica(t, store.Config{})
+		restored.now, restored.index = r.now, r.index
+		snapshot := r.snapshot()
+		if format == 8 {
+			assert.Equal(t, snapshotFormat(t, snapshot), uint32(8))
+		}
+		assert.NilError(t, restored.store.Restore(snapshot))
+		survival := &cmdpb.GateReport{Survivals: []*cmdpb.PartSurvival{{Fingerprint: 100}}}
+		for _, replica := range []*replica{r, restored} {
+			replica.apply(&cmdpb.Command{Body: &cmdpb.Command_GateReport{GateReport: survival}})
+			verdicts, _ := replica.store.Verdicts()
+			assert.Equal(t, len(verdicts), want, "format %d", format)
+		}
+	}
+}
+
 // Commands that older programs apply too keep their format.
 func TestGateReportHasOldestFormat(t *testing.T) {
 	withPart := partCrash("t", 7)
 	withSurvival := &cmdpb.Command{Body: &cmdpb.Command_GateReport{GateReport: &cmdpb.GateReport{Survivals: []*cmdpb.PartSurvival{{}}}}}
-	for want, command := range map[uint32]*cmdpb.Command{3: gateReport([]string{"t"}, 0, 7), 4: withPart} {
+	// What a crash counts against has changed with format 8.
+	for _, command := range []*cmdpb.Command{gateReport([]string{"t"}, 0, 7), withPart} {
 		_, err := store.EncodeCommand(command)
 		assert.NilError(t, err)
-		assert.Equal(t, command.GetFormat(), want)
+		assert.Equal(t, command.GetFormat(), uint32(8))
 	}
 	_, err := store.EncodeCommand(withSurvival)
 	assert.NilError(t, err)
