Forget control processes that are gone, and ask those that answer first

Cause: a reply to an announcement has all that a process knows, and what came back counted as news of it, so processes that are gone were revived without end; and a relay asked all addresses in the order of their text, 0.3 s for each that is gone, within 0.9 s, and learned nothing from that.

Change: replies tell how long ago each process was last heard of, and only what is newer counts. A process is forgotten once others were heard of a minute later. Addresses are given by how lately they were heard of, without those silent for 10 s. A relay goes first to the member that answered last, then to those that did not fail. A process without a disk also announces itself to two others than its seeds, which may all be gone.

--- a/internal/process/ctrl/document.go
+++ b/internal/process/ctrl/document.go
@@ -1,9 +1,13 @@
 package ctrl
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log"
@@ -227,10 +231,58 @@
 	// Link carries the calls.
 	Link *link.Client
 	// ControlAddresses returns the addresses of the members of the control
-	// group.
+	// group, the most promising one first.
 	ControlAddresses func() []string
 	Clock            Clock
 	Logger           log.Logger
+
+	// answers are those of the members so far.
+	answers answerLog
+}
+
+// answerLog holds which of several addresses answered last, and which failed since they last
+// answered. Its zero value is ready to use.
+type answerLog struct {
+	mu           sync.Mutex
+	lastAnswered string
+	// failures are the numbers of the failed calls, so that the address that failed longest
+	// ago is the one with the lowest.
+	failures map[string]int
+	calls    int
+}
+
+// order returns addresses in the order in which they are asked: the one that answered last,
+// those that did not fail, and the others, the one that failed last at the end.
+func (a *answerLog) order(addresses []string) []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	rank := func(address string) int {
+		if address == a.lastAnswered {
+			return -1
+		}
+		return a.failures[address]
+	}
+	maps.DeleteFunc(a.failures, func(address string, _ int) bool { return !slices.Contains(addresses, address) })
+	return slices.SortedStableFunc(slices.Values(addresses), func(x, y string) int { return cmp.Compare(rank(x), rank(y)) })
+}
+
+// record records whether an address answered.
+func (a *answerLog) record(address string, answered bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if answered {
+		a.lastAnswered = address
+		delete(a.failures, address)
+		return
+	}
+	if a.lastAnswered == address {
+		a.lastAnswered = ""
+	}
+	if a.failures == nil {
+		a.failures = make(map[string]int)
+	}
+	a.calls++
+	a.failures[address] = a.calls
 }
 
 // PutDocument works like Control.PutDocument, at another process.
@@ -269,11 +321,15 @@
 // executed without an answer.
 func (r *Relay) query(ctx context.Context, query *wire.Query) (*wire.QueryReply, error) {
 	lastErr := &UnavailableError{Message: "no control process is known"}
-	for _, address := range r.ControlAddresses() {
+	for _, address := range r.answers.order(r.ControlAddresses()) {
 		if ctx.Err() != nil {
 			break
 		}
 		reply, err := r.queryAt(ctx, address, query)
+		if err == nil || ctx.Err() == nil {
+			// An address that was asked just before the end says nothing.
+			r.answers.record(address, err == nil)
+		}
 		if err == nil {
 			return reply, nil
 		}
--- a/internal/process/ctrl/document_test.go
+++ b/internal/process/ctrl/document_test.go
@@ -123,6 +123,36 @@
 	assert.Equal(t, got.Version, ident.Version(5), "a process that is not a member asks a member")
 }
 
+// Guards against operators' calls that fail for as long as a process relays them, because it
+// asks members that are gone before those that live, and learns nothing from that.
+func TestRelayAsksMembersThatAnswerFirst(t *testing.T) {
+	const operatorTimeout = 900 * time.Millisecond
+	c := startDocumentControl(t, true, 0, nil)
+	addresses := []string{silentAddress(t), silentAddress(t), silentAddress(t), c.address}
+	relay := &ctrl.Relay{Link: c.links, ControlAddresses: func() []string { return addresses }, Logger: log.NewNopLogger()}
+	// The first calls learn which members don't answer.
+	for range 2 {
+		_, _ = relay.Document(withTimeout(t, operatorTimeout))
+	}
+	assert.NilError(t, relay.PutDocument(withTimeout(t, operatorTimeout), document(5, `{"a":5}`)))
+	_, err := relay.Document(withTimeout(t, operatorTimeout))
+	assert.NilError(t, err)
+	// Another member takes the place of the one that answered.
+	other := startDocumentControl(t, true, 0, nil)
+	addresses = []string{addresses[0], addresses[1], silentAddress(t), other.address}
+	_, _ = relay.Document(withTimeout(t, operatorTimeout))
+	_, err = relay.Document(withTimeout(t, operatorTimeout))
+	assert.NilError(t, err)
+}
+
+// silentAddress returns an address that accepts connections and never answers.
+func silentAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener.Addr().String()
+}
+
 // A follower gets the document, the roster and the loads that other processes
 // report. A process that is not a member redirects it to a member.
 func TestFollowersGetDocumentRosterAndLoads(t *testing.T) {
--- a/internal/process/member/discovery.go
+++ b/internal/process/member/discovery.go
@@ -5,6 +5,7 @@
 package member
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -37,9 +38,16 @@
 	// liveTimeout is how long a process counts as live after its announcement. It
 	// tolerates three lost announcements of a joining process.
 	liveTimeout = time.Second
-	// knownTimeout is how long a process stays known after it last announced
-	// itself or another process last reported new data about it.
+	// knownTimeout is how much longer ago than of any other process a process may last have
+	// been heard of, and stay known. It doesn't run while this process hears of none.
 	knownTimeout = time.Minute
+	// recentTimeout is the time in which a process that runs is heard of, also if some
+	// announcements are lost and another process passes them on.
+	recentTimeout = 5 * settledAnnounceInterval
+	// relayContacts is the number of processes with a data folder, beside the seeds, to which
+	// a process without one announces itself, so that it learns of changes also once all
+	// its seeds are gone.
+	relayContacts = 2
 	// founderWait is how long the first seed waits for the other processes to
 	// start before it chooses the founder, if it cannot be the founder itself. All
 	// VMs of a new system start within 0.3 s.
@@ -70,6 +78,9 @@
 	// Self is the process that replies.
 	Self  Process
 	Known []Process
+	// Ages are how long ago each of Known was last heard of, by the replying process or by
+	// one that told it. Processes of earlier releases send none.
+	Ages []time.Duration `json:",omitempty"`
 	// Founder is the VM that must bootstrap the group. It is set only by the
 	// process that chooses the founder.
 	Founder ident.VMName `json:",omitempty"`
@@ -100,11 +111,12 @@
 	known map[ident.VMName]*knownProcess
 }
 
-// knownProcess is a process with the time of its last update, from itself or from
-// others, and of its last announcement.
+// knownProcess is a process with the times of its last announcement to this process, and of
+// the last one to any process, as far as this one knows. What others report never makes a
+// process seem alive that has announced itself to nobody.
 type knownProcess struct {
 	process       Process
-	lastUpdate    time.Time
+	lastHeard     time.Time
 	lastAnnounced time.Time
 }
 
@@ -196,7 +208,8 @@
 }
 
 // announceAddresses returns the addresses to announce this process to: those of
-// the seeds, of the members and, while joining, of all known processes.
+// the seeds, of the members and, while joining, of all known processes. A process
+// without a data folder, which knows no members, has relayContacts in their place.
 func (d *Discovery) announceAddresses() []string {
 	var list []string
 	add := func(address string) {
@@ -221,6 +234,12 @@
 			add(process.Address)
 		}
 	}
+	if d.cfg.Group == nil {
+		others := slices.DeleteFunc(d.ReplicaAddresses(), func(address string) bool { return slices.Contains(list, address) })
+		for _, address := range others[:min(len(others), relayContacts)] {
+			add(address)
+		}
+	}
 	return list
 }
 
@@ -247,9 +266,7 @@
 		return
 	}
 	d.reportLostDisks(members, answer.Self)
-	for _, process := range answer.Known {
-		d.recordProcess(process, false)
-	}
+	d.recordReports(&answer)
 	if len(d.cfg.Seeds) > 0 && address == d.cfg.Seeds[0] {
 		d.bootstrapIfFounder(answer.Founder)
 	}
@@ -290,61 +307,128 @@
 	if err := json.Unmarshal(query.GetArgument(), &process); err != nil {
 		return &wire.QueryReply{Error: fmt.Sprintf("decode announcement: %v", err)}
 	}
-	d.recordProcess(process, true)
-	known := append(d.Known(), d.cfg.Self)
-	if d.cfg.Group != nil {
-		for _, member := range d.cfg.Group.Status().Members {
-			known = append(known, Process{VM: member.VM, ID: member.ID, Address: member.Address})
-		}
-	}
-	result, err := json.Marshal(announceReply{Self: d.cfg.Self, Known: known, Founder: d.chooseFounder()})
+	d.recordAnnouncement(process)
+	reply := announceReply{Self: d.cfg.Self, Founder: d.chooseFounder()}
+	d.addReports(&reply)
+	result, err := json.Marshal(reply)
 	if err != nil {
 		return &wire.QueryReply{Error: err.Error()}
 	}
 	return &wire.QueryReply{Result: result}
 }
 
-// recordProcess records a process. direct tells whether the process announced
-// itself or was reported by another one.
-func (d *Discovery) recordProcess(process Process, direct bool) {
-	if process.VM == d.cfg.Self.VM || process.VM == "" {
+// addReports adds the known processes to a reply, then this one and the members of the log.
+// Of a member that isn't known, nothing was heard since this process started.
+func (d *Discovery) addReports(reply *announceReply) {
+	now := d.cfg.Clock.Now()
+	add := func(process Process, age time.Duration) {
+		reply.Known = append(reply.Known, process)
+		reply.Ages = append(reply.Ages, max(0, age))
+	}
+	reported := make(map[ident.VMName]bool)
+	for _, known := range d.knownByAge() {
+		reported[known.process.VM] = true
+		add(known.process, now.Sub(known.lastHeard))
+	}
+	add(d.cfg.Self, 0)
+	if d.cfg.Group == nil {
+		return
+	}
+	for _, member := range d.cfg.Group.Status().Members {
+		if !reported[member.VM] {
+			add(Process{VM: member.VM, ID: member.ID, Address: member.Address}, min(now.Sub(d.started), knownTimeout))
+		}
+	}
+}
+
+// recordReports records the processes in a reply.
+func (d *Discovery) recordReports(reply *announceReply) {
+	now := d.cfg.Clock.Now()
+	for i, process := range reply.Known {
+		heard := now
+		if i < len(reply.Ages) {
+			heard = now.Add(-max(0, reply.Ages[i]))
+		}
+		d.recordReport(now, process, heard)
+	}
+}
+
+// recordReport records a process of which another one has heard at the given time. It counts
+// only if the process has not announced itself within liveTimeout, and if that is news.
+func (d *Discovery) recordReport(now time.Time, process Process, heard time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	known := d.entry(process)
+	if known == nil || now.Sub(known.lastAnnounced) <= liveTimeout || !heard.After(known.lastHeard) {
 		return
 	}
+	known.process, known.lastHeard = process, heard
+	d.forgetOld()
+}
+
+// recordAnnouncement records a process that announced itself to this one.
+func (d *Discovery) recordAnnouncement(process Process) {
 	now := d.cfg.Clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if known := d.entry(process); known != nil {
+		known.process, known.lastHeard, known.lastAnnounced = process, now, now
+		d.forgetOld()
+	}
+}
+
+// entry returns the entry of a process, adding it if there is none, and nil for this process
+// and for one without a name. The caller holds the lock.
+func (d *Discovery) entry(process Process) *knownProcess {
+	if process.VM == d.cfg.Self.VM || process.VM == "" {
+		return nil
+	}
 	known := d.known[process.VM]
 	if known == nil {
 		known = &knownProcess{}
 		d.known[process.VM] = known
-		_ = level.Debug(d.cfg.Logger).Log("msg", "control process discovered", "vm", process.VM, "address", process.Address, "member", process.ID, "itself", direct)
-	}
-	// A report of another process is used only if the process has not announced
-	// itself within liveTimeout.
-	switch {
-	case direct:
-		known.process, known.lastUpdate, known.lastAnnounced = process, now, now
-	case now.Sub(known.lastAnnounced) > liveTimeout:
-		if known.process != process {
-			known.lastUpdate = now
+		_ = level.Debug(d.cfg.Logger).Log("msg", "control process discovered", "vm", process.VM, "address", process.Address, "member", process.ID)
+	}
+	return known
+}
+
+// forgetOld forgets the processes that were last heard of knownTimeout before another one.
+// The caller holds the lock.
+func (d *Discovery) forgetOld() {
+	var newest time.Time
+	for _, known := range d.known {
+		if known.lastHeard.After(newest) {
+			newest = known.lastHeard
 		}
-		known.process = process
 	}
-	for vm, other := range d.known {
-		if now.Sub(other.lastUpdate) > knownTimeout {
+	for vm, known := range d.known {
+		if newest.Sub(known.lastHeard) > knownTimeout {
 			delete(d.known, vm)
 		}
 	}
 }
 
-// Known returns the other processes that are known, from themselves or from
-// others.
-func (d *Discovery) Known() []Process {
+// knownByAge returns the known processes, the one last heard of first.
+func (d *Discovery) knownByAge() []knownProcess {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	list := make([]Process, 0, len(d.known))
+	list := make([]knownProcess, 0, len(d.known))
 	for _, known := range d.known {
-		list = append(list, known.process)
+		list = append(list, *known)
+	}
+	slices.SortFunc(list, func(a, b knownProcess) int {
+		return cmp.Or(b.lastHeard.Compare(a.lastHeard), cmp.Compare(a.process.VM, b.process.VM))
+	})
+	return list
+}
+
+// Known returns the other processes that are known, from themselves or from
+// others, the one last heard of first.
+func (d *Discovery) Known() []Process {
+	known := d.knownByAge()
+	list := make([]Process, 0, len(known))
+	for _, of := range known {
+		list = append(list, of.process)
 	}
 	return list
 }
@@ -365,14 +449,23 @@
 }
 
 // ReplicaAddresses returns the addresses of the other known processes that have a
-// data folder and so can hold a replica of the log.
+// data folder and so can hold a replica of the log, the one last heard of first. Those
+// that were not heard of for recentTimeout are left out, unless that holds for all.
 func (d *Discovery) ReplicaAddresses() []string {
+	now := d.cfg.Clock.Now()
 	var list []string
-	for _, process := range d.Known() {
-		if process.ID != "" {
-			list = append(list, process.Address)
+	recent := 0
+	for _, known := range d.knownByAge() {
+		if known.process.ID == "" {
+			continue
+		}
+		list = append(list, known.process.Address)
+		if now.Sub(known.lastHeard) <= recentTimeout {
+			recent = len(list)
 		}
 	}
-	slices.Sort(list)
+	if recent > 0 {
+		return list[:recent]
+	}
 	return list
 }
