Send commands of members to the members, not to the seeds of the start

Cause: a member that isn't the leader passed commands to the seeds that its settings named when it started. Once these are all replaced, targets of a new software version are not listed while it reads the list, and operators' commands through it fail, though the leader is known. Ruled out: a missing leader; the reply names it.

Change: such a command goes to the leader that the log names, then to the other members.

Measured: TestCommandReachesTheLeaderWhenAllSeedsAreGone fails before (nothing is recorded at the leader) and passes now.

--- a/internal/conn/remote/remote.go
+++ b/internal/conn/remote/remote.go
@@ -125,7 +125,7 @@
 	if reply.GetError() == "" {
 		return reply.GetResult(), nil
 	}
-	c.setLeader(reply.GetLeader())
+	c.SetLeader(reply.GetLeader())
 	if reply.GetUnknown() {
 		*maybeCommitted = true
 		return nil, &UnknownOutcomeError{Err: errors.New(reply.GetError())}
@@ -151,7 +151,7 @@
 		}
 		if err == nil {
 			err = errors.New(reply.GetError())
-			c.setLeader(reply.GetLeader())
+			c.SetLeader(reply.GetLeader())
 		}
 		if c.cfg.Clock.Sleep(ctx, retryInterval) != nil {
 			return nil, fmt.Errorf("query %s: %w", query.GetKind(), err)
@@ -165,7 +165,7 @@
 	address := c.address()
 	err := c.cfg.Link.Ask(ctx, address, call, reply)
 	if err != nil {
-		c.setLeader("")
+		c.SetLeader("")
 		return fmt.Errorf("control %s: %w", address, err)
 	}
 	return nil
@@ -182,4 +182,5 @@
 	return addresses[next%uint64(len(addresses))]
 }
 
-func (c *Client) setLeader(leader string) { c.leader.Store(&leader) }
+// SetLeader sets the address that is called first, empty if the leader is unknown.
+func (c *Client) SetLeader(leader string) { c.leader.Store(&leader) }
--- a/internal/process/ctrl/ctrl.go
+++ b/internal/process/ctrl/ctrl.go
@@ -282,6 +282,9 @@
 			return nil, &remote.RefusedError{Message: reply.GetError()}
 		}
 		if reply.GetLeader() != "" {
+			// The settings may name none of the members any more.
+			c.cfg.Remote.SetAddresses(c.memberAddresses())
+			c.cfg.Remote.SetLeader(reply.GetLeader())
 			return c.cfg.Remote.ProposeEntry(ctx, entry, trace.Traceparent(ctx))
 		}
 		if err := c.cfg.Clock.Sleep(ctx, leaderRetryInterval); err != nil {
@@ -290,6 +293,21 @@
 	}
 }
 
+// memberAddresses returns the addresses of the other members of the control group.
+func (c *Control) memberAddresses() []string {
+	if c.cfg.Group == nil {
+		return nil
+	}
+	status := c.cfg.Group.Status()
+	var list []string
+	for _, member := range status.Members {
+		if member.ID != status.ID {
+			list = append(list, member.Address)
+		}
+	}
+	return list
+}
+
 // leaderRetryInterval is the delay before another attempt while no leader is
 // known.
 const leaderRetryInterval = 50 * time.Millisecond
--- a/internal/process/ctrl/permit_test.go
+++ b/internal/process/ctrl/permit_test.go
@@ -45,6 +45,12 @@
 	}
 }
 
+func (m *fakeMembership) replace(status group.Status) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.status = status
+}
+
 // fakeLog is a log whose barriers are implemented by a test.
 type fakeLog struct {
 	mu      sync.Mutex
--- a/internal/process/ctrl/sendpermit_test.go
+++ b/internal/process/ctrl/sendpermit_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"cactusline.dev/cactusline/internal/conn/link"
+	"cactusline.dev/cactusline/internal/conn/remote"
 	"cactusline.dev/cactusline/internal/conn/roster"
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/process/clock"
@@ -67,6 +68,7 @@
 	h.control = ctrl.New(ctrl.Config{
 		VM: "self", Listener: listener, Clock: h.clock, Logger: log.NewNopLogger(), Tracer: trace.NewNoop(),
 		Log: replicated, Store: state, Link: h.links, Group: h.membership, Roster: roster.NewPublisher("self"), DocumentServices: splitServices,
+		Remote: remote.NewClient(remote.Config{Addresses: []string{"127.0.0.1:1"}, Link: h.links, Clock: clock.System{}}),
 	})
 	go func() { _ = h.control.Run(ctx) }()
 	return h
--- a/internal/process/ctrl/software_test.go
+++ b/internal/process/ctrl/software_test.go
@@ -15,6 +15,7 @@
 	"cactusline.dev/cactusline/internal/conn/wire"
 	"cactusline.dev/cactusline/internal/process/clock"
 	"cactusline.dev/cactusline/internal/process/ctrl"
+	"cactusline.dev/cactusline/internal/process/group"
 	"cactusline.dev/cactusline/internal/process/trace"
 	"cactusline.dev/cactusline/internal/version/ident"
 	"cactusline.dev/cactusline/internal/version/store"
@@ -127,6 +128,24 @@
 	assert.DeepEqual(t, admit(), []ident.ServiceName{"monitor"})
 }
 
+// Guards against targets that are never listed and commands that are never carried out by a
+// process that isn't the leader, because the settings of its start name only processes that
+// are gone.
+func TestCommandReachesTheLeaderWhenAllSeedsAreGone(t *testing.T) {
+	leader, follower := newSoftwareHarness(t), newSoftwareHarness(t)
+	follower.membership.replace(group.Status{
+		ID: "self", Leader: "other", Term: 1,
+		Members: []group.MemberStatus{{Member: group.Member{ID: "self"}}, {Member: group.Member{ID: "other", Address: leader.address}}},
+	})
+	follower.applied.setError(&group.NotLeaderError{Address: leader.address})
+	follower.admit("v1")
+	assert.DeepEqual(t, leader.applied.state.Software(), []store.Software{{Service: "s", Version: "v1"}})
+	// A leader that is named but gone doesn't hide the other members.
+	follower.applied.setError(&group.NotLeaderError{Address: "127.0.0.1:1"})
+	follower.admit("v1", "v2")
+	assert.Equal(t, len(leader.applied.state.Software()), 2)
+}
+
 // Guards against one target with a name that is too long to be recorded, which keeps all
 // others from being listed.
 func TestLongNameKeepsNoOtherTargetFromTheList(t *testing.T) {
