Hold no part for the crashes of one request that is held already

Cause: the third crash quarantines the request and the fourth, which gates can't prevent in time, the part, though all its crashes are those of the request.

Change: a part isn't quarantined while all its crashes but one at most are those of one quarantined request; two crashes without the request still quarantine it. By reports of format 8; older ones are treated as before.

--- a/internal/request/poison/direct.go
+++ b/internal/request/poison/direct.go
@@ -32,6 +32,12 @@
 // RecordDirectCrash records a direct crash and returns the verdicts that it changed,
 // ordered by fingerprint.
 func (t *Tracker) RecordDirectCrash(now time.Time, crash DirectCrash) []VerdictChange {
+	return t.recordDirectCrash(now, crash, t.isLikeliestCause)
+}
+
+// recordDirectCrash records a direct crash. isCause reports whether a part that was in flight
+// is to be quarantined.
+func (t *Tracker) recordDirectCrash(now time.Time, crash DirectCrash, isCause func(part *Entry) bool) []VerdictChange {
 	t.Expire(now)
 	diff := make(verdictDiff)
 	report := Crash{Target: crash.Target, Direct: true, At: crash.At, ExplainedBy: t.explanation(crash.Target, crash.At)}
@@ -42,16 +48,17 @@
 			entry.addDirectCrash(report)
 		}
 	}
-	t.recordPartCrashes(now, report, crash.Parts, diff)
+	t.recordPartCrashes(now, report, crash.Parts, isCause, diff)
 	changes := diff.changes(t)
 	t.evictExcess()
 	return changes
 }
 
-// RecordDirectCrashByPart is RecordDirectCrash by the rule of earlier releases, which forget
-// that requests were in flight at a crash once a quarantined part explains it.
+// RecordDirectCrashByPart is RecordDirectCrash by the rules of earlier releases, which compare
+// parts with no requests, and forget that requests were in flight at a crash once a
+// quarantined part explains it.
 func (t *Tracker) RecordDirectCrashByPart(now time.Time, crash DirectCrash) []VerdictChange {
-	changes := t.RecordDirectCrash(now, crash)
+	changes := t.recordDirectCrash(now, crash, t.isLikeliestPart)
 	for _, entry := range t.entries {
 		entry.Crashes = slices.DeleteFunc(entry.Crashes, func(c Crash) bool { return c.ExplainedBy != 0 })
 	}
--- a/internal/request/poison/part.go
+++ b/internal/request/poison/part.go
@@ -88,7 +88,7 @@
 // recordPartCrashes records a crash for the parts that were in flight, and quarantines
 // those that are its likeliest cause. A crash that a quarantined part explains counts
 // against that part alone.
-func (t *Tracker) recordPartCrashes(now time.Time, crash Crash, parts []PartInFlight, diff verdictDiff) {
+func (t *Tracker) recordPartCrashes(now time.Time, crash Crash, parts []PartInFlight, isCause func(*Entry) bool, diff verdictDiff) {
 	explained := crash.ExplainedBy != 0
 	crash.ExplainedBy = 0
 	entries := make([]*Entry, 0, len(parts))
@@ -107,7 +107,7 @@
 		return cmp.Or(cmp.Compare(b.Part.Depth, a.Part.Depth), cmp.Compare(a.Fingerprint, b.Fingerprint))
 	})
 	for _, entry := range entries {
-		if !entry.quarantined() && t.isLikeliestCause(entry) {
+		if !entry.quarantined() && isCause(entry) {
 			entry.QuarantinedAt = now
 		}
 		if entry.quarantined() {
@@ -116,9 +116,15 @@
 	}
 }
 
-// isLikeliestCause reports whether a part is to be quarantined: it has MaxPartCrashes,
-// and no part that it shares most of them with is a likelier cause.
+// isLikeliestCause reports whether a part is to be quarantined: its crashes are not those of
+// one quarantined request, and it is the likeliest part.
 func (t *Tracker) isLikeliestCause(entry *Entry) bool {
+	return t.isLikeliestPart(entry) && !t.hasRequestAsCause(entry)
+}
+
+// isLikeliestPart reports whether a part has MaxPartCrashes, and no part that it shares most
+// of them with is a likelier cause.
+func (t *Tracker) isLikeliestPart(entry *Entry) bool {
 	if len(entry.Crashes) >= MaxCrashes {
 		return true
 	}
@@ -133,6 +139,19 @@
 	return true
 }
 
+// hasRequestAsCause reports whether the crashes of a part are those of one quarantined
+// request. The part is then no likelier cause than the request, which is held already, and
+// other requests may have the part.
+func (t *Tracker) hasRequestAsCause(part *Entry) bool {
+	for _, entry := range t.entries {
+		// A report of the last crash may still be on its way.
+		if !entry.isPart() && entry.Verdict() == VerdictQuarantined && part.sharedCrashes(entry) >= len(part.Crashes)-1 {
+			return true
+		}
+	}
+	return false
+}
+
 // isLikelierThan reports whether a part is a likelier cause of crashes than another
 // part. A part that no target has survived is likelier than one that some target has,
 // then one with more crashes, then one further on in prompts, since a shared beginning
--- a/internal/version/store/store_test.go
+++ b/internal/version/store/store_test.go
@@ -373,6 +373,19 @@
 // A request whose crashes a quarantined part explains is held again by each replica once the
 // part is survived, by the reports of programs that keep these crashes, and only by those.
 func TestGateReportsKeepExplainedCrashes(t *testing.T) {
+	// The same crashes in one request quarantine the part by earlier rules alone.
+	for format, want := range map[uint32]uint64{8: 7, 7: 100} {
+		r := newReplica(t, store.Config{})
+		for i := range poison.MaxPartCrashes {
+			crash := partCrash(fmt.Sprint("t", i), 100)
+			crash.GetGateReport().GetCrashes()[0].Fingerprints = []uint64{7}
+			r.applyFormat(crash, format)
+		}
+		verdicts, _ := r.store.Verdicts()
+		for _, verdict := range verdicts {
+			assert.Equal(t, poison.Verdict(verdict.GetVerdict()) == poison.VerdictQuarantined, verdict.GetFingerprint() == want, "format %d", format)
+		}
+	}
 	for format, want := range map[uint32]int{8: 1, 7: 0} {
 		r := newReplica(t, store.Config{})
 		for i, request := range []uint64{7, 7, 7, 8, 9} {
