Read records, token files and changes of members to the letter too

A record with "inFlight" or two "Weight"s was accepted as if the operator had meant it, a token file with "tokens" granted access, and {"NEW":"a"} changed members.

A record is refused if reading it to the letter gives something else, or a name stands twice at any depth. Records that were committed are read as before.

--- a/internal/process/admin/admin_test.go
+++ b/internal/process/admin/admin_test.go
@@ -119,6 +119,8 @@
 		{name: "last member", path: "/v1/members/remove", body: `{"Old":"a"}`, status: http.StatusConflict, code: admin.CodeRefused},
 		{name: "unknown member verb", path: "/v1/members/praise", body: `{"New":"a"}`, status: http.StatusConflict, code: admin.CodeRefused},
 		{name: "unknown field in member body", path: "/v1/members/add", body: `{"Vm":"a"}`, code: admin.CodeInvalid},
+		{name: "field in capitals in member body", path: "/v1/members/add", body: `{"NEW":"a"}`, code: admin.CodeInvalid},
+		{name: "field twice in member body", path: "/v1/members/add", body: `{"New":"a","New":"b"}`, code: admin.CodeInvalid},
 		{name: "unknown path", path: "/v1/record", status: http.StatusNotFound, code: admin.CodeNotFound},
 		{name: "invalid audit index", method: "GET", path: "/v1/audit?after=x", code: admin.CodeInvalid},
 		{name: "unknown request", method: "GET", path: "/v1/requests/none", status: http.StatusNotFound, code: admin.CodeNotFound},
--- a/internal/process/admin/members.go
+++ b/internal/process/admin/members.go
@@ -1,13 +1,12 @@
 package admin
 
 import (
-	"bytes"
-	"encoding/json"
 	"errors"
 	"net/http"
 	"time"
 
 	"cactusline.dev/cactusline/internal/process/ctrl"
+	"cactusline.dev/cactusline/internal/version/exact"
 )
 
 // memberChangeTimeout includes the time that a new member needs to catch up
@@ -21,9 +20,7 @@
 	if err != nil {
 		return bodyError(err)
 	}
-	decoder := json.NewDecoder(bytes.NewReader(body))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&change); err != nil {
+	if err := exact.UnmarshalKnown(body, &change); err != nil {
 		return newError(http.StatusBadRequest, CodeInvalid, "decode body: "+err.Error()+"; nothing was changed")
 	}
 	change.Verb = ctrl.MemberVerb(req.PathValue("verb"))
--- a/internal/process/keys/keys_test.go
+++ b/internal/process/keys/keys_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -140,7 +141,23 @@
 	clk.Advance(keys.CheckInterval)
 	_, found = tokens.Lookup(operator)
 	assert.Assert(t, !found)
-	assert.NilError(t, os.WriteFile(name, []byte("{"), 0o600))
-	_, err = keys.OpenTokens(keys.TokensConfig{File: name, Clock: clk})
-	assert.Assert(t, err != nil)
+	for _, text := range []string{"{", `{"Tokens":[],"Tokens":[]}`} {
+		assert.NilError(t, os.WriteFile(name, []byte(text), 0o600))
+		_, err = keys.OpenTokens(keys.TokensConfig{File: name, Clock: clk})
+		assert.Assert(t, err != nil)
+	}
+	// A name in other capitals grants nothing.
+	text := strings.Replace(string(grantFile(t, operator)), "Tokens", "tokens", 1)
+	assert.NilError(t, os.WriteFile(name, []byte(text), 0o600))
+	tokens, err = keys.OpenTokens(keys.TokensConfig{File: name, Clock: clk})
+	assert.NilError(t, err)
+	_, found = tokens.Lookup(operator)
+	assert.Assert(t, !found)
+}
+
+// grantFile returns the content of a file that grants a token an operator's access.
+func grantFile(t *testing.T, token string) []byte {
+	text, err := json.Marshal(keys.TokenFile{Tokens: []keys.Grant{{Name: "o", Access: keys.AccessOperator, Hash: keys.HashToken(token)}}})
+	assert.NilError(t, err)
+	return text
 }
--- a/internal/process/keys/tokens.go
+++ b/internal/process/keys/tokens.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -17,6 +16,7 @@
 	"github.com/go-kit/log/level"
 
 	"cactusline.dev/cactusline/internal/process/clock"
+	"cactusline.dev/cactusline/internal/version/exact"
 )
 
 // Access is the access level that a bearer token grants.
@@ -151,7 +151,7 @@
 		return nil, fmt.Errorf("read tokens: %w", err)
 	}
 	var file TokenFile
-	if err := json.Unmarshal(text, &file); err != nil {
+	if err := exact.Unmarshal(text, &file); err != nil {
 		return nil, fmt.Errorf("read tokens: %w", err)
 	}
 	for i, g := range file.Tokens {
--- a/internal/version/record/record.go
+++ b/internal/version/record/record.go
@@ -8,9 +8,11 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"reflect"
 	"slices"
 	"strings"
 
+	"cactusline.dev/cactusline/internal/version/exact"
 	"cactusline.dev/cactusline/internal/version/ident"
 )
 
@@ -54,6 +56,10 @@
 	if len(faults) == 0 {
 		faults = r.valueFaults()
 	}
+	var fields map[string]json.RawMessage
+	if err := exact.UnmarshalLikeStandard(data, &fields); err != nil && len(faults) == 0 {
+		faults = []Fault{{Problem: err.Error()}}
+	}
 	if len(faults) > 0 {
 		return nil, newFaults(r.key, faults)
 	}
@@ -91,7 +97,7 @@
 		return r, []Fault{{Problem: err.Error()}}
 	}
 	// A value that cannot be decoded stays nil; Parse reports the error.
-	r.value, _ = decodeValue(r.header, r.content)
+	r.value, _ = decodeValue(r.header, r.content, json.Unmarshal)
 	return r, nil
 }
 
@@ -100,11 +106,25 @@
 	if _, known := newestSchema[r.header.Kind]; !known {
 		return []Fault{{Field: "Kind", Problem: fmt.Sprintf("%q is unknown", r.header.Kind)}}
 	}
-	value, err := decodeValue(r.header, r.content)
+	value, err := decodeValue(r.header, r.content, json.Unmarshal)
 	if err != nil {
 		return []Fault{faultOfDecodeError(err)}
 	}
-	return value.validate()
+	return append(r.nameFaults(value), value.validate()...)
+}
+
+// nameFaults returns a fault if a name in a record differs from that of a known field only in
+// capitals, at any depth. Records that were committed are read without regard to that, and so
+// must hold no such names.
+func (r *Record) nameFaults(value typedRecord) []Fault {
+	byLetter, err := decodeValue(r.header, r.content, exact.UnmarshalLikeStandard)
+	if err != nil {
+		return []Fault{{Problem: err.Error()}}
+	}
+	if !reflect.DeepEqual(byLetter, value) {
+		return []Fault{{Problem: "has a name that differs from that of a known field only in capitals"}}
+	}
+	return nil
 }
 
 // New returns the record of a typed value, which must be a pointer to one of
--- a/internal/version/record/record_test.go
+++ b/internal/version/record/record_test.go
@@ -71,6 +71,28 @@
 	assert.Assert(t, r.Value() == nil)
 }
 
+// Guards against a record that is accepted though one of its fields stands under a name in other
+// capitals or twice, so that what is in force isn't what the operator meant.
+func TestNamesOfRecordsAreExact(t *testing.T) {
+	valid := `{"Kind":"Customer","SchemaVersion":1,"Name":"c","Keys":["` + strings.Repeat("0a", 32) + `"],"Weight":2,"Limits":{"InFlight":7},"Newer":{"inflight":1}}`
+	_, err := record.Parse([]byte(valid))
+	assert.NilError(t, err)
+	for name, change := range map[string][2]string{
+		"in capitals":         {`"Weight"`, `"WEIGHT"`},
+		"in capitals, nested": {`"InFlight"`, `"inFlight"`},
+		"twice":               {`"Weight":2`, `"Weight":1,"Weight":2`},
+		"twice, nested":       {`"InFlight":7`, `"InFlight":1,"InFlight":7`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			text := []byte(strings.Replace(valid, change[0], change[1], 1))
+			_, err := record.Parse(text)
+			assert.Assert(t, err != nil)
+			_, err = record.ParseCommitted(text)
+			assert.NilError(t, err, "an earlier release may have accepted it")
+		})
+	}
+}
+
 func TestReadFileReportsAllFaults(t *testing.T) {
 	file := `[{"Kind":"Target","SchemaVersion":2,"Name":"e","Address":"nowhere","Role":"Cook"},
 		{"Kind":"Customer","SchemaVersion":1,"Name":"c","Keys":["zz"]},
--- a/internal/version/record/schema.go
+++ b/internal/version/record/schema.go
@@ -85,40 +85,40 @@
 }
 
 // decodeValue decodes the known fields of a record into the newest schema
-// version of its kind. It returns nil for an unknown kind.
-func decodeValue(header Header, data []byte) (typedRecord, error) {
+// version of its kind with unmarshal. It returns nil for an unknown kind.
+func decodeValue(header Header, data []byte, unmarshal func([]byte, any) error) (typedRecord, error) {
 	switch header.Kind {
 	case KindCustomer:
-		return decodeInto(data, &Customer{})
+		return decodeInto(data, &Customer{}, unmarshal)
 	case KindService:
-		return decodeInto(data, &Service{})
+		return decodeInto(data, &Service{}, unmarshal)
 	case KindModel:
-		return decodeInto(data, &Model{})
+		return decodeInto(data, &Model{}, unmarshal)
 	case KindRoute:
-		return decodeInto(data, &Route{})
+		return decodeInto(data, &Route{}, unmarshal)
 	case KindDeparture:
-		return decodeInto(data, &Departure{})
+		return decodeInto(data, &Departure{}, unmarshal)
 	case KindTarget:
-		return decodeTarget(header, data)
+		return decodeTarget(header, data, unmarshal)
 	}
 	return nil, nil
 }
 
 // decodeTarget decodes a target of any schema version.
-func decodeTarget(header Header, data []byte) (typedRecord, error) {
+func decodeTarget(header Header, data []byte, unmarshal func([]byte, any) error) (typedRecord, error) {
 	if header.SchemaVersion > 1 {
-		return decodeInto(data, &Target{})
+		return decodeInto(data, &Target{}, unmarshal)
 	}
 	old := &targetV1{}
-	if err := json.Unmarshal(data, old); err != nil {
+	if err := unmarshal(data, old); err != nil {
 		return nil, fmt.Errorf("target of schema version 1: %w", err)
 	}
 	return old.upgrade(), nil
 }
 
 // decodeInto decodes the known fields of a record into value.
-func decodeInto(data []byte, value typedRecord) (typedRecord, error) {
-	if err := json.Unmarshal(data, value); err != nil {
+func decodeInto(data []byte, value typedRecord, unmarshal func([]byte, any) error) (typedRecord, error) {
+	if err := unmarshal(data, value); err != nil {
 		return nil, fmt.Errorf("decode fields: %w", err)
 	}
 	return value, nil
