Name one founder of the group and no other

Cause: a first seed without a disk chose the founder anew for each reply, among the processes that announced themselves lately. One that starts late, or that finds no place among the voters, was named after the group was formed.

Change: the first seed chooses once and keeps its choice.

--- a/internal/process/member/discovery.go
+++ b/internal/process/member/discovery.go
@@ -109,6 +109,8 @@
 	mu    sync.Mutex
 	seeds []string // current seed addresses; cfg.Seeds stays and determines the founder
 	known map[ident.VMName]*knownProcess
+	// founder is the founder that this process has chosen, if any.
+	founder ident.VMName
 }
 
 // knownProcess is a process with the times of its last announcement to this process, and of
@@ -165,7 +167,7 @@
 // system, and "" otherwise or while the founder is undecided. The process itself
 // is preferred if it has a data folder; otherwise, after founderWait, the founder
 // is the live process of the new system with a data folder whose VM has the
-// smallest name.
+// smallest name. The choice is made once: a second founder would form a second group.
 func (d *Discovery) chooseFounder() ident.VMName {
 	if !d.cfg.Self.Fresh || len(d.cfg.Seeds) == 0 || d.cfg.Seeds[0] != d.cfg.Self.Address {
 		return ""
@@ -177,13 +179,21 @@
 	if now.Sub(d.started) < founderWait {
 		return ""
 	}
-	var founder ident.VMName
-	for _, process := range d.Live() {
-		if process.Fresh && process.ID != "" && (founder == "" || process.VM < founder) {
-			founder = process.VM
+	live := d.Live()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.founder != "" {
+		return d.founder
+	}
+	for _, process := range live {
+		if process.Fresh && process.ID != "" && (d.founder == "" || process.VM < d.founder) {
+			d.founder = process.VM
 		}
 	}
-	return founder
+	if d.founder != "" {
+		_ = level.Info(d.cfg.Logger).Log("msg", "founder of the group chosen", "vm", d.founder)
+	}
+	return d.founder
 }
 
 // bootstrapIfFounder bootstraps the group if this process is the founder. Only a
--- a/internal/process/member/discovery_test.go
+++ b/internal/process/member/discovery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"slices"
@@ -42,7 +43,8 @@
 	_ = stream.Send(p.Answer(call.GetQuery()))
 }
 
-// start starts a process, with a data folder if id is not empty.
+// start starts a process, with a data folder if id is not empty. One without other seeds is
+// the first seed of a new system.
 func (f *discoveryFleet) start(vm ident.VMName, id group.MemberID, seeds ...*discoveryProcess) *discoveryProcess {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(f.t, err)
@@ -54,8 +56,11 @@
 	for _, seed := range seeds {
 		addresses = append(addresses, seed.address)
 	}
+	if len(seeds) == 0 {
+		addresses = []string{p.address}
+	}
 	p.Discovery = member.NewDiscovery(member.DiscoveryConfig{
-		Self:  member.Process{VM: vm, ID: id, Address: p.address},
+		Self:  member.Process{VM: vm, ID: id, Address: p.address, Fresh: len(seeds) == 0},
 		Seeds: addresses, Link: links, Clock: f.clock, Logger: log.NewNopLogger(),
 	})
 	server := link.NewServer(p)
@@ -131,6 +136,26 @@
 	}
 }
 
+// Guards against a second group, which a process forms that is named founder after another one
+// has formed the group: one that starts late, or finds no place among the members.
+func TestOneFounderIsNamed(t *testing.T) {
+	f := newDiscoveryFleet(t)
+	seed := f.start("s", "")
+	named := func(vm ident.VMName, id group.MemberID) ident.VMName {
+		argument, err := json.Marshal(member.Process{VM: vm, ID: id, Address: "127.0.0.1:1", Fresh: true})
+		assert.NilError(t, err)
+		var reply struct{ Founder ident.VMName }
+		assert.NilError(t, json.Unmarshal(seed.Answer(&wire.Query{Kind: "announce", Argument: argument}).GetResult(), &reply))
+		return reply.Founder
+	}
+	assert.Equal(t, named("d", "d/1"), ident.VMName(""), "others may still start")
+	f.clock.now = f.clock.now.Add(900 * time.Millisecond)
+	assert.Equal(t, named("c", "c/1"), ident.VMName("c"))
+	assert.Equal(t, named("a", "a/1"), ident.VMName("c"), "one that started late")
+	f.clock.now = f.clock.now.Add(time.Minute)
+	assert.Equal(t, named("b", "b/1"), ident.VMName("c"), "the founder announces itself no more")
+}
+
 // Guards against calls that go first to processes that are gone.
 func TestProcessHeardOfLastIsAskedFirst(t *testing.T) {
 	f := newDiscoveryFleet(t)
