--- a/internal/request/poison/direct.go
+++ b/internal/request/poison/direct.go
@@ -106,8 +106,8 @@
 }
 
 // directCrashTimes returns the times of the direct crashes that no part explains, in
-// ascending order. All of them count, also if a target restarts under the same name, since a restarted target
-// is another instance.
+// ascending order. All of them count, also if a target restarts under the same name, since
+// a restarted target is another instance.
 func (e *Entry) directCrashTimes() []time.Time {
 	var times []time.Time
 	for _, crash := range e.Crashes {
--- a/internal/version/store/codec.go
+++ b/internal/version/store/codec.go
@@ -15,7 +15,7 @@
 	Format = formatKeptCrashes
 
 	// formatBase is the format of all commands but GateReport, RecordSoftware and
-	// Evacuate. Older programs apply it too. From formatEarlyTrial on, trials in a
+	// Evacuate, which older programs apply too. From formatEarlyTrial on, trials in a
 	// GateReport may be early, and its completed requests may have been on such a trial.
 	// From formatKeptCrashes on, the crashes in it are kept for the requests in flight also
 	// where a quarantined part of prompts explains them.
