--- a/internal/process/ctrl/document_test.go
+++ b/internal/process/ctrl/document_test.go
@@ -143,6 +143,36 @@
 	_, _ = relay.Document(withTimeout(t, operatorTimeout))
 	_, err = relay.Document(withTimeout(t, operatorTimeout))
 	assert.NilError(t, err)
+	// Addresses that were not asked yet don't come before the one that answers.
+	addresses = []string{silentAddress(t), silentAddress(t), other.address}
+	_, err = relay.Document(withTimeout(t, operatorTimeout))
+	assert.NilError(t, err)
+}
+
+// slowMember answers queries of control processes after a while.
+type slowMember struct{ delay time.Duration }
+
+// ServeCall implements link.Handler.
+func (m slowMember) ServeCall(_ context.Context, _ *wire.Call, stream *link.Stream) {
+	time.Sleep(m.delay)
+	_ = stream.Send(&wire.QueryReply{})
+}
+
+// Guards against calls that fail again and again, because a member that is slow counts as
+// failed when the time of a call ends first, and is asked after one that is gone from then on.
+func TestRelayAsksASlowMemberAgain(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := link.NewServer(slowMember{delay: 300 * time.Millisecond})
+	go func() { _ = server.Serve(t.Context(), listener) }()
+	t.Cleanup(func() { _ = listener.Close(); _ = server.Close() })
+	links := link.NewClient(link.Config{Clock: clock.System{}})
+	t.Cleanup(func() { _ = links.Close() })
+	addresses := []string{silentAddress(t), listener.Addr().String()}
+	relay := &ctrl.Relay{Link: links, ControlAddresses: func() []string { return addresses }, Logger: log.NewNopLogger()}
+	const timeout = 650 * time.Millisecond // The one that is gone takes 500 ms of it.
+	assert.Assert(t, relay.PutDocument(withTimeout(t, timeout), document(5, `{}`)) != nil)
+	assert.NilError(t, relay.PutDocument(withTimeout(t, timeout), document(5, `{}`)))
 }
 
 // silentAddress returns an address that accepts connections and never answers.
--- a/internal/process/ctrl/software_test.go
+++ b/internal/process/ctrl/software_test.go
@@ -135,12 +135,20 @@
 	leader, follower := newSoftwareHarness(t), newSoftwareHarness(t)
 	follower.membership.replace(group.Status{
 		ID: "self", Leader: "other", Term: 1,
-		Members: []group.MemberStatus{{Member: group.Member{ID: "self"}}, {Member: group.Member{ID: "other", Address: leader.address}}},
+		Members: []group.MemberStatus{
+			{Member: group.Member{ID: "self"}}, {Member: group.Member{ID: "other", Address: leader.address}}, {Member: group.Member{ID: "third", Address: silentAddress(t)}},
+		},
 	})
 	follower.applied.setError(&group.NotLeaderError{Address: leader.address})
 	follower.admit("v1")
 	assert.DeepEqual(t, leader.applied.state.Software(), []store.Software{{Service: "s", Version: "v1"}})
 	// A leader that is named but gone doesn't hide the other members.
+	follower.membership.replace(group.Status{
+		ID: "self", Leader: "third", Term: 2,
+		Members: []group.MemberStatus{
+			{Member: group.Member{ID: "self"}}, {Member: group.Member{ID: "other", Address: leader.address}}, {Member: group.Member{ID: "third", Address: "127.0.0.1:1"}},
+		},
+	})
 	follower.applied.setError(&group.NotLeaderError{Address: "127.0.0.1:1"})
 	follower.admit("v1", "v2")
 	assert.Equal(t, len(leader.applied.state.Software()), 2)
--- a/internal/process/member/discovery_test.go
+++ b/internal/process/member/discovery_test.go
@@ -172,6 +172,49 @@
 	assert.Assert(t, !slices.Contains(addresses[:2], b.address) && !slices.Contains(addresses[:2], c.address))
 }
 
+// Guards against old data of a process that takes the place of newer data, as after the loss of
+// its disk.
+func TestOlderReportChangesNothing(t *testing.T) {
+	f := newDiscoveryFleet(t)
+	seed := f.start("s", "s/1")
+	p := f.start("p", "p/1", seed)
+	tell := func(process member.Process) {
+		argument, err := json.Marshal(process)
+		assert.NilError(t, err)
+		seed.Answer(&wire.Query{Kind: "announce", Argument: argument})
+	}
+	address := func() string {
+		for _, known := range p.Known() {
+			if known.VM == "x" {
+				return known.Address
+			}
+		}
+		return ""
+	}
+	// p hears of x through other seeds, one of which was told long ago.
+	other := f.start("o", "o/1")
+	tell(member.Process{VM: "x", ID: "x/1", Address: "127.0.0.1:1"})
+	f.clock.now = f.clock.now.Add(30 * time.Second)
+	argument, err := json.Marshal(member.Process{VM: "x", ID: "x/2", Address: "127.0.0.1:2"})
+	assert.NilError(t, err)
+	other.Answer(&wire.Query{Kind: "announce", Argument: argument})
+	p.SetSeeds([]string{other.address})
+	p.Announce(t.Context())
+	assert.Equal(t, address(), "127.0.0.1:2")
+	other.stop()
+	p.SetSeeds([]string{seed.address})
+	p.Announce(t.Context())
+	assert.Equal(t, address(), "127.0.0.1:2")
+	// What the process itself has just said goes before what others have heard.
+	argument, err = json.Marshal(member.Process{VM: "x", ID: "x/3", Address: "127.0.0.1:3"})
+	assert.NilError(t, err)
+	p.Answer(&wire.Query{Kind: "announce", Argument: argument})
+	f.clock.now = f.clock.now.Add(500 * time.Millisecond)
+	tell(member.Process{VM: "x", ID: "x/1", Address: "127.0.0.1:1"})
+	p.Announce(t.Context())
+	assert.Equal(t, address(), "127.0.0.1:3")
+}
+
 // Guards against a process that knows nobody any more after it was cut off for long.
 func TestProcessThatHearsOfNobodyForgetsNobody(t *testing.T) {
 	f := newDiscoveryFleet(t)
--- a/internal/request/poison/part_test.go
+++ b/internal/request/poison/part_test.go
@@ -191,22 +191,64 @@
 func TestAnotherPartGoesOnExplainingCrashes(t *testing.T) {
 	const request, otherPart = 50, 60
 	tracker := poison.NewTracker(poison.Config{})
-	for second := range 6 {
-		inFlight := []ident.Fingerprint{request}
+	for second := range poison.MaxPartCrashes {
+		crashParts(tracker, second, badPart)
+		crashParts(tracker, 100+second, otherPart)
+	}
+	for second := 200; second < 200+poison.MaxDirectCrashes; second++ {
+		tracker.RecordDirectCrash(at(second), poison.DirectCrash{
+			Target: ident.TargetName(fmt.Sprint("t", second)), At: at(second), InFlight: []ident.Fingerprint{request}, Parts: inFlight(second, badPart, otherPart),
+		})
+	}
+	assert.Equal(t, tracker.Verdict(at(203), badPart), poison.VerdictQuarantined)
+	assert.Equal(t, tracker.Verdict(at(203), otherPart), poison.VerdictQuarantined)
+	for i, survived := range []ident.Fingerprint{otherPart, badPart} {
+		assert.Equal(t, tracker.Verdict(at(203), request), poison.VerdictNone)
+		tracker.RecordSurvival(at(204+i), survived, at(204+i))
+	}
+	assert.Equal(t, tracker.Verdict(at(206), request), poison.VerdictQuarantined, "neither part explains its crashes")
+}
+
+// Guards against an early trial of a part after its trials have crashed targets, because the
+// crashes that are kept of it are those of one request.
+func TestPartWithTheCrashesOfOneRequestWaitsForItsQuarantine(t *testing.T) {
+	tracker := poison.NewTracker(poison.Config{})
+	for second := range 2 + 2*poison.MaxCrashes {
+		request := ident.Fingerprint(50)
 		if second >= 3 {
-			inFlight = nil
+			request = 51
 		}
+		recordCrash(tracker, second, request)
+	}
+	last := 10 + 2*poison.MaxCrashes
+	recordCrash(tracker, last, 51)
+	assert.Equal(t, tracker.Verdict(at(last), badPart), poison.VerdictQuarantined)
+	assert.Assert(t, !tracker.BeginEarlyTrial(at(last+10), badPart))
+}
+
+// Guards against a bystander that is rejected for a minute, because a crash that a part
+// explains isn't one of the request that it ran beside.
+func TestExplainedCrashKeepsNoBystanderFromItsTrial(t *testing.T) {
+	const request, bystander = 50, 51
+	tracker := poison.NewTracker(poison.Config{})
+	crash := func(second int, parts []poison.PartInFlight, fingerprints ...ident.Fingerprint) {
 		tracker.RecordDirectCrash(at(second), poison.DirectCrash{
-			Target: ident.TargetName(fmt.Sprint("t", second)), At: at(second), InFlight: inFlight,
-			Parts: []poison.PartInFlight{
-				{Part: poison.Part{ID: 2, Depth: 2}, Fingerprint: badPart, Sent: at(second)},
-				{Part: poison.Part{ID: 6, Depth: 2}, Fingerprint: otherPart, Sent: at(second)},
-			},
+			Target: ident.TargetName(fmt.Sprint("t", second)), At: at(second), InFlight: fingerprints, Parts: parts,
 		})
 	}
-	assert.Equal(t, tracker.Verdict(at(5), badPart), poison.VerdictQuarantined)
-	tracker.RecordSurvival(at(6), otherPart, at(6))
-	assert.Equal(t, tracker.Verdict(at(6), request), poison.VerdictNone)
+	for second := range poison.MaxPartCrashes {
+		crash(second, inFlight(second, sharedPart, badPart), ident.Fingerprint(100+second))
+	}
+	crash(4, inFlight(4, sharedPart, badPart), bystander)
+	for second := 5; second < 9; second++ {
+		lost := []ident.Fingerprint{request, bystander}
+		if second == 8 {
+			lost = lost[:1]
+		}
+		crash(second, nil, lost...)
+	}
+	assert.Equal(t, tracker.Verdict(at(9), bystander), poison.VerdictQuarantined)
+	assert.Assert(t, tracker.BeginEarlyTrial(at(11), bystander))
 }
 
 // Guards against a verdict on a part whose survival only the gates that report its
